--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Everything that a developer or CI runs; the README says when.
+SHELL := /bin/bash
+GOLANGCI_LINT_VERSION := v2.15.0
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS := -X github.com/dogwoodledge/dogwoodledge/pkg/commander.Version=$(VERSION)
+
+.PHONY: build demo check test race bench prove lint tools generate clean
+
+build:
+	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
+
+demo: build
+	scripts/demo.sh
+
+# check runs all tests, the concurrent packages under the race detector.
+check: build race
+	go test ./...
+
+race:
+	go test -race ./pkg/granter/... ./pkg/runner/... ./pkg/messenger/... ./pkg/server/... ./pkg/follower/... ./pkg/forwarder/...
+
+lint:
+	golangci-lint fmt --diff
+	golangci-lint run
+
+tools:
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+# generate makes the committed VM-to-VM code anew; only it needs protoc and its plugins.
+generate:
+	protoc -I pkg/messenger/wire --go_out=pkg/messenger/wire --go_opt=paths=source_relative \
+		--go-grpc_out=pkg/messenger/wire --go-grpc_opt=paths=source_relative vm.proto
+
+clean:
+	rm -rf bin tmp
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,12 @@
+// Command standin runs one stand-in process for development: the platform, a model engine or a plain service.
+package main
+
+import (
+	"os"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/emulator"
+)
+
+func main() {
+	os.Exit(emulator.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/pkg/assembler/assembler.go
@@ -0,0 +1,166 @@
+package assembler
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/archiver"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
+	"github.com/dogwoodledge/dogwoodledge/pkg/forwarder"
+	"github.com/dogwoodledge/dogwoodledge/pkg/granter"
+	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/poller"
+	"github.com/dogwoodledge/dogwoodledge/pkg/runner"
+	"github.com/dogwoodledge/dogwoodledge/pkg/server"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	stopMargin   = 30 * time.Second
+)
+
+// parts are all the parts of the daemon.
+type parts struct {
+	fx.In
+
+	Settings   loader.Settings
+	Log        logrus.FieldLogger
+	Tracer     *tracer.Tracer
+	Client     *storer.Client
+	Paced      *storer.Paced
+	Auth       *messenger.Authenticator
+	Caller     *messenger.Caller
+	Membership *messenger.Membership
+	Follower   *follower.Follower
+	Fleet      *Fleet
+	Granter    *granter.Granter
+	Reserver   *granter.Reserver
+	Routes     *forwarder.Routes
+	Dispatcher *forwarder.Dispatcher
+	Runner     *runner.Runner
+	Poller     *poller.Poller
+	Server     *server.Server
+	VMServer   *messenger.Server
+}
+
+// New returns the daemon for the settings.
+func New(s loader.Settings) *fx.App {
+	return fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.DrainLimit+stopMargin),
+		fx.Supply(s),
+		fx.Provide(
+			tracer.New, tracer.NewLog, newRandom, newPaced, newClient, newAuthenticator, newCaller, newFollower, newFleet,
+			newMembership, newGranter, newReserver, newRoutes, newDispatcher, forwarder.NewPools, newArchiver, newRunner, newPoller,
+			newClaims, newServer, newVMServer,
+		),
+		fx.Invoke(runLifecycle),
+	)
+}
+
+// newRandom returns a source seeded by the system; each part that draws gets one of its own.
+func newRandom() func() *rand.Rand {
+	return func() *rand.Rand {
+		seed := [16]byte{}
+		_, _ = crand.Read(seed[:])
+		return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+	}
+}
+
+func newClient(s loader.Settings) *storer.Client {
+	return storer.NewClient(storer.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout})
+}
+
+func newPaced(c *storer.Client) *storer.Paced { return storer.NewPaced(c) }
+
+func newArchiver(s loader.Settings, p *storer.Paced) *archiver.Archiver {
+	return archiver.New(p, s.SegmentItems)
+}
+
+func newAuthenticator(s loader.Settings) *messenger.Authenticator {
+	return messenger.NewAuthenticator(s.FleetKey())
+}
+
+func newCaller(s loader.Settings, auth *messenger.Authenticator) (*messenger.Caller, error) {
+	creds, err := messenger.Credentials(s.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	return messenger.NewCaller(auth, creds), nil
+}
+
+func newFollower(
+	s loader.Settings, c *storer.Client, random func() *rand.Rand, log logrus.FieldLogger,
+) *follower.Follower {
+	return follower.New(c, s.PollEvery, random(), log)
+}
+
+func newMembership(
+	s loader.Settings, auth *messenger.Authenticator, p *storer.Client, fleet *Fleet,
+	random func() *rand.Rand, log logrus.FieldLogger,
+) (*messenger.Membership, error) {
+	return messenger.NewMembership(messenger.MembershipConfig{
+		Self: detector.Member{
+			VM: s.VM.ID, Address: s.Listen.VMs, Region: s.VM.Region, AvailabilityZone: s.VM.AvailabilityZone,
+			// A VM that starts anew under its old name must speak louder than what was said of it before.
+			Incarnation: uint64(time.Now().UnixMilli()),
+		},
+		Auth: auth, Store: p, Log: log, Listener: fleet, Random: random(),
+	})
+}
+
+func newGranter(f *Fleet) *granter.Granter { return granter.New(f.KeeperPolicy) }
+
+func newReserver(
+	g *granter.Granter, m *messenger.Membership, c *messenger.Caller, routes *forwarder.Routes, log logrus.FieldLogger,
+) *granter.Reserver {
+	return granter.NewReserver(g, m, c, log, routes.SeeLoad)
+}
+
+func newRunner(
+	s loader.Settings, a *archiver.Archiver, g *granter.Granter, f *Fleet, p *forwarder.Pools,
+	random func() *rand.Rand, log logrus.FieldLogger,
+) *runner.Runner {
+	cfg := runner.Config{
+		VM: s.VM.ID, LeaseLength: s.Lease.Length, LeaseRenew: s.Lease.Renew, PollEvery: s.PollEvery,
+	}
+	return runner.New(cfg, a, g, f, p, random(), log)
+}
+
+func newPoller(f *Fleet, g *granter.Granter, routes *forwarder.Routes) *poller.Poller {
+	return poller.New(f, poller.Hearer{Keeper: g.Tell, Router: routes.Tell})
+}
+
+func newRoutes(random func() *rand.Rand) *forwarder.Routes { return forwarder.NewRoutes(random()) }
+
+func newDispatcher(
+	r *granter.Reserver, f *Fleet, routes *forwarder.Routes, log logrus.FieldLogger,
+) *forwarder.Dispatcher {
+	return forwarder.NewDispatcher(r, f, routes, log, func(endpoint string) { f.announce(endpoint, true) })
+}
+
+func newClaims(
+	s loader.Settings, p *storer.Paced, m *messenger.Membership, c *messenger.Caller, log logrus.FieldLogger,
+) *server.Claims {
+	return server.NewClaims(s.VM.ID, p, m, c, log)
+}
+
+func newVMServer(
+	s loader.Settings, auth *messenger.Authenticator, g *granter.Granter, f *follower.Follower, c *server.Claims,
+) (*messenger.Server, error) {
+	creds, err := messenger.Credentials(s.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	return messenger.NewServer(s.Listen.VMs, auth, creds, server.NewVMs(s.VM.ID, g, f, c))
+}
--- /dev/null
+++ b/pkg/assembler/doc.go
@@ -0,0 +1,2 @@
+// Package assembler puts the daemon together and takes it through its start and its planned stop.
+package assembler
--- /dev/null
+++ b/pkg/assembler/lifecycle.go
@@ -0,0 +1,88 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
+)
+
+// leaveNotice is how long a leaving VM still takes requests, until the balancer and the other VMs know.
+const leaveNotice = 1500 * time.Millisecond
+
+// runLifecycle hooks the daemon's start and planned stop into fx.
+func runLifecycle(lc fx.Lifecycle, p parts) error {
+	p.Fleet.bind(&p)
+	p.Follower.SetPeer(p.fetchFromPeer)
+	if err := p.registerMetrics(); err != nil {
+		return err
+	}
+	lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
+	return nil
+}
+
+func (p *parts) fetchFromPeer(ctx context.Context, vm, hash string) ([]byte, error) {
+	m, ok := p.Membership.View().Member(vm)
+	if !ok {
+		return nil, errors.Errorf("VM %s is not known", vm)
+	}
+	client, err := p.Caller.VM(m.Address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Snapshot(ctx, &wire.SnapshotRequest{Hash: hash})
+	return reply.GetSnapshot(), err
+}
+
+func (p *parts) start(context.Context) error {
+	p.VMServer.Start()
+	p.Granter.Start(p.Runner)
+	p.Reserver.Start()
+	p.Membership.Start()
+	p.Follower.Start()
+	p.Runner.Start()
+	p.Poller.Start()
+	if err := p.Server.Start(); err != nil {
+		return err
+	}
+	p.Log.Info("started")
+	return nil
+}
+
+// stop is the planned stop: tell everybody, give the batch work back, and answer what has begun.
+func (p *parts) stop(ctx context.Context) error {
+	p.Log.Info("leaving")
+	p.Server.Leave()
+	p.Membership.Tell(detector.LeaveOrdered{})
+	p.Runner.Stop(ctx)
+	waitFor(ctx, leaveNotice)
+	drainCtx, cancel := context.WithTimeout(ctx, p.Settings.DrainLimit)
+	defer cancel()
+	err := p.Server.Drain(drainCtx)
+	p.Poller.Stop()
+	p.Follower.Stop()
+	p.Reserver.Stop()
+	p.Granter.Stop()
+	p.VMServer.Stop()
+	p.Membership.Stop()
+	p.Caller.Close()
+	p.Server.Stop()
+	p.Log.Info("stopped")
+	if stopErr := p.Tracer.Stop(ctx); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/assembler/server.go
@@ -0,0 +1,31 @@
+package assembler
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/archiver"
+	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
+	"github.com/dogwoodledge/dogwoodledge/pkg/forwarder"
+	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/runner"
+	"github.com/dogwoodledge/dogwoodledge/pkg/server"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+)
+
+func newServer(
+	s loader.Settings, client *storer.Client, a *archiver.Archiver, f *follower.Follower, d *forwarder.Dispatcher,
+	p *forwarder.Pools, m *messenger.Membership, c *messenger.Caller, claims *server.Claims, t *tracer.Tracer,
+	r *runner.Runner, fleet *Fleet, log logrus.FieldLogger,
+) *server.Server {
+	cfg := server.Config{
+		VM: s.VM.ID, Callers: s.Listen.Callers, Operators: s.Listen.Operators,
+		OperatorKeyHashes: s.Operators.KeyHashes, DrainLimit: s.DrainLimit,
+	}
+	return server.New(cfg, server.Parts{
+		Store: client, Archiver: a, Follower: f, Dispatcher: d, Pools: p, Membership: m, Caller: c, Claims: claims,
+		Metrics: t.Handler(), Log: log, OnBatch: r.Poke,
+		OnEndpointNews: fleet.announce,
+	})
+}
--- /dev/null
+++ b/pkg/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander is the command line of operators and callers.
+package commander
--- /dev/null
+++ b/pkg/commander/endpoint.go
@@ -0,0 +1,50 @@
+package commander
+
+import (
+	"net/http"
+
+	"github.com/spf13/cobra"
+)
+
+func newEndpoint(s *session) *cobra.Command {
+	cmd := &cobra.Command{Use: "endpoint", Short: "Show endpoints and take them out of work"}
+	cmd.AddCommand(
+		newEndpointList(s),
+		newEndpointOrder(s, "leave", "Give an endpoint no new work; what it runs goes on to its end"),
+		newEndpointOrder(s, "return", "Give an endpoint work again"),
+	)
+	return cmd
+}
+
+func newEndpointList(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "List the declared endpoints", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			reply := snapshotReply{}
+			if err := s.operator(http.MethodGet, "/snapshot", nil, &reply); err != nil {
+				return err
+			}
+			return s.print(reply.Snapshot.Endpoints, func() {
+				for _, e := range reply.Snapshot.Endpoints {
+					s.printf("%-16s %-22s %-12s %3d slots %v%s\n", e.Name, e.Address, e.AvailabilityZone, e.Slots, e.Models, e.Service)
+				}
+			})
+		},
+	}
+}
+
+func newEndpointOrder(s *session, order, short string) *cobra.Command {
+	return &cobra.Command{
+		Use: order + " NAME", Short: short, Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			reply := struct {
+				Endpoint  string `json:"endpoint"`
+				IsLeaving bool   `json:"isLeaving"`
+			}{}
+			if err := s.operator(http.MethodPost, "/endpoints/"+args[0]+"/"+order, nil, &reply); err != nil {
+				return err
+			}
+			return s.print(reply, func() { s.printf("ordered: endpoint %s is to %s\n", args[0], order) })
+		},
+	}
+}
--- /dev/null
+++ b/pkg/core/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome says how attempts and whole requests end.
+package outcome
--- /dev/null
+++ b/pkg/core/outcome/outcome.go
@@ -0,0 +1,62 @@
+package outcome
+
+import "time"
+
+// Outcome is how an attempt ended: NotRun, Completed or Unknown.
+type Outcome interface {
+	isOutcome()
+}
+
+// NotRun says that the endpoint ran nothing; RetryAfter is when to come back.
+type NotRun struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Completed says that the endpoint's whole answer was received.
+type Completed struct{}
+
+// Unknown says that the endpoint may have run the attempt, in part or in full.
+type Unknown struct {
+	Reason string
+}
+
+func (NotRun) isOutcome()    {}
+func (Completed) isOutcome() {}
+func (Unknown) isOutcome()   {}
+
+// Tally joins the outcomes of all attempts of one request; its zero value has seen none.
+type Tally struct {
+	mayHaveRun  bool
+	isCompleted bool
+}
+
+// Add takes in the outcome of one attempt.
+func (t *Tally) Add(o Outcome) {
+	switch o.(type) {
+	case Completed:
+		t.isCompleted = true
+	case Unknown:
+		t.mayHaveRun = true
+	}
+}
+
+// Refuse returns the outcome of a request that ends in a refusal: NotRun only when no attempt may have run.
+func (t *Tally) Refuse(reason string, retryAfter time.Duration) Outcome {
+	if t.mayHaveRun || t.isCompleted {
+		return Unknown{Reason: reason}
+	}
+	return NotRun{Reason: reason, RetryAfter: retryAfter}
+}
+
+// Name returns the outcome as callers see it.
+func Name(o Outcome) string {
+	switch o.(type) {
+	case NotRun:
+		return "notRun"
+	case Completed:
+		return "completed"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/pkg/declarer/kinds.go
@@ -0,0 +1,130 @@
+package declarer
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Declaration is one declared object: Account, Model, Service, Endpoint, Region, Link or Preset.
+type Declaration interface {
+	// Kind returns the kind as written in files.
+	Kind() string
+	// ID returns the name, unique within the kind.
+	ID() string
+	isDeclaration()
+}
+
+// Meta names a declaration.
+type Meta struct {
+	KindName string `yaml:"kind" json:"kind" validate:"required"`
+	Name     string `yaml:"name" json:"name" validate:"required,max=63,label"`
+}
+
+// Kind returns the kind as written in files.
+func (m Meta) Kind() string { return m.KindName }
+
+// ID returns the name, unique within the kind.
+func (m Meta) ID() string { return m.Name }
+
+func (m Meta) isDeclaration() {}
+
+// AccountLimits bound what one account may ask for in one second, over the whole fleet.
+type AccountLimits struct {
+	RequestsPerSecond float64 `yaml:"requestsPerSecond" json:"requestsPerSecond" validate:"required,gt=0"`
+	TokensPerSecond   float64 `yaml:"tokensPerSecond" json:"tokensPerSecond" validate:"required,gt=0"`
+}
+
+// Account is one office: its keys, of which only hashes are kept, its limits and its share.
+type Account struct {
+	Meta      `yaml:",inline"`
+	KeyHashes []string      `yaml:"keyHashes" json:"keyHashes" validate:"required,min=1,dive,keyhash"`
+	Limits    AccountLimits `yaml:"limits" json:"limits"`
+	Weight    int           `yaml:"weight,omitempty" json:"weight,omitempty" validate:"gte=0,lte=100"`
+}
+
+// Model is a language model that callers may name.
+type Model struct {
+	Meta          `yaml:",inline"`
+	ContextTokens int `yaml:"contextTokens" json:"contextTokens" validate:"required,gt=0"`
+	DefaultTokens int `yaml:"defaultTokens" json:"defaultTokens" validate:"required,gt=0"`
+}
+
+// Route is one call of a plain service; Path is matched by prefix, segment by segment.
+type Route struct {
+	Method       string        `yaml:"method" json:"method" validate:"required,oneof=GET POST PUT PATCH DELETE"`
+	Path         string        `yaml:"path" json:"path" validate:"required,startswith=/"`
+	IsIdempotent bool          `yaml:"idempotent" json:"idempotent"`
+	Timeout      time.Duration `yaml:"timeout" json:"timeout" validate:"required,gt=0"`
+}
+
+// Service is a plain service beside the model engines.
+type Service struct {
+	Meta   `yaml:",inline"`
+	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,dive"`
+}
+
+// Endpoint is one model engine or one instance of a plain service.
+type Endpoint struct {
+	Meta             `yaml:",inline"`
+	Address          netip.AddrPort `yaml:"address" json:"address" validate:"required"`
+	Region           string         `yaml:"region" json:"region" validate:"required"`
+	AvailabilityZone string         `yaml:"availabilityZone" json:"availabilityZone" validate:"required"`
+	Models           []string       `yaml:"models,omitempty" json:"models,omitempty" validate:"required_without=Service,excluded_with=Service"` //nolint:lll // a struct tag can't be split
+	Service          string         `yaml:"service,omitempty" json:"service,omitempty"`
+	Slots            int            `yaml:"slots" json:"slots" validate:"required,gt=0,lte=4096"`
+	ChecksFencing    bool           `yaml:"checksFencing,omitempty" json:"checksFencing,omitempty"`
+	IsLeaving        bool           `yaml:"leaving,omitempty" json:"leaving,omitempty"`
+}
+
+// Region is a set of availability zones; just one region holds the platform's store.
+type Region struct {
+	Meta              `yaml:",inline"`
+	AvailabilityZones []string `yaml:"availabilityZones" json:"availabilityZones" validate:"required,min=1,unique"`
+	HoldsStore        bool     `yaml:"holdsStore,omitempty" json:"holdsStore,omitempty"`
+}
+
+// Link joins two regions; BulkShare is the part of its rate that bulk traffic may take.
+type Link struct {
+	Meta             `yaml:",inline"`
+	Regions          []string      `yaml:"regions" json:"regions" validate:"required,len=2,unique"`
+	MegabitsPerSec   float64       `yaml:"megabitsPerSecond" json:"megabitsPerSecond" validate:"required,gt=0"`
+	OneWayDelay      time.Duration `yaml:"oneWayDelay" json:"oneWayDelay" validate:"required,gt=0"`
+	BulkShare        float64       `yaml:"bulkShare" json:"bulkShare" validate:"gte=0,lte=1"`
+	OnlineOverShare  float64       `yaml:"onlineOverflowShare" json:"onlineOverflowShare" validate:"gte=0,lte=1"`
+	GossipPeersRound int           `yaml:"gossipPeersPerRound,omitempty" json:"gossipPeersPerRound,omitempty" validate:"gte=0"`
+}
+
+// OnlinePolicy says what online requests are promised.
+type OnlinePolicy struct {
+	FirstTokenTarget time.Duration `yaml:"firstTokenTarget" json:"firstTokenTarget" validate:"required,gt=0"`
+	TokenGapTarget   time.Duration `yaml:"tokenGapTarget" json:"tokenGapTarget" validate:"required,gt=0"`
+	Deadline         time.Duration `yaml:"deadline" json:"deadline" validate:"required,gt=0"`
+	QueueLimit       int           `yaml:"queueLimit" json:"queueLimit" validate:"required,gt=0"`
+}
+
+// BatchPolicy says how much of an endpoint batch may take and when it gives it back.
+type BatchPolicy struct {
+	IsPaused         bool          `yaml:"paused,omitempty" json:"paused,omitempty"`
+	ReservedShare    float64       `yaml:"reservedShare" json:"reservedShare" validate:"gte=0,lte=1"`
+	LatencyHeadroom  float64       `yaml:"latencyHeadroom" json:"latencyHeadroom" validate:"gt=0,lte=1"`
+	MayPressOnOnline bool          `yaml:"mayPressOnOnline,omitempty" json:"mayPressOnOnline,omitempty"`
+	PressShare       float64       `yaml:"pressShare,omitempty" json:"pressShare,omitempty" validate:"gte=0,lte=0.5"`
+	ItemDeadline     time.Duration `yaml:"itemDeadline" json:"itemDeadline" validate:"required,gt=0"`
+	ItemAttempts     int           `yaml:"itemAttempts" json:"itemAttempts" validate:"required,gt=0,lte=10"`
+}
+
+// RetryPolicy bounds retries as a part of the traffic that is served.
+type RetryPolicy struct {
+	OnlineBudget float64 `yaml:"onlineBudget" json:"onlineBudget" validate:"gte=0,lte=0.5"`
+	BatchBudget  float64 `yaml:"batchBudget" json:"batchBudget" validate:"gt=0,lte=0.5"`
+}
+
+// Preset describes one way of running: an ordinary day, a peak, a maintenance window.
+type Preset struct {
+	Meta         `yaml:",inline"`
+	Description  string       `yaml:"description" json:"description" validate:"required"`
+	Online       OnlinePolicy `yaml:"online" json:"online"`
+	Batch        BatchPolicy  `yaml:"batch" json:"batch"`
+	Retry        RetryPolicy  `yaml:"retry" json:"retry"`
+	AccountScale float64      `yaml:"accountScale,omitempty" json:"accountScale,omitempty" validate:"gte=0,lte=10"`
+}
--- /dev/null
+++ b/pkg/emulator/engine_handler.go
@@ -0,0 +1,194 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/encoder"
+)
+
+// EngineHandler serves an Engine over the usual chat API, with streams that can be resumed and cancelled.
+func EngineHandler(e *Engine) http.Handler {
+	h := &engineHandler{engine: e}
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", h.complete).Methods(http.MethodPost)
+	r.HandleFunc("/v1/streams/{id}", h.resume).Methods(http.MethodGet)
+	r.HandleFunc("/v1/streams/{id}", h.stop).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/load", h.load).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache/events", h.cacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/orders", h.order).Methods(http.MethodPost)
+	r.HandleFunc("/admin/faults", h.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/admin/executions", h.executions).Methods(http.MethodGet)
+	return r
+}
+
+type engineHandler struct {
+	engine *Engine
+}
+
+func (h *engineHandler) complete(w http.ResponseWriter, r *http.Request) {
+	req := encoder.ChatRequest{}
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.engine.mu.Lock()
+	isRefusing := h.engine.faults.IsRefusing
+	h.engine.mu.Unlock()
+	switch {
+	case isRefusing:
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "engine is refusing", http.StatusServiceUnavailable)
+	case strings.Contains(encoder.PromptText(req), PoisonMark):
+		http.Error(w, "engine can't process this prompt", http.StatusInternalServerError)
+	default:
+		id := r.Header.Get("X-Stream-Id")
+		h.follow(w, r, req.Model, h.engine.start(id, req), 0)
+	}
+}
+
+func (h *engineHandler) resume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		http.Error(w, "offset: not a count of tokens", http.StatusBadRequest)
+		return
+	}
+	s, ok := h.engine.resume(mux.Vars(r)["id"])
+	if !ok {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	h.follow(w, r, r.URL.Query().Get("model"), s, offset)
+}
+
+// follow sends the stream from offset on until its end, the caller's leaving, a pause or a fault.
+func (h *engineHandler) follow(w http.ResponseWriter, r *http.Request, model string, s *stream, offset int) {
+	e := h.engine
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	e.watch(s, 1)
+	defer e.watch(s, -1)
+	for {
+		e.mu.Lock()
+		words, isFinished, isPaused, changed := s.text[min(offset, len(s.text)):], s.isFinished, s.isPaused, s.changed
+		cut := e.faults.CutAfterTokens
+		e.mu.Unlock()
+		for _, word := range words {
+			offset++
+			if err := encoder.WriteEvent(w, offset, newChunk(s, model, word, offset, isFinished)); err != nil {
+				return
+			}
+			if cut > 0 && offset >= cut {
+				e.cutOnce()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if isFinished && offset >= s.seq.WantTokens {
+			_ = encoder.WriteDone(w)
+			return
+		}
+		if isPaused {
+			return
+		}
+		_ = flush.Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (e *Engine) watch(s *stream, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.watchers += n
+	s.leftAt = time.Now()
+}
+
+func (e *Engine) cutOnce() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults.CutAfterTokens = 0
+}
+
+func newChunk(s *stream, model, word string, offset int, isFinished bool) encoder.Chunk {
+	c := encoder.Chunk{
+		ID:      "chatcmpl-" + s.seq.ID,
+		Object:  "chat.completion.chunk",
+		Created: time.Now().Unix(),
+		Model:   model,
+		Choices: []encoder.ChunkChoice{{Delta: encoder.Delta{Role: "assistant", Content: word}}},
+	}
+	if isFinished && offset == s.seq.WantTokens {
+		reason := encoder.FinishStop
+		c.Choices[0].FinishReason = &reason
+		c.Usage = &encoder.Usage{
+			PromptTokens:     s.seq.PromptTokens,
+			CompletionTokens: offset,
+			TotalTokens:      s.seq.PromptTokens + offset,
+		}
+	}
+	return c
+}
+
+func (h *engineHandler) stop(w http.ResponseWriter, r *http.Request) {
+	h.engine.stop(mux.Vars(r)["id"], r.URL.Query().Get("keep") == "true")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *engineHandler) load(w http.ResponseWriter, _ *http.Request) {
+	h.engine.mu.Lock()
+	report := h.engine.report
+	h.engine.mu.Unlock()
+	reply(w, report, nil)
+}
+
+func (h *engineHandler) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	events := []CacheEvent{}
+	h.engine.mu.Lock()
+	for _, ev := range h.engine.events {
+		if ev.Number > after {
+			events = append(events, ev)
+		}
+	}
+	h.engine.mu.Unlock()
+	reply(w, events, nil)
+}
+
+func (h *engineHandler) order(w http.ResponseWriter, r *http.Request) {
+	o := Order{}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := h.engine.take(o); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	reply(w, o, nil)
+}
+
+func (h *engineHandler) setFaults(w http.ResponseWriter, r *http.Request) {
+	f := EngineFaults{}
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.engine.mu.Lock()
+	h.engine.faults = f
+	h.engine.mu.Unlock()
+}
+
+func (h *engineHandler) executions(w http.ResponseWriter, _ *http.Request) {
+	h.engine.mu.Lock()
+	defer h.engine.mu.Unlock()
+	reply(w, h.engine.executed, nil)
+}
--- /dev/null
+++ b/pkg/emulator/service.go
@@ -0,0 +1,86 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// ServiceFaults are the faults that can be switched on.
+type ServiceFaults struct {
+	DropAnswers int           `json:"dropAnswers"`
+	IsRefusing  bool          `json:"isRefusing"`
+	Slow        time.Duration `json:"slow"`
+}
+
+// Service is a plain service that keeps a ledger of every booking it ran.
+type Service struct {
+	mu     sync.Mutex
+	faults ServiceFaults
+	ledger map[string]int
+}
+
+// ServiceHandler serves a plain service with offers, which may be repeated, and bookings, which may not.
+func ServiceHandler() http.Handler {
+	s := &Service{ledger: map[string]int{}}
+	r := mux.NewRouter()
+	r.HandleFunc("/offers", s.offers).Methods(http.MethodGet)
+	r.HandleFunc("/bookings", s.book).Methods(http.MethodPost)
+	r.HandleFunc("/admin/ledger", s.getLedger).Methods(http.MethodGet)
+	r.HandleFunc("/admin/faults", s.setFaults).Methods(http.MethodPost)
+	return r
+}
+
+func (s *Service) offers(w http.ResponseWriter, _ *http.Request) {
+	reply(w, []string{"kiln-1 06:00", "kiln-2 14:00"}, nil)
+}
+
+// book counts the booking before it answers, so that a lost answer leaves its mark in the ledger.
+func (s *Service) book(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	f := s.faults
+	if f.IsRefusing {
+		s.mu.Unlock()
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "service is refusing", http.StatusServiceUnavailable)
+		return
+	}
+	s.ledger[string(body)]++
+	if f.DropAnswers > 0 {
+		s.faults.DropAnswers--
+	}
+	n := len(s.ledger)
+	s.mu.Unlock()
+	time.Sleep(f.Slow)
+	if f.DropAnswers > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(map[string]int{"booking": n})
+}
+
+func (s *Service) getLedger(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(w, s.ledger, nil)
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	f := ServiceFaults{}
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/pkg/follower/current.go
@@ -0,0 +1,82 @@
+package follower
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/keeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
+)
+
+const keyHashPrefix = "sha256:"
+
+// Current is the configuration in force; it is never changed, only replaced.
+type Current struct {
+	Head     configurator.Head
+	Snapshot declarer.Snapshot
+	Preset   declarer.Preset
+
+	raw      []byte
+	accounts map[string]declarer.Account
+	weights  map[string]int
+}
+
+func newCurrent(h configurator.Head, s declarer.Snapshot) (*Current, error) {
+	raw, _, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	c := &Current{Head: h, Snapshot: s, raw: raw, accounts: map[string]declarer.Account{}, weights: map[string]int{}}
+	c.Preset, _ = s.Preset(h.Preset)
+	for _, a := range s.Accounts {
+		c.weights[a.Name] = a.Weight
+		for _, hash := range a.KeyHashes {
+			c.accounts[hash] = a
+		}
+	}
+	return c, nil
+}
+
+// HashKey returns the hash that declarations hold of a key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return keyHashPrefix + hex.EncodeToString(sum[:])
+}
+
+// Account returns the account that the key belongs to.
+func (c *Current) Account(key string) (declarer.Account, bool) {
+	hash := HashKey(key)
+	a, ok := c.accounts[hash]
+	if !ok {
+		return a, false
+	}
+	for _, known := range a.KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(known), []byte(hash)) == 1 {
+			return a, true
+		}
+	}
+	return a, false
+}
+
+// KeeperPolicy returns what the keeper of the endpoint goes by.
+func (c *Current) KeeperPolicy(endpoint string) (keeper.Policy, bool) {
+	e, ok := c.Snapshot.Endpoint(endpoint)
+	if !ok {
+		return keeper.Policy{}, false
+	}
+	return keeper.Policy{
+		Slots:            e.Slots,
+		FirstTokenTarget: c.Preset.Online.FirstTokenTarget,
+		TokenGapTarget:   c.Preset.Online.TokenGapTarget,
+		QueueLimit:       c.Preset.Online.QueueLimit,
+		IsBatchPaused:    c.Preset.Batch.IsPaused,
+		ReservedShare:    c.Preset.Batch.ReservedShare,
+		LatencyHeadroom:  c.Preset.Batch.LatencyHeadroom,
+		MayPressOnOnline: c.Preset.Batch.MayPressOnOnline,
+		PressShare:       c.Preset.Batch.PressShare,
+		IsLeaving:        e.IsLeaving,
+		AccountWeights:   c.weights,
+	}, true
+}
--- /dev/null
+++ b/pkg/forwarder/answer.go
@@ -0,0 +1,82 @@
+package forwarder
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/encoder"
+)
+
+// GapError says that a stream skipped tokens.
+type GapError struct {
+	Have, Got int
+}
+
+// Error names both offsets.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("stream went from token %d to %d", e.Have, e.Got)
+}
+
+// Answer collects one engine's answer and knows whether it is whole.
+type Answer struct {
+	First        encoder.Chunk
+	Offset       int
+	FinishReason string
+	Usage        *encoder.Usage
+	IsDone       bool
+
+	text strings.Builder
+}
+
+// Take adds an event; it reports whether the event was new, for a resumed stream may repeat some.
+func (a *Answer) Take(ev encoder.Event) (bool, error) {
+	if ev.IsDone {
+		a.IsDone = true
+		return false, nil
+	}
+	if ev.Offset <= a.Offset {
+		return false, nil
+	}
+	if a.Offset > 0 && ev.Offset != a.Offset+1 {
+		return false, &GapError{Have: a.Offset, Got: ev.Offset}
+	}
+	if a.Offset == 0 {
+		a.First = ev.Chunk
+	}
+	a.Offset = ev.Offset
+	for _, c := range ev.Chunk.Choices {
+		a.text.WriteString(c.Delta.Content)
+		if c.FinishReason != nil {
+			a.FinishReason = *c.FinishReason
+		}
+	}
+	if ev.Chunk.Usage != nil {
+		a.Usage = ev.Chunk.Usage
+	}
+	return true, nil
+}
+
+// Text returns the text so far.
+func (a *Answer) Text() string {
+	return a.text.String()
+}
+
+// IsWhole reports whether the terminal marker came, a finish reason is given and the length is the one announced.
+func (a *Answer) IsWhole() bool {
+	return a.IsDone && a.FinishReason != "" && a.Usage != nil && a.Usage.CompletionTokens == a.Offset
+}
+
+// Completion returns the answer in its unstreamed form.
+func (a *Answer) Completion(id string) encoder.Completion {
+	return encoder.Completion{
+		ID:      id,
+		Object:  "chat.completion",
+		Created: a.First.Created,
+		Model:   a.First.Model,
+		Choices: []encoder.Choice{{
+			Message:      encoder.Message{Role: "assistant", Content: a.Text()},
+			FinishReason: a.FinishReason,
+		}},
+		Usage: *a.Usage,
+	}
+}
--- /dev/null
+++ b/pkg/forwarder/attempt.go
@@ -0,0 +1,102 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
+)
+
+const (
+	notRunHeader  = "X-Not-Run"
+	leavingHeader = "X-Leaving"
+	streamHeader  = "X-Stream-Id"
+	stopTimeout   = 2 * time.Second
+	maxErrorBytes = 16 << 10
+	refusalPause  = time.Second
+)
+
+// exchange is one HTTP exchange with an endpoint and whether a byte of it was offered to a connection.
+type exchange struct {
+	client    *http.Client
+	mayHaveGo atomic.Bool
+	isLeaving bool
+}
+
+// send makes the exchange; once a connection was had, only the endpoint's own word makes it NotRun.
+func (x *exchange) send(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.mayHaveGo.Store(true) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	// Without GetBody the HTTP library can't send the body a second time by itself.
+	r.GetBody = nil
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
+	res, err := x.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	x.isLeaving = res.Header.Get(leavingHeader) != ""
+	return res, nil
+}
+
+// failed returns the outcome of an exchange that brought no answer.
+func (x *exchange) failed(err error) outcome.Outcome {
+	if x.mayHaveGo.Load() {
+		return outcome.Unknown{Reason: err.Error()}
+	}
+	return outcome.NotRun{Reason: err.Error(), RetryAfter: refusalPause}
+}
+
+// refusal returns NotRun when the answer is the endpoint's own word that it ran nothing.
+func refusal(res *http.Response) (outcome.NotRun, bool) {
+	isBusy := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
+	if !isBusy || res.Header.Get(notRunHeader) == "" {
+		return outcome.NotRun{}, false
+	}
+	after := refusalPause
+	if n, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && n >= 0 {
+		after = time.Duration(n) * time.Second
+	}
+	return outcome.NotRun{Reason: "endpoint refused the request", RetryAfter: after}, true
+}
+
+func endpointURL(addr netip.AddrPort, path string, query url.Values) string {
+	u := url.URL{Scheme: "http", Host: addr.String(), Path: path, RawQuery: query.Encode()}
+	return u.String()
+}
+
+// StopStream cancels a stream at its engine, or pauses it and keeps the tokens that it has.
+func (p *Pools) StopStream(addr netip.AddrPort, stream string, isKept bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	target := endpointURL(addr, "/v1/streams/"+url.PathEscape(stream), url.Values{"keep": {strconv.FormatBool(isKept)}})
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return
+	}
+	if res, err := p.Online.Do(r); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
+func readError(res *http.Response) string {
+	raw, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	return string(bytes.TrimSpace(raw))
+}
--- /dev/null
+++ b/pkg/forwarder/doc.go
@@ -0,0 +1,2 @@
+// Package forwarder takes requests to endpoints: it routes, reserves a slot, relays the answer and retries.
+package forwarder
--- /dev/null
+++ b/pkg/messenger/membership.go
@@ -0,0 +1,286 @@
+package messenger
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/ranker"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	ringSlots   = 1024
+	listEvery   = 15 * time.Second
+	readBuffer  = 2048
+	listTimeout = 5 * time.Second
+)
+
+// View is one VM's immutable picture of the fleet.
+type View struct {
+	Self    detector.Member
+	Members []detector.Member
+}
+
+// Live returns the ids of the VMs of the region that take work, or of all regions when region is empty.
+func (v *View) Live(region string) []string {
+	ids := []string{}
+	for _, m := range v.Members {
+		if m.State <= detector.Suspect && m.State != detector.Leaving && (region == "" || m.Region == region) {
+			ids = append(ids, m.VM)
+		}
+	}
+	return ids
+}
+
+// Keepers returns the VMs that may keep an endpoint of the region, the first choice first.
+func (v *View) Keepers(endpoint, region string) []string {
+	return ranker.Rank(endpoint, v.Live(region))
+}
+
+// Member returns the member of that id.
+func (v *View) Member(id string) (detector.Member, bool) {
+	for _, m := range v.Members {
+		if m.VM == id {
+			return m, true
+		}
+	}
+	return detector.Member{}, false
+}
+
+// Listener is told what the membership learns; its methods must not block.
+type Listener interface {
+	// MembersChanged says that a newer view is in place.
+	MembersChanged(v *View)
+	// HeadHeard says that a peer has a newer configuration.
+	HeadHeard(head configurator.Head, vm string)
+	// EndpointHeard is news of an endpoint.
+	EndpointHeard(news detector.EndpointNews)
+	// EndpointListed says that the platform's list names an endpoint as leaving.
+	EndpointListed(endpoint string)
+}
+
+// Counters count datagrams and their bytes.
+type Counters struct {
+	Sent, SentBytes, Received, ReceivedBytes, Malformed, RingFull atomic.Int64
+}
+
+// Membership drives a detector over UDP.
+type Membership struct {
+	conn     *net.UDPConn
+	auth     *Authenticator
+	store    storer.Store
+	log      logrus.FieldLogger
+	listener Listener
+	detector *detector.Detector
+	inputs   chan detector.Input
+	view     atomic.Pointer[View]
+	heardAt  atomic.Int64
+	stop     context.CancelFunc
+	done     chan struct{}
+
+	// Counters are readable at any time.
+	Counters Counters
+}
+
+// MembershipConfig is what a Membership is made of.
+type MembershipConfig struct {
+	Self     detector.Member
+	Auth     *Authenticator
+	Store    storer.Store
+	Log      logrus.FieldLogger
+	Listener Listener
+	Random   *rand.Rand
+}
+
+// NewMembership opens the UDP socket at the VM's own address.
+func NewMembership(cfg MembershipConfig) (*Membership, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Self.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for datagrams")
+	}
+	m := &Membership{
+		conn:     conn,
+		auth:     cfg.Auth,
+		store:    cfg.Store,
+		log:      cfg.Log,
+		listener: cfg.Listener,
+		detector: detector.New(detector.DefaultConfig(cfg.Self), cfg.Random),
+		inputs:   make(chan detector.Input, ringSlots),
+		done:     make(chan struct{}),
+	}
+	m.view.Store(&View{Self: cfg.Self, Members: m.detector.Members()})
+	return m, nil
+}
+
+// Start begins probing.
+func (m *Membership) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go m.runReader(ctx)
+	go m.runLister(ctx)
+	go m.loop(ctx)
+}
+
+// Stop ends probing and closes the socket.
+func (m *Membership) Stop() {
+	m.stop()
+	_ = m.conn.Close()
+	<-m.done
+}
+
+// View returns the newest picture of the fleet.
+func (m *Membership) View() *View {
+	return m.view.Load()
+}
+
+// LastHeard returns when any peer was last heard, the zero time when none was.
+func (m *Membership) LastHeard() time.Time {
+	n := m.heardAt.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// Tell hands the detector an input; a full ring drops it, as the network might.
+func (m *Membership) Tell(in detector.Input) {
+	select {
+	case m.inputs <- in:
+	default:
+		m.Counters.RingFull.Add(1)
+	}
+}
+
+func (m *Membership) loop(ctx context.Context) {
+	defer close(m.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-m.inputs:
+			m.handle(in)
+		case <-timer.C:
+			m.handle(detector.Woken{})
+		}
+		if wake, ok := m.detector.NextWake().Get(); ok {
+			timer.Reset(time.Until(wake))
+		}
+	}
+}
+
+func (m *Membership) handle(in detector.Input) {
+	isChanged := false
+	for _, out := range m.detector.Handle(time.Now(), in) {
+		switch out := out.(type) {
+		case detector.Send:
+			m.send(out)
+		case detector.Changed:
+			isChanged = true
+			m.log.WithFields(logrus.Fields{"member": out.Member.VM, "state": out.Member.State.String()}).Info("member changed")
+		case detector.HeadHeard:
+			m.listener.HeadHeard(out.Head, out.VM)
+		case detector.EndpointHeard:
+			m.listener.EndpointHeard(out.News)
+		}
+	}
+	if heard := m.detector.LastHeard(); !heard.IsZero() {
+		m.heardAt.Store(heard.UnixNano())
+	}
+	members := m.detector.Members()
+	if isChanged || members[0] != m.view.Load().Self {
+		v := &View{Self: members[0], Members: members}
+		m.view.Store(v)
+		m.listener.MembersChanged(v)
+	}
+}
+
+func (m *Membership) send(out detector.Send) {
+	raw, err := EncodeDatagram(out.Message)
+	if err != nil || len(raw)+tagBytes > MaxDatagramBytes {
+		m.log.WithError(err).WithField("bytes", len(raw)).Warn("datagram not sent")
+		return
+	}
+	n, err := m.conn.WriteToUDPAddrPort(m.auth.Seal(raw), out.To)
+	if err == nil {
+		m.Counters.Sent.Add(1)
+		m.Counters.SentBytes.Add(int64(n))
+	}
+}
+
+func (m *Membership) runReader(ctx context.Context) {
+	buf := make([]byte, readBuffer)
+	for {
+		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		m.Counters.Received.Add(1)
+		m.Counters.ReceivedBytes.Add(int64(n))
+		m.read(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (m *Membership) read(sealed []byte, from netip.AddrPort) {
+	raw, ok := m.auth.Open(sealed)
+	if !ok {
+		return
+	}
+	msg, err := DecodeDatagram(raw)
+	if err != nil {
+		m.Counters.Malformed.Add(1)
+		return
+	}
+	m.Tell(detector.Received{From: from, Message: msg})
+}
+
+// runLister seeds the detector from the platform's list, again and again, for the list lags and the store fails.
+func (m *Membership) runLister(ctx context.Context) {
+	for {
+		wait := listEvery
+		if isListed := m.list(ctx); !isListed || len(m.View().Members) == 1 {
+			wait = time.Second
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (m *Membership) list(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	vms, err := m.store.ListVMs(ctx)
+	if err != nil {
+		return false
+	}
+	members := make([]detector.Member, 0, len(vms))
+	for _, vm := range vms {
+		if vm.Role == storer.RoleEndpoint && vm.IsLeaving {
+			m.listener.EndpointListed(vm.ID)
+		}
+		if vm.Role == storer.RoleEndpoint || vm.IsLeaving {
+			continue
+		}
+		members = append(members, detector.Member{
+			VM: vm.ID, Address: vm.Address, Region: vm.Region, AvailabilityZone: vm.AvailabilityZone,
+		})
+	}
+	m.Tell(detector.Listed{Members: members})
+	return true
+}
--- /dev/null
+++ b/pkg/option/doc.go
@@ -0,0 +1,2 @@
+// Package option holds a generic optional value.
+package option
--- /dev/null
+++ b/pkg/server/claims.go
@@ -0,0 +1,252 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/claimer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	inlineAnswerBytes = 64 << 10
+	settleEvery       = 500 * time.Millisecond
+	settleTimeout     = 5 * time.Second
+	holderTimeout     = time.Second
+)
+
+// Claims runs claimers against the store.
+type Claims struct {
+	vm         string
+	store      storer.Store
+	membership *messenger.Membership
+	caller     *messenger.Caller
+	log        logrus.FieldLogger
+
+	mu     sync.Mutex
+	atWork map[string]struct{}
+}
+
+// NewClaims returns claims of this VM.
+func NewClaims(vm string, s storer.Store, m *messenger.Membership, c *messenger.Caller, log logrus.FieldLogger) *Claims {
+	return &Claims{vm: vm, store: s, membership: m, caller: c, log: log, atWork: map[string]struct{}{}}
+}
+
+// IsAtWork reports whether this VM still works on the attempt or on storing how it ended.
+func (c *Claims) IsAtWork(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.atWork[attempt]
+	return ok
+}
+
+func (c *Claims) setAtWork(attempt string, isAtWork bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if isAtWork {
+		c.atWork[attempt] = struct{}{}
+	} else {
+		delete(c.atWork, attempt)
+	}
+}
+
+// Dispatch sends the one attempt and returns how it ended.
+type Dispatch func(ctx context.Context) (claimer.Answer, outcome.Outcome)
+
+// claimRun is one claimer at work.
+type claimRun struct {
+	*Claims
+	key      string
+	attempt  string
+	core     *claimer.Claimer
+	dispatch Dispatch
+	settling bool
+	end      claimer.Output
+}
+
+// Run takes one request that may not be repeated to its end: a claimer.Replied or a claimer.Refused.
+func (c *Claims) Run(
+	ctx context.Context, account, idempotencyKey, fingerprint string, deadline time.Time, dispatch Dispatch,
+) claimer.Output {
+	sum := sha256.Sum256([]byte(idempotencyKey))
+	run := &claimRun{
+		Claims: c, key: "claim/" + account + "/" + hex.EncodeToString(sum[:]), attempt: uuid.NewString(), dispatch: dispatch,
+	}
+	run.core = claimer.New(fingerprint, run.attempt, c.vm, deadline)
+	c.setAtWork(run.attempt, true)
+	defer func() {
+		if !run.settling {
+			c.setAtWork(run.attempt, false)
+		}
+	}()
+	var in claimer.Input = claimer.Arrived{}
+	for run.end == nil {
+		next := run.step(ctx, in)
+		if next == nil && run.end == nil {
+			next = run.sleep(ctx)
+		}
+		in = next
+	}
+	return run.end
+}
+
+// step handles one input and carries out what comes of it; it returns the next input, if there is one already.
+func (r *claimRun) step(ctx context.Context, in claimer.Input) claimer.Input {
+	var next claimer.Input
+	for _, out := range r.core.Handle(time.Now(), in) {
+		switch out := out.(type) {
+		case claimer.WriteRow:
+			next = r.writeRow(ctx, out.Claim, out.Version)
+		case claimer.ReadRow:
+			next = r.readRow(ctx)
+		case claimer.Dispatch:
+			answer, o := r.dispatch(ctx)
+			next = claimer.AttemptEnded{Outcome: o, Answer: answer}
+		case claimer.AskHolder:
+			next = claimer.HolderSeen{IsAtWork: r.isHolderAtWork(ctx, out)}
+		case claimer.Settle:
+			r.settling = true
+			go r.runSettle(out.Claim)
+		case claimer.Replied:
+			r.end = r.withBody(ctx, out)
+		case claimer.Refused:
+			r.end = out
+		}
+	}
+	return next
+}
+
+func (r *claimRun) sleep(ctx context.Context) claimer.Input {
+	wake, ok := r.core.NextWake().Get()
+	if !ok {
+		return claimer.Woken{}
+	}
+	timer := time.NewTimer(time.Until(wake))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		r.end = claimer.Refused{Refusal: claimer.RefusedInFlight, Outcome: outcome.Unknown{Reason: "caller left"}}
+	}
+	return claimer.Woken{}
+}
+
+// writeRow writes apart from the caller's own leaving: a claim once begun is brought to its end.
+func (r *claimRun) writeRow(ctx context.Context, claim claimer.Claim, version int64) claimer.Input {
+	ctx = context.WithoutCancel(ctx)
+	claim, err := r.withObject(ctx, claim)
+	if err != nil {
+		return claimer.WriteLost{}
+	}
+	tx := storer.Transaction{
+		Checks: []storer.Check{{Key: r.key, Version: version}},
+		Puts:   []storer.Put{storer.PutJSON(r.key, claim)},
+	}
+	written, err := r.store.Commit(ctx, tx)
+	var conflict *storer.ConflictError
+	var unavailable *storer.UnavailableError
+	switch {
+	case err == nil:
+		return claimer.Written{Version: written}
+	case errors.As(err, &conflict):
+		return r.readRow(ctx)
+	case errors.As(err, &unavailable) && !unavailable.MayHaveRun:
+		return claimer.WriteRefused{}
+	default:
+		return claimer.WriteLost{}
+	}
+}
+
+func (r *claimRun) readRow(ctx context.Context) claimer.Input {
+	claim, version, err := storer.ReadJSON[claimer.Claim](context.WithoutCancel(ctx), r.store, r.key)
+	if err != nil {
+		return claimer.ReadFailed{}
+	}
+	return claimer.Found{Claim: claim, Version: version}
+}
+
+// withObject moves a large answer out of the row.
+func (r *claimRun) withObject(ctx context.Context, claim claimer.Claim) (claimer.Claim, error) {
+	if len(claim.Answer.Body) <= inlineAnswerBytes {
+		return claim, nil
+	}
+	name := "answer/" + claim.Attempt
+	if err := r.store.PutObject(ctx, name, claim.Answer.Body); err != nil {
+		return claim, err
+	}
+	claim.Answer.Object, claim.Answer.Body = name, nil
+	return claim, nil
+}
+
+func (r *claimRun) withBody(ctx context.Context, out claimer.Replied) claimer.Output {
+	if out.Answer.Object == "" {
+		return out
+	}
+	body, err := r.store.GetObject(ctx, out.Answer.Object)
+	if err == nil {
+		defer func() { _ = body.Close() }()
+		out.Answer.Body, err = io.ReadAll(body)
+	}
+	if err != nil {
+		return claimer.Refused{Refusal: claimer.RefusedStore, Outcome: outcome.Unknown{Reason: err.Error()}, RetryAfter: storeRetry}
+	}
+	return out
+}
+
+// isHolderAtWork asks the VM that holds the claim; one that can't be asked counts as at work until it is known lost.
+func (r *claimRun) isHolderAtWork(ctx context.Context, out claimer.AskHolder) bool {
+	if out.VM == r.vm {
+		return r.IsAtWork(out.Attempt)
+	}
+	m, ok := r.membership.View().Member(out.VM)
+	if !ok || m.State == detector.Lost {
+		return false
+	}
+	client, err := r.caller.VM(m.Address)
+	if err != nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	reply, err := client.Attempt(ctx, &wire.AttemptRequest{Attempt: out.Attempt})
+	return err != nil || reply.GetAtWork()
+}
+
+// runSettle writes the claim until the row says so, however long the store is away.
+//
+// A row that is absent is written too: an insert that was lost on its way then meets it and has no effect.
+func (r *claimRun) runSettle(claim claimer.Claim) {
+	defer r.setAtWork(r.attempt, false)
+	for !r.trySettle(claim) {
+		time.Sleep(settleEvery)
+	}
+}
+
+func (r *claimRun) trySettle(claim claimer.Claim) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	found, version, err := storer.ReadJSON[claimer.Claim](ctx, r.store, r.key)
+	if err != nil {
+		return false
+	}
+	if version > 0 && (found.Attempt != claim.Attempt || found.State == claim.State) {
+		return true
+	}
+	_, isWritten := r.writeRow(ctx, claim, version).(claimer.Written)
+	if isWritten {
+		r.log.WithFields(logrus.Fields{"claim": r.key, "state": claim.State}).Info("claim settled")
+	}
+	return isWritten
+}
--- /dev/null
+++ b/pkg/server/doc.go
@@ -0,0 +1,2 @@
+// Package server answers callers, operators and other VMs.
+package server
--- /dev/null
+++ b/pkg/server/server.go
@@ -0,0 +1,209 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/archiver"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/limiter"
+	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
+	"github.com/dogwoodledge/dogwoodledge/pkg/forwarder"
+	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// MaxBodyBytes bounds the body of a chat request or a service call.
+	MaxBodyBytes = 1 << 20
+)
+
+// Config says who this VM is, where it listens and which operators' keys it takes.
+type Config struct {
+	VM                string
+	Callers           netip.AddrPort
+	Operators         netip.AddrPort
+	OperatorKeyHashes []string
+	DrainLimit        time.Duration
+}
+
+// Parts are what the server speaks to.
+type Parts struct {
+	Store      storer.Store
+	Archiver   *archiver.Archiver
+	Follower   *follower.Follower
+	Dispatcher *forwarder.Dispatcher
+	Pools      *forwarder.Pools
+	Membership *messenger.Membership
+	Caller     *messenger.Caller
+	Claims     *Claims
+	Metrics    http.Handler
+	Log        logrus.FieldLogger
+	// OnBatch is called after a batch job came in.
+	OnBatch func()
+	// OnEndpointNews is called when an operator orders that an endpoint gets no new work, or gets it again.
+	OnEndpointNews func(endpoint string, isLeaving bool)
+}
+
+// Server answers callers and operators over HTTP.
+type Server struct {
+	Parts
+
+	cfg      Config
+	log      logrus.FieldLogger
+	follower *follower.Follower
+	validate *validator.Validate
+	requests *requestMetrics
+
+	limitMu sync.Mutex
+	limiter *limiter.Limiter
+
+	inFlight  sync.WaitGroup
+	isLeaving atomic.Bool
+	callers   *http.Server
+	operators *http.Server
+}
+
+// New returns a server that does not listen yet.
+func New(cfg Config, parts Parts) *Server {
+	s := &Server{
+		Parts: parts, cfg: cfg, log: parts.Log, follower: parts.Follower,
+		validate: loader.NewValidator(), requests: newRequestMetrics(), limiter: limiter.New(),
+	}
+	s.callers = newHTTPServer(s.observe(s.callerRoutes()))
+	s.operators = newHTTPServer(s.operatorRoutes())
+	return s
+}
+
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// Start begins to listen for callers and operators.
+func (s *Server) Start() error {
+	if err := serve(s.callers, s.cfg.Callers, s.log); err != nil {
+		return err
+	}
+	return serve(s.operators, s.cfg.Operators, s.log)
+}
+
+func serve(srv *http.Server, addr netip.AddrPort, log logrus.FieldLogger) error {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", addr)
+	}
+	go runServer(srv, l, log)
+	return nil
+}
+
+func runServer(srv *http.Server, l net.Listener, log logrus.FieldLogger) {
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		log.WithError(err).Error("server ended")
+	}
+}
+
+// Leave makes the VM not ready, so that the balancer sends no more.
+func (s *Server) Leave() {
+	s.isLeaving.Store(true)
+}
+
+// Drain waits until every request that has begun is answered, or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	if err := s.callers.Shutdown(ctx); err != nil {
+		_ = s.callers.Close()
+		return errors.Wrap(err, "requests were still running at the end of the drain limit")
+	}
+	return nil
+}
+
+// Stop closes what is left.
+func (s *Server) Stop() {
+	_ = s.callers.Close()
+	_ = s.operators.Close()
+}
+
+// Reconfigure takes the fleet's size and the preset's scale into the account limits.
+func (s *Server) Reconfigure(vms int, scale float64) {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	s.limiter.SetFleet(time.Now(), vms, scale)
+}
+
+func limitsOf(a declarer.Account) limiter.Limits {
+	return limiter.Limits{Requests: a.Limits.RequestsPerSecond, Tokens: a.Limits.TokensPerSecond}
+}
+
+func (s *Server) callerRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", s.healthy).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	api := r.NewRoute().Subrouter()
+	api.Use(s.authenticate)
+	api.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	api.HandleFunc("/v1/models", s.listModels).Methods(http.MethodGet)
+	api.HandleFunc("/v1/models/{id}", s.getModel).Methods(http.MethodGet)
+	api.HandleFunc("/v1/files", s.uploadFile).Methods(http.MethodPost)
+	api.HandleFunc("/v1/files", s.listFiles).Methods(http.MethodGet)
+	api.HandleFunc("/v1/files/{id}", s.getFile).Methods(http.MethodGet)
+	api.HandleFunc("/v1/files/{id}", s.deleteFile).Methods(http.MethodDelete)
+	api.HandleFunc("/v1/files/{id}/content", s.getContent).Methods(http.MethodGet)
+	api.HandleFunc("/v1/batches", s.createBatch).Methods(http.MethodPost)
+	api.HandleFunc("/v1/batches", s.listBatches).Methods(http.MethodGet)
+	api.HandleFunc("/v1/batches/{id}", s.getBatch).Methods(http.MethodGet)
+	api.HandleFunc("/v1/batches/{id}/cancel", s.cancelBatch).Methods(http.MethodPost)
+	api.PathPrefix("/services/{service}").HandlerFunc(s.callService)
+	notFound := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newProblem(http.StatusNotFound, "noRoute", "No such path", r.Method+" "+r.URL.Path+" is not served; see INTERFACE").write(w, r)
+	})
+	r.NotFoundHandler = notFound
+	r.MethodNotAllowedHandler = notFound
+	return r
+}
+
+func (s *Server) healthy(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready says whether the balancer should send requests here.
+func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
+	reason := s.notReady()
+	if reason == "" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	newProblem(http.StatusServiceUnavailable, "notReady", "Not ready", reason).withRetry(time.Second).write(w, r)
+}
+
+// cutOffAfter is how long a VM that hears nobody stays ready: others apply a new revision within that time.
+const cutOffAfter = 15 * time.Second
+
+func (s *Server) notReady() string {
+	switch {
+	case s.isLeaving.Load():
+		return "this VM is leaving"
+	case s.follower.Current().Head.Revision == 0:
+		return "this VM has no configuration yet"
+	case s.isCutOff(time.Now()):
+		return "this VM hears neither the store nor any other VM"
+	}
+	return ""
+}
+
+func (s *Server) isCutOff(now time.Time) bool {
+	answered := time.Unix(0, s.follower.StoreAnsweredAt.Load())
+	hasPeers := len(s.Membership.View().Members) > 1
+	return hasPeers && now.Sub(answered) > cutOffAfter && now.Sub(s.Membership.LastHeard()) > cutOffAfter
+}
--- /dev/null
+++ b/pkg/server/services.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/claimer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
+	"github.com/dogwoodledge/dogwoodledge/pkg/forwarder"
+)
+
+const maxKeyBytes = 255
+
+// passedHeaders go to plain services as they came; all others stay here.
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", requestIDHeader}
+
+// callService takes a call to a plain service, at most once where its route is not declared idempotent.
+func (s *Server) callService(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["service"]
+	service, ok := currentOf(r).Snapshot.Service(name)
+	if !ok {
+		newProblem(http.StatusNotFound, "unknownService", "Unknown service", "service: "+name+" is not declared").write(w, r)
+		return
+	}
+	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
+	route, ok := service.Route(r.Method, path)
+	if !ok {
+		newProblem(http.StatusNotFound, "unknownRoute", "Unknown route",
+			r.Method+" "+path+" is no declared route of service "+name).write(w, r)
+		return
+	}
+	key := r.Header.Get(idempotencyKey)
+	if !route.IsIdempotent && (key == "" || len(key) > maxKeyBytes) {
+		badField(idempotencyKey, key, "send a key of 1 to 255 bytes of your own: this route may not be repeated").write(w, r)
+		return
+	}
+	body, err := readBody(w, r)
+	if err == nil {
+		err = s.limit(r, 1)
+	}
+	if err != nil {
+		problemOf(err).write(w, r)
+		return
+	}
+	deadline, problem := deadlineOf(r, route.Timeout)
+	if problem != nil {
+		problem.write(w, r)
+		return
+	}
+	call := forwarder.Call{
+		Account: accountOf(r).Name, Serves: serviceRouteName(name), Tokens: 1, Bytes: len(body),
+		Deadline: deadline, IsRepeatable: route.IsIdempotent,
+	}
+	req := forwarder.ServiceRequest{
+		Method: r.Method, Path: path, Query: r.URL.Query(), Header: passed(r), Body: body,
+	}
+	if route.IsIdempotent {
+		s.repeatable(w, r, call, req)
+		return
+	}
+	s.once(w, r, key, call, req)
+}
+
+// serviceRouteName keeps services and models apart in the router.
+func serviceRouteName(service string) string {
+	return "service/" + service
+}
+
+func passed(r *http.Request) http.Header {
+	h := http.Header{}
+	for _, name := range passedHeaders {
+		if v := r.Header.Values(name); len(v) > 0 {
+			h[name] = v
+		}
+	}
+	h.Set(requestIDHeader, requestID(r))
+	return h
+}
+
+func (s *Server) repeatable(w http.ResponseWriter, r *http.Request, call forwarder.Call, req forwarder.ServiceRequest) {
+	reply, err := s.Dispatcher.Service(r.Context(), s.Pools, call, req)
+	if err != nil {
+		problemOf(err).write(w, r)
+		return
+	}
+	writeReply(w, claimer.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body})
+}
+
+// once claims the key before anything is sent. The attempt outlives a caller that leaves, for its end must be stored.
+func (s *Server) once(w http.ResponseWriter, r *http.Request, key string, call forwarder.Call, req forwarder.ServiceRequest) {
+	var problem *Problem
+	out := s.Claims.Run(r.Context(), call.Account, key, fingerprint(r, req), call.Deadline,
+		func(ctx context.Context) (claimer.Answer, outcome.Outcome) {
+			reply, err := s.Dispatcher.Service(context.WithoutCancel(ctx), s.Pools, call, req)
+			if err == nil {
+				answer := claimer.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+				return answer, outcome.Completed{}
+			}
+			problem = problemOf(err)
+			if givenUp := (*forwarder.GivenUpError)(nil); errors.As(err, &givenUp) {
+				return claimer.Answer{}, givenUp.Outcome
+			}
+			return claimer.Answer{}, outcome.Unknown{Reason: err.Error()}
+		})
+	switch out := out.(type) {
+	case claimer.Replied:
+		writeReply(w, out.Answer)
+	case claimer.Refused:
+		if problem == nil {
+			problem = claimProblem(out)
+		}
+		problem.write(w, r)
+	}
+}
+
+func fingerprint(r *http.Request, req forwarder.ServiceRequest) string {
+	h := sha256.New()
+	for _, part := range []string{req.Method, r.URL.Path, r.URL.RawQuery} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func claimProblem(out claimer.Refused) *Problem {
+	status, name := http.StatusServiceUnavailable, "claimUnavailable"
+	switch out.Refusal {
+	case claimer.RefusedOther:
+		status, name = http.StatusUnprocessableEntity, "keyReused"
+	case claimer.RefusedInFlight:
+		status, name = http.StatusConflict, "inFlight"
+	case claimer.RefusedUnknown:
+		status, name = http.StatusConflict, "outcomeUnknown"
+	}
+	p := newProblem(status, name, "Not done", idempotencyKey+": "+string(out.Refusal))
+	return p.withRetry(out.RetryAfter).withOutcome(out.Outcome)
+}
+
+func writeReply(w http.ResponseWriter, a claimer.Answer) {
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
--- /dev/null
+++ b/pkg/tracer/doc.go
@@ -0,0 +1,2 @@
+// Package tracer sets up spans, metrics and logs.
+package tracer
