Prove the promises on real processes

Cause: the thin path had only its demo.

A claim once begun is now brought to its end before the stop releases what is held; a claim whose load fails is given back as well.

--- a/pkg/emulator/platform.go
+++ b/pkg/emulator/platform.go
@@ -21,6 +21,7 @@
 	Slow           time.Duration `json:"slow"`
 	LoseAnswers    int           `json:"loseAnswers"`
 	IsVMListFrozen bool          `json:"isVMListFrozen"`
+	IsVMListDown   bool          `json:"isVMListDown"`
 }
 
 // PlatformCounts are the calls served so far.
@@ -172,11 +173,12 @@
 
 // ListVMs returns the platform's list of VMs.
 func (p *Platform) ListVMs(ctx context.Context) ([]storer.VMRecord, error) {
-	if err := p.enter(ctx, "list VMs"); err != nil {
-		return nil, err
-	}
+	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Reads++
+	if p.faults.IsVMListDown || ctx.Err() != nil {
+		return nil, &storer.UnavailableError{Operation: "list VMs", Cause: errDown}
+	}
 	if p.faults.IsVMListFrozen {
 		return slices.Clone(p.frozen), nil
 	}
--- a/pkg/runner/claim.go
+++ b/pkg/runner/claim.go
@@ -124,8 +124,10 @@
 }
 
 // claimFrom takes up one segment of the job; a job with nothing free is left alone for a while.
+//
+// A claim once begun is brought to its end although the runner stops, so that its lease is known and released.
 func (r *Runner) claimFrom(ctx context.Context, job archiver.JobRow) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	isClaimed, err := r.tryClaim(ctx, job)
 	if err != nil {
@@ -203,6 +205,8 @@
 	}
 	seg := &heldSegment{job: job, number: n, row: row, version: version}
 	if err := r.load(ctx, seg); err != nil {
+		row.Holder = ""
+		_, _ = r.archiver.WriteSegment(ctx, job.ID, n, row, version)
 		return false, err
 	}
 	r.mu.Lock()
--- /dev/null
+++ b/prove/chat_test.go
@@ -0,0 +1,170 @@
+package prove
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/emulator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/encoder"
+)
+
+func chatBody(prompt string, tokens int, isStream bool) string {
+	return fmt.Sprintf(`{"model":"card-writer","max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":%q}]}`,
+		tokens, isStream, prompt)
+}
+
+// wantText is the answer that every stand-in engine gives to the prompt.
+func wantText(prompt string, tokens int) string {
+	text := encoder.PromptText(encoder.ChatRequest{Messages: []encoder.Message{{Role: "user", Content: prompt}}})
+	blocks := append(encoder.PromptBlocks(text), xxhash.Sum64String(text))
+	b := strings.Builder{}
+	for i := range tokens {
+		b.WriteString(emulator.Word(blocks, i))
+	}
+	return b.String()
+}
+
+// streamed returns the text of a streamed answer and whether its end marker came.
+func streamed(body string) (string, bool) {
+	b, isDone := strings.Builder{}, false
+	_ = encoder.ReadEvents(strings.NewReader(body), func(ev encoder.Event) bool {
+		isDone = isDone || ev.IsDone
+		for _, c := range ev.Chunk.Choices {
+			b.WriteString(c.Delta.Content)
+		}
+		return true
+	})
+	return b.String(), isDone
+}
+
+func (f *fleet) chat(v *vm, prompt string, tokens int) answer {
+	return f.do(v, call{method: http.MethodPost, path: "/v1/chat/completions", key: counterKey, body: chatBody(prompt, tokens, true)})
+}
+
+func requireWhole(t *testing.T, a answer, prompt string, tokens int) {
+	t.Helper()
+	require.NoError(t, a.err)
+	text, isDone := streamed(a.body)
+	assert.Equal(t, http.StatusOK, a.status, a.body)
+	assert.True(t, isDone, "no end marker: %s", a.body[max(0, len(a.body)-400):])
+	assert.Equal(t, wantText(prompt, tokens), text)
+}
+
+// TestEachCallerGetsItsOwnAnswer sends many requests of one account at once through every VM.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 3, engines: 2})
+	wg := sync.WaitGroup{}
+	for i := range 150 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("Card number %d", i)
+			requireWhole(t, f.chat(f.vms[i%3], prompt, 5+i%20), prompt, 5+i%20)
+		})
+	}
+	wg.Wait()
+}
+
+// TestCutStreamIsResumed cuts an engine's connection in the middle of an answer.
+func TestCutStreamIsResumed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 1, engines: 1})
+	f.engineFaults(0, emulator.EngineFaults{CutAfterTokens: 10})
+	requireWhole(t, f.chat(f.vms[0], "A wreath", 30), "A wreath", 30)
+	assert.Equal(t, 1, f.executions(0), "resumed, not run again")
+}
+
+// TestKilledEngineIsContinuedElsewhere kills the engine that is in the middle of an answer.
+func TestKilledEngineIsContinuedElsewhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 2, engines: 2})
+	got := make(chan answer, 1)
+	go func() { got <- f.chat(f.vms[0], "A long card", 100) }()
+	used := -1
+	f.await("an engine runs the request", func() bool {
+		for i := range f.engines {
+			if f.executions(i) > 0 {
+				used = i
+			}
+		}
+		return used >= 0
+	})
+	f.procs[fmt.Sprintf("engine-%d", used+1)].kill()
+	requireWhole(t, <-got, "A long card", 100)
+}
+
+// TestRefusalIsTrue compares what callers are told with what the engines ran.
+func TestRefusalIsTrue(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 1, engines: 1})
+	f.engineFaults(0, emulator.EngineFaults{IsRefusing: true})
+	a := f.chat(f.vms[0], "A card", 5)
+	assert.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+	assert.Equal(t, "notRun", a.outcome)
+	assert.NotEmpty(t, a.retry, "a refusal says when to come back")
+	assert.Zero(t, f.executions(0))
+
+	f.engineFaults(0, emulator.EngineFaults{})
+	a = f.do(f.vms[0], call{
+		method: http.MethodPost, path: "/v1/chat/completions", key: counterKey,
+		body: chatBody("A card "+emulator.PoisonMark, 5, false),
+	})
+	assert.Equal(t, http.StatusBadGateway, a.status, a.body)
+	assert.Equal(t, "unknown", a.outcome, "bytes went out, so it may have run")
+
+	f.procs["engine-1"].kill()
+	a = f.chat(f.vms[0], "A card", 5)
+	assert.Equal(t, "notRun", a.outcome, "nothing listens there, so no byte went out")
+	assert.NotEmpty(t, a.retry)
+}
+
+// TestPlannedStopCutsNothing stops a VM in the middle of many streams.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 2, engines: 2})
+	wg := sync.WaitGroup{}
+	for i := range 20 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("Long card %d", i)
+			requireWhole(t, f.chat(f.vms[0], prompt, 120), prompt, 120)
+		})
+	}
+	f.await("the streams run", func() bool { return f.executions(0)+f.executions(1) >= 20 })
+	f.vms[0].signal(syscall.SIGTERM)
+	f.await("the VM tells the balancer", func() bool {
+		a := f.do(f.vms[0], call{method: http.MethodGet, path: "/readyz"})
+		return a.err != nil || a.status == http.StatusServiceUnavailable
+	})
+	wg.Wait()
+	<-f.vms[0].done
+	assert.True(t, f.vms[0].cmd.ProcessState.Success(), "exit %v", f.vms[0].cmd.ProcessState)
+}
+
+// TestLeavingEndpointGetsNothingNew orders an endpoint to leave at one VM and sends through another.
+func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 3, engines: 2})
+	out, err := f.cli(f.vms[0], operatorKey, "endpoint", "leave", "engine-1")
+	require.NoError(t, err, out)
+	send := func(from int) {
+		for i := range 30 {
+			prompt := fmt.Sprintf("Card %d %d", from, i)
+			requireWhole(t, f.chat(f.vms[i%3], prompt, 2), prompt, 2)
+		}
+	}
+	f.await("the news is everywhere", func() bool {
+		before := f.executions(0)
+		send(before)
+		return f.executions(0) == before
+	})
+	before := f.executions(0)
+	send(1000)
+	assert.Equal(t, before, f.executions(0))
+}
--- /dev/null
+++ b/prove/fleet_test.go
@@ -0,0 +1,416 @@
+package prove
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/emulator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
+	"github.com/dogwoodledge/dogwoodledge/pkg/server"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	operatorKey = "operator-key"
+	counterKey  = "counter-key"
+	kilnKey     = "kiln-key"
+	patience    = 60 * time.Second
+)
+
+var (
+	binaries string
+	nextPort atomic.Uint32
+)
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "dogwoodledge-prove")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir+"/", "./cmd/...")
+	build.Dir = ".."
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	binaries = dir
+	nextPort.Store(20000)
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// freeAddress returns a loopback address that nothing listens on, below the ports that the system hands out itself.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	for range 1000 {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(nextPort.Add(1)))
+		tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+		if err != nil {
+			continue
+		}
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		_ = tcp.Close()
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		return addr
+	}
+	require.Fail(t, "no free port")
+	return netip.AddrPort{}
+}
+
+// process is a process that the test started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	log := filepath.Join(t.TempDir(), name+".log")
+	file, err := os.Create(log)
+	require.NoError(t, err)
+	p := &process{name: name, cmd: exec.Command(filepath.Join(binaries, args[0]), args[1:]...), log: log, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = file, file
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		_ = file.Close()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		if t.Failed() {
+			raw, _ := os.ReadFile(log)
+			lines := strings.Split(string(raw), "\n")
+			t.Logf("--- %s\n%s", name, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// vm is one dogwoodledged.
+type vm struct {
+	*process
+	id, region, zone          string
+	callers, operators, peers netip.AddrPort
+}
+
+func (v *vm) url(path string) string { return "http://" + v.callers.String() + path }
+
+// fleet is a whole system on loopback.
+type fleet struct {
+	t        *testing.T
+	platform netip.AddrPort
+	store    *storer.Client
+	vms      []*vm
+	engines  []netip.AddrPort
+	procs    map[string]*process
+	booking  netip.AddrPort
+	dir      string
+}
+
+type fleetSize struct {
+	vms, engines int
+	engineArgs   []string
+	segmentItems int
+}
+
+// newFleet starts a platform, engines, a booking service and VMs in one region, and applies the declarations.
+func newFleet(t *testing.T, size fleetSize) *fleet {
+	t.Helper()
+	f := &fleet{t: t, procs: map[string]*process{}, dir: t.TempDir()}
+	f.platform = f.startStandin("platform", "platform")
+	f.store = storer.NewClient(storer.Config{Address: f.platform, Timeout: 2 * time.Second})
+	for i := range size.engines {
+		f.engines = append(f.engines, f.startStandin(fmt.Sprintf("engine-%d", i+1), append([]string{"engine"}, size.engineArgs...)...))
+	}
+	f.booking = f.startStandin("booking-1", "service")
+	for i := range size.vms {
+		f.startVM(fmt.Sprintf("vm-%d", i+1), size.segmentItems)
+	}
+	f.awaitMembers()
+	f.apply()
+	for _, v := range f.vms {
+		f.awaitReady(v)
+	}
+	return f
+}
+
+func (f *fleet) startStandin(name string, args ...string) netip.AddrPort {
+	f.t.Helper()
+	addr := freeAddress(f.t)
+	f.procs[name] = start(f.t, name, append([]string{"standin", "--listen", addr.String()}, args...)...)
+	f.await(name+" listens", func() bool {
+		c, err := net.DialTimeout("tcp", addr.String(), time.Second)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+	return addr
+}
+
+func (f *fleet) startVM(id string, segmentItems int) *vm {
+	f.t.Helper()
+	v := &vm{id: id, region: "syd", zone: "syd-a", callers: freeAddress(f.t), operators: freeAddress(f.t), peers: freeAddress(f.t)}
+	f.post("http://"+f.platform.String()+"/admin/vms", storer.VMRecord{
+		ID: id, Address: v.peers, Region: v.region, AvailabilityZone: v.zone,
+	})
+	f.runVM(v, segmentItems)
+	f.vms = append(f.vms, v)
+	return v
+}
+
+func (f *fleet) runVM(v *vm, segmentItems int) {
+	f.t.Helper()
+	settings := fmt.Sprintf(`vm: {id: %s, region: %s, availabilityZone: %s}
+listen: {callers: %s, operators: %s, vms: %s}
+platform: {address: %s, timeout: 1s}
+fleet: {key: 000102030405060708090a0b0c0d0e0f}
+operators: {keyHashes: ["%s"]}
+lease: {length: 2s, renew: 500ms}
+pollEvery: 1s
+segmentItems: %d
+`, v.id, v.region, v.zone, v.callers, v.operators, v.peers, f.platform, follower.HashKey(operatorKey), max(1, segmentItems))
+	file := filepath.Join(f.dir, v.id+".yaml")
+	require.NoError(f.t, os.WriteFile(file, []byte(settings), 0o600))
+	v.process = start(f.t, v.id, "dogwoodledged", "--settings", file)
+	f.await(v.id+" listens", func() bool {
+		res, err := http.Get(v.url("/healthz"))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		return err == nil
+	})
+}
+
+func (f *fleet) awaitReady(v *vm) {
+	f.t.Helper()
+	f.await(v.id+" is ready", func() bool {
+		res, err := http.Get(v.url("/readyz"))
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// awaitMembers waits until every VM knows every other.
+func (f *fleet) awaitMembers() {
+	f.t.Helper()
+	for _, v := range f.vms {
+		f.await(v.id+" knows the others", func() bool { return f.liveMembers(v) == len(f.vms) })
+	}
+}
+
+func (f *fleet) liveMembers(v *vm) int {
+	res, err := http.Get("http://" + v.operators.String() + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, _ := io.ReadAll(res.Body)
+	for _, line := range strings.Split(string(raw), "\n") {
+		if strings.HasPrefix(line, "dogwoodledge_members_live") {
+			n := 0
+			_, _ = fmt.Sscanf(line[strings.LastIndexByte(line, ' ')+1:], "%d", &n)
+			return n
+		}
+	}
+	return 0
+}
+
+const declarations = `kind: region
+name: syd
+availabilityZones: [syd-a]
+holdsStore: true
+---
+kind: account
+name: counter
+keyHashes: ["%s"]
+limits: {requestsPerSecond: 10000, tokensPerSecond: 10000000}
+---
+kind: account
+name: kiln
+keyHashes: ["%s"]
+limits: {requestsPerSecond: 10000, tokensPerSecond: 10000000}
+---
+kind: model
+name: card-writer
+contextTokens: 8192
+defaultTokens: 16
+---
+kind: service
+name: booking
+routes:
+  - {method: GET, path: /offers, idempotent: true, timeout: 5s}
+  - {method: POST, path: /bookings, idempotent: false, timeout: 5s}
+---
+kind: endpoint
+name: booking-1
+address: %s
+region: syd
+availabilityZone: syd-a
+service: booking
+slots: 64
+---
+`
+
+const presetText = `kind: preset
+name: %s
+description: %s
+online: {firstTokenTarget: 610ms, tokenGapTarget: 68ms, deadline: 30s, queueLimit: 512}
+batch: {reservedShare: 0.1, latencyHeadroom: 0.8, itemDeadline: 1m, itemAttempts: 3}
+retry: {onlineBudget: 0.5, batchBudget: 0.5}
+---
+`
+
+func (f *fleet) declarations() []byte {
+	b := &bytes.Buffer{}
+	_, _ = fmt.Fprintf(b, declarations, follower.HashKey(counterKey), follower.HashKey(kilnKey), f.booking)
+	for i, addr := range f.engines {
+		_, _ = fmt.Fprintf(b, "kind: endpoint\nname: engine-%d\naddress: %s\nregion: syd\navailabilityZone: syd-a\n"+
+			"models: [card-writer]\nslots: 16\n---\n", i+1, addr)
+	}
+	_, _ = fmt.Fprintf(b, presetText+presetText, "ordinary", "An ordinary day", "peak", "A rush")
+	return b.Bytes()
+}
+
+func (f *fleet) apply() {
+	f.t.Helper()
+	file := filepath.Join(f.dir, "declarations")
+	require.NoError(f.t, os.MkdirAll(file, 0o700))
+	require.NoError(f.t, os.WriteFile(filepath.Join(file, "all.yaml"), f.declarations(), 0o600))
+	out, err := f.cli(f.vms[0], operatorKey, "apply", "-f", file, "--expect", "0", "--preset", "ordinary")
+	require.NoError(f.t, err, out)
+}
+
+// cli runs the command line against a VM.
+func (f *fleet) cli(v *vm, key string, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(binaries, "dogwoodledge"),
+		append([]string{"--operators", v.operators.String(), "--callers", v.callers.String()}, args...)...)
+	cmd.Env = append(os.Environ(), "DOGWOODLEDGE_KEY="+key)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// await waits until the condition holds.
+func (f *fleet) await(what string, isTrue func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, isTrue, patience, 20*time.Millisecond, what)
+}
+
+func (f *fleet) post(url string, body any) {
+	f.t.Helper()
+	raw, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	res, err := http.Post(url, "application/json", bytes.NewReader(raw))
+	require.NoError(f.t, err)
+	_ = res.Body.Close()
+	require.Less(f.t, res.StatusCode, 300)
+}
+
+func (f *fleet) platformFaults(faults emulator.PlatformFaults) {
+	f.t.Helper()
+	f.post("http://"+f.platform.String()+"/admin/faults", faults)
+}
+
+func (f *fleet) engineFaults(i int, faults emulator.EngineFaults) {
+	f.t.Helper()
+	f.post("http://"+f.engines[i].String()+"/admin/faults", faults)
+}
+
+func (f *fleet) serviceFaults(faults emulator.ServiceFaults) {
+	f.t.Helper()
+	f.post("http://"+f.booking.String()+"/admin/faults", faults)
+}
+
+func (f *fleet) counts(addr netip.AddrPort, path string) map[string]int {
+	f.t.Helper()
+	res, err := http.Get("http://" + addr.String() + path)
+	require.NoError(f.t, err)
+	defer func() { _ = res.Body.Close() }()
+	counts := map[string]int{}
+	require.NoError(f.t, json.NewDecoder(res.Body).Decode(&counts))
+	return counts
+}
+
+func (f *fleet) ledger() map[string]int { return f.counts(f.booking, "/admin/ledger") }
+
+func (f *fleet) executions(i int) int { return len(f.counts(f.engines[i], "/admin/executions")) }
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	retry   string
+	vm      string
+	body    string
+	problem server.Problem
+	err     error
+}
+
+type call struct {
+	method, path, key, body, idempotencyKey, timeout string
+}
+
+func (f *fleet) do(v *vm, c call) answer {
+	r, err := http.NewRequestWithContext(context.Background(), c.method, v.url(c.path), strings.NewReader(c.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	r.Header.Set("Content-Type", "application/json")
+	if c.idempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", c.idempotencyKey)
+	}
+	if c.timeout != "" {
+		r.Header.Set("X-Request-Timeout", c.timeout)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	a := answer{
+		status: res.StatusCode, outcome: res.Header.Get("Dogwoodledge-Outcome"), retry: res.Header.Get("Retry-After"),
+		vm: res.Header.Get("Dogwoodledge-VM"), body: string(raw), err: err,
+	}
+	_ = json.Unmarshal(raw, &a.problem)
+	return a
+}
+
+func (f *fleet) book(v *vm, key, body string) answer {
+	return f.do(v, call{method: http.MethodPost, path: "/services/booking/bookings", key: kilnKey, body: body, idempotencyKey: key})
+}
