--- /dev/null
+++ b/pkg/archiver/archiver_test.go
@@ -0,0 +1,204 @@
+package archiver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/batcher"
+	"github.com/dogwoodledge/dogwoodledge/pkg/emulator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+var (
+	ctx   = context.Background()
+	epoch = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+)
+
+func anyBody(body []byte) (model, field, value, remedy string) {
+	m := struct{ Model string }{}
+	_ = json.Unmarshal(body, &m)
+	return m.Model, "", "", ""
+}
+
+// lines reads n batch lines without holding them.
+func lines(n int) io.Reader {
+	r, w := io.Pipe()
+	go func() {
+		for i := range n {
+			_, err := fmt.Fprintf(w, `{"custom_id":"sheet-%d","method":"POST","url":"/v1/chat/completions",`+
+				`"body":{"model":"m","messages":[{"role":"user","content":"Check charge sheet %d of the northern kilns"}]}}`+"\n", i, i)
+			if err != nil {
+				return
+			}
+		}
+		_ = w.Close()
+	}()
+	return r
+}
+
+func newJob(t *testing.T, a *Archiver, n int) JobRow {
+	t.Helper()
+	file, err := a.SaveFile(ctx, "kiln", "f", lines(n), anyBody, epoch)
+	require.NoError(t, err)
+	job := JobRow{ID: JobID("kiln", "k"), Account: "kiln", File: file, Due: epoch.Add(time.Hour), State: JobRunning}
+	job, err = a.CreateJob(ctx, job)
+	require.NoError(t, err)
+	return job
+}
+
+func commitAll(t *testing.T, a *Archiver, job JobRow, jobVersion int64, n int, holder string, old HeldRow) error {
+	t.Helper()
+	row := batcher.SegmentRow{Holder: holder, Fence: old.Fence + 1, State: batcher.SegmentRunning}
+	version, err := a.WriteSegment(ctx, job.ID, n, row, old.Version)
+	require.NoError(t, err)
+	row.State, row.Result, row.Completed = batcher.SegmentDone, ResultObject(job.ID, n, row.Fence), 1
+	require.NoError(t, a.PutResults(ctx, row.Result, []batcher.ItemResult{{ID: holder, Body: []byte(`{}`)}}))
+	return a.CommitSegment(ctx, job, jobVersion, n, row, version)
+}
+
+// TestCancelRacesWithLastSegment cancels between the last segment's work and its commit.
+func TestCancelRacesWithLastSegment(t *testing.T) {
+	a := New(emulator.NewPlatform(), 10)
+	job := newJob(t, a, 10)
+	_, version, err := a.Job(ctx, "kiln", job.ID)
+	require.NoError(t, err)
+	_, err = a.CancelJob(ctx, "kiln", job.ID, epoch)
+	require.NoError(t, err)
+	var conflict *storer.ConflictError
+	require.ErrorAs(t, commitAll(t, a, job, version, 0, "vm-1", HeldRow{}), &conflict)
+	finished, err := a.FinishJob(ctx, "kiln", job.ID, epoch)
+	require.NoError(t, err)
+	assert.Equal(t, JobCancelled, finished.State)
+	assert.Zero(t, finished.Completed)
+}
+
+// TestHolderThatWakesCommitsNothing lets a second holder take over and commit before the first one tries.
+func TestHolderThatWakesCommitsNothing(t *testing.T) {
+	a := New(emulator.NewPlatform(), 10)
+	job := newJob(t, a, 10)
+	_, jobVersion, err := a.Job(ctx, "kiln", job.ID)
+	require.NoError(t, err)
+	asleep := batcher.SegmentRow{Holder: "vm-1", Fence: 1, State: batcher.SegmentRunning}
+	asleepVersion, err := a.WriteSegment(ctx, job.ID, 0, asleep, 0)
+	require.NoError(t, err)
+	require.NoError(t, commitAll(t, a, job, jobVersion, 0, "vm-2", HeldRow{SegmentRow: asleep, Version: asleepVersion}))
+	asleep.State, asleep.Result = batcher.SegmentDone, ResultObject(job.ID, 0, 1)
+	require.NoError(t, a.PutResults(ctx, asleep.Result, []batcher.ItemResult{{ID: "vm-1", Body: []byte(`{}`)}}))
+	var conflict *storer.ConflictError
+	require.ErrorAs(t, a.CommitSegment(ctx, job, jobVersion, 0, asleep, asleepVersion), &conflict)
+	out := bytes.Buffer{}
+	require.NoError(t, a.WriteOutput(ctx, job, false, &out))
+	assert.Contains(t, out.String(), "vm-2")
+	assert.NotContains(t, out.String(), "vm-1")
+}
+
+// TestLostAnswersAreReadBack loses the answer of each write; every step still ends well, and once.
+func TestLostAnswersAreReadBack(t *testing.T) {
+	p := emulator.NewPlatform()
+	a := New(p, 10)
+	lose := func() { p.SetFaults(emulator.PlatformFaults{LoseAnswers: 1}) }
+	file, err := a.SaveFile(ctx, "kiln", "f", lines(10), anyBody, epoch)
+	require.NoError(t, err)
+	job := JobRow{ID: JobID("kiln", "k"), Account: "kiln", File: file, State: JobRunning}
+	lose()
+	_, err = a.CreateJob(ctx, job)
+	require.NoError(t, err)
+	again, err := a.CreateJob(ctx, job)
+	require.NoError(t, err)
+	assert.Equal(t, job.ID, again.ID)
+	_, jobVersion, err := a.Job(ctx, "kiln", job.ID)
+	require.NoError(t, err)
+	row := batcher.SegmentRow{Holder: "vm-1", Fence: 1, State: batcher.SegmentRunning}
+	lose()
+	version, err := a.WriteSegment(ctx, job.ID, 0, row, 0)
+	require.NoError(t, err)
+	row.State, row.Completed = batcher.SegmentDone, 10
+	lose()
+	require.NoError(t, a.CommitSegment(ctx, job, jobVersion, 0, row, version))
+	finished, err := a.FinishJob(ctx, "kiln", job.ID, epoch)
+	require.NoError(t, err)
+	assert.Equal(t, JobCompleted, finished.State)
+	assert.Equal(t, 10, finished.Completed)
+}
+
+// TestLargeJobTakesBoundedMemory accepts the largest job of letter 1, 610,000 items, in the memory of a VM.
+func TestLargeJobTakesBoundedMemory(t *testing.T) {
+	const items = 610_000
+	const most = 128 << 20
+	s := &forgetful{Platform: emulator.NewPlatform()}
+	a := New(s, 500)
+	peak := uint64(0)
+	s.onPut = func() {
+		if s.puts%100 == 0 {
+			m := runtime.MemStats{}
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapInuse)
+		}
+	}
+	file, err := a.SaveFile(ctx, "kiln", "f", lines(items), anyBody, epoch)
+	require.NoError(t, err)
+	assert.Equal(t, items, file.Lines)
+	assert.Equal(t, items/500, file.Parts)
+	assert.Equal(t, items/500, s.puts, "one object a part and no row an item")
+	assert.Less(t, peak, uint64(most))
+	t.Logf("peak heap in use %d MiB, %d MB of input", peak>>20, file.Bytes/1_000_000)
+}
+
+// forgetful counts objects and keeps none, as the platform keeps them elsewhere.
+type forgetful struct {
+	*emulator.Platform
+	puts  int
+	onPut func()
+}
+
+// PutObject counts the object.
+func (f *forgetful) PutObject(context.Context, string, []byte) error {
+	f.puts++
+	f.onPut()
+	return nil
+}
+
+// TestFileSentAgainIsFound uploads the same file twice, and one that differs.
+func TestFileSentAgainIsFound(t *testing.T) {
+	a := New(emulator.NewPlatform(), 10)
+	first, err := a.SaveFile(ctx, "kiln", "f", lines(25), anyBody, epoch)
+	require.NoError(t, err)
+	again, err := a.SaveFile(ctx, "kiln", "f", lines(25), anyBody, epoch)
+	require.NoError(t, err)
+	other, err := a.SaveFile(ctx, "kiln", "f", lines(26), anyBody, epoch)
+	require.NoError(t, err)
+	assert.Equal(t, first, again)
+	assert.NotEqual(t, first.ID, other.ID)
+	out := bytes.Buffer{}
+	require.NoError(t, a.WriteFile(ctx, first, &out))
+	want, err := io.ReadAll(lines(25))
+	require.NoError(t, err)
+	assert.Equal(t, string(want), out.String())
+}
+
+func FuzzSaveFile(f *testing.F) {
+	f.Add(`{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m"}}`)
+	f.Add("{}\n{")
+	f.Add("\x00\n" + strings.Repeat("[", 1000))
+	f.Fuzz(func(t *testing.T, text string) {
+		p := emulator.NewPlatform()
+		row, err := New(p, 3).SaveFile(ctx, "kiln", "f", strings.NewReader(text), anyBody, epoch)
+		if err != nil {
+			rows, listErr := p.List(ctx, "file/", "", 10)
+			require.NoError(t, listErr)
+			require.Empty(t, rows, "a bad file leaves a row")
+			return
+		}
+		require.Positive(t, row.Lines)
+	})
+}
--- /dev/null
+++ b/pkg/core/batcher/batcher_test.go
@@ -0,0 +1,123 @@
+package batcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+// TestSegmentEndsWithEachItemOnce plays random completions, failures, crashes and releases of a segment's items.
+func TestSegmentEndsWithEachItemOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 20).Draw(t, "size")
+		poison := rapid.SliceOfDistinct(rapid.IntRange(0, size-1), rapid.ID[int]).Draw(t, "poison")
+		isPoison := map[int]bool{}
+		for _, i := range poison {
+			isPoison[i] = true
+		}
+		s := NewSegment(size, 3, nil)
+		running := []int{}
+		for step := 0; !s.IsDone(); step++ {
+			require.Less(t, step, 2000, "the segment does not end")
+			if i, ok := s.Next(); ok && rapid.Bool().Draw(t, "start") {
+				running = append(running, i)
+			} else if ok {
+				s.Release(i)
+			}
+			if len(running) == 0 {
+				continue
+			}
+			at := rapid.IntRange(0, len(running)-1).Draw(t, "which")
+			i := running[at]
+			running = append(running[:at], running[at+1:]...)
+			switch {
+			case isPoison[i]:
+				s.Fail(ItemResult{Index: i, Error: "can't be done"}, false)
+			case rapid.IntRange(0, 5).Draw(t, "end") == 0:
+				s.Fail(ItemResult{Index: i, Error: "endpoint left"}, true)
+			default:
+				s.Finish(ItemResult{Index: i})
+				s.Finish(ItemResult{Index: i, Error: "late and doubled"})
+			}
+		}
+		results := s.Results()
+		require.Len(t, results, size)
+		for n, r := range results {
+			require.Equal(t, n, r.Index)
+			require.Equal(t, isPoison[n], r.Error != "", "item %d", n)
+		}
+	})
+}
+
+// TestInnocentItemsAreNotBlamed crashes the endpoint whenever the poisoned item is among those in flight.
+func TestInnocentItemsAreNotBlamed(t *testing.T) {
+	const size, poisoned = 10, 4
+	s := NewSegment(size, 3, nil)
+	for !s.IsDone() {
+		batch := []int{}
+		for len(batch) < 4 {
+			i, ok := s.Next()
+			if !ok {
+				break
+			}
+			batch = append(batch, i)
+		}
+		isCrash := false
+		for _, i := range batch {
+			isCrash = isCrash || i == poisoned
+		}
+		for _, i := range batch {
+			if isCrash {
+				s.Fail(ItemResult{Index: i, Error: "endpoint crashed"}, false)
+			} else {
+				s.Finish(ItemResult{Index: i})
+			}
+		}
+	}
+	for _, r := range s.Results() {
+		assert.Equal(t, r.Index == poisoned, r.Error != "", "item %d", r.Index)
+	}
+}
+
+// TestLeaseLapsesOnOwnClock takes a row for lapsed only when it stood unchanged for the whole length.
+func TestLeaseLapsesOnOwnClock(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewLeaseWatch(time.Minute)
+		now, changedAt, version := epoch, epoch, int64(1)
+		w.IsLapsed(now, "k", version)
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "wait")) * time.Second)
+			if rapid.IntRange(0, 2).Draw(t, "renew") == 0 {
+				version++
+				changedAt = now
+			}
+			isLapsed := w.IsLapsed(now, "k", version)
+			require.False(t, isLapsed && now.Sub(changedAt) < time.Minute, "taken over %s after a renewal", now.Sub(changedAt))
+		}
+	})
+}
+
+func TestRankPutsLeastSlackFirst(t *testing.T) {
+	rates := NewRateEstimator()
+	for i := range 3 {
+		rates.Observe(epoch.Add(time.Duration(i)*time.Second), "long", 10*i)
+		rates.Observe(epoch.Add(time.Duration(i)*time.Second), "short", 10*i)
+	}
+	now := epoch.Add(2 * time.Second)
+	ranked := Rank(now, []Job{
+		{ID: "short", Due: now.Add(time.Minute), Remaining: 100},
+		{ID: "long", Due: now.Add(2 * time.Minute), Remaining: 1150},
+		{ID: "new", Due: now.Add(time.Hour), Remaining: 10},
+	}, rates)
+	ids := []string{}
+	for _, r := range ranked {
+		ids = append(ids, fmt.Sprintf("%s urgent=%t", r.ID, r.IsUrgent))
+	}
+	assert.Equal(t, []string{"long urgent=true", "short urgent=false", "new urgent=false"}, ids)
+}
--- /dev/null
+++ b/pkg/core/detector/detector_test.go
@@ -0,0 +1,189 @@
+package detector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
+)
+
+var epoch = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+const tick = 50 * time.Millisecond
+
+// net delivers messages between detectors tick by tick, but for links that are cut.
+type net struct {
+	now       time.Time
+	random    *rand.Rand
+	detectors []*Detector
+	addresses []netip.AddrPort
+	isCut     func(from, to int) bool
+	isDown    map[int]bool
+	lossOneIn int
+	queue     []parcel
+	heads     map[int]int64
+}
+
+type parcel struct {
+	from, to int
+	message  Message
+}
+
+func newNet(n, regions int) *net {
+	w := &net{
+		now: epoch, random: rand.New(rand.NewPCG(7, 7)), isDown: map[int]bool{}, heads: map[int]int64{},
+		isCut: func(int, int) bool { return false },
+	}
+	members := []Member{}
+	for i := range n {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+		w.addresses = append(w.addresses, addr)
+		members = append(members, Member{VM: fmt.Sprintf("vm-%02d", i), Address: addr, Region: fmt.Sprint(i % regions)})
+	}
+	for i, m := range members {
+		d := New(DefaultConfig(m), rand.New(rand.NewPCG(uint64(i), 1)))
+		w.detectors = append(w.detectors, d)
+		d.Handle(w.now, Listed{Members: members})
+	}
+	return w
+}
+
+func (w *net) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(tick) {
+		queue := w.queue
+		w.queue = nil
+		for _, p := range queue {
+			if !w.isDown[p.to] {
+				w.take(p.to, w.detectors[p.to].Handle(w.now, Received{From: w.addresses[p.from], Message: p.message}))
+			}
+		}
+		for i, d := range w.detectors {
+			if wake, ok := d.NextWake().Get(); ok && !wake.After(w.now) && !w.isDown[i] {
+				w.take(i, d.Handle(w.now, Woken{}))
+			}
+		}
+	}
+}
+
+func (w *net) take(from int, outs []Output) {
+	for _, out := range outs {
+		switch out := out.(type) {
+		case HeadHeard:
+			w.heads[from] = max(w.heads[from], out.Head.Revision)
+			w.detectors[from].Handle(w.now, HeadRaised{Head: out.Head})
+		case Send:
+			for to, addr := range w.addresses {
+				isLost := w.lossOneIn > 0 && w.random.IntN(w.lossOneIn) == 0
+				if addr == out.To && !w.isCut(from, to) && !isLost {
+					w.queue = append(w.queue, parcel{from, to, out.Message})
+				}
+			}
+		}
+	}
+}
+
+func (w *net) states(of int) map[State]int {
+	n := map[State]int{}
+	for i, d := range w.detectors {
+		if i == of || w.isDown[i] {
+			continue
+		}
+		for _, m := range d.Members() {
+			if m.VM == w.detectors[of].self.VM {
+				n[m.State]++
+			}
+		}
+	}
+	return n
+}
+
+func TestLostVMIsFoundAndNobodyElse(t *testing.T) {
+	w := newNet(12, 2)
+	w.lossOneIn = 50
+	w.run(10 * time.Second)
+	w.isDown[3] = true
+	w.run(20 * time.Second)
+	assert.Equal(t, map[State]int{Lost: 11}, w.states(3))
+	for i := range w.detectors {
+		if i != 3 {
+			assert.Equal(t, map[State]int{Alive: 10}, w.states(i), "vm-%02d is live", i)
+		}
+	}
+	// It comes back, as after a freeze, and is heard of again.
+	w.isDown[3] = false
+	w.run(40 * time.Second)
+	assert.Equal(t, map[State]int{Alive: 11}, w.states(3))
+}
+
+func TestCutBetweenTwoVMsIsBridged(t *testing.T) {
+	w := newNet(6, 1)
+	w.isCut = func(from, to int) bool { return from+to == 1 }
+	w.run(40 * time.Second)
+	for i := range w.detectors {
+		assert.Equal(t, map[State]int{Alive: 5}, w.states(i))
+	}
+}
+
+func TestRegionsCutOffFindEachOtherAgain(t *testing.T) {
+	w := newNet(8, 2)
+	w.isCut = func(from, to int) bool { return from%2 != to%2 }
+	w.run(2 * time.Minute)
+	own := 0
+	for _, m := range w.detectors[0].Members() {
+		if m.State == Alive && m.Region == "0" {
+			own++
+		}
+	}
+	assert.Equal(t, 4, own, "its own region stays live to it")
+	w.isCut = func(int, int) bool { return false }
+	w.run(90 * time.Second)
+	for i := range w.detectors {
+		assert.Equal(t, map[State]int{Alive: 7}, w.states(i))
+	}
+}
+
+func TestHeadAndNewsSpread(t *testing.T) {
+	w := newNet(20, 2)
+	w.detectors[5].Handle(w.now, HeadRaised{Head: configurator.Head{Revision: 9}})
+	w.detectors[5].Handle(w.now, EndpointSeen{News: EndpointNews{Endpoint: "e", IsLeaving: true, Number: 1}})
+	w.run(16 * time.Second)
+	for i, d := range w.detectors {
+		assert.EqualValues(t, 9, d.head.Revision, "head at vm-%02d", i)
+		assert.True(t, d.endpoints["e"].IsLeaving, "news at vm-%02d", i)
+	}
+}
+
+func TestLeavingIsKnownAtOnce(t *testing.T) {
+	w := newNet(6, 1)
+	w.run(5 * time.Second)
+	w.take(2, w.detectors[2].Handle(w.now, LeaveOrdered{}))
+	w.run(time.Second)
+	assert.Equal(t, map[State]int{Leaving: 5}, w.states(2))
+}
+
+// TestNewerWordWins feeds a member's states in any order: the one that is strongest at the highest incarnation stays.
+func TestNewerWordWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		addr := netip.MustParseAddrPort("10.0.0.1:1")
+		d := New(DefaultConfig(Member{VM: "self", Address: addr}), rand.New(rand.NewPCG(1, 1)))
+		best := Member{}
+		for range rapid.IntRange(1, 20).Draw(t, "n") {
+			m := Member{
+				VM: "other", Address: addr, State: State(rapid.IntRange(0, 3).Draw(t, "state")),
+				Incarnation: uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")),
+			}
+			if best.VM == "" || isNewer(m, best) {
+				best = m
+			}
+			d.Handle(epoch, Received{From: addr, Message: Probe{News: News{From: m}}})
+		}
+		require.Equal(t, best, d.Members()[1])
+	})
+}
