--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/dogwoodledge/dogwoodledge/pkg/commander.Version=$(VERSION)
 
-.PHONY: build demo check test race bench prove lint tools generate clean
+.PHONY: build demo check bench prove mutate lint tools generate clean
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -22,6 +22,10 @@
 prove:
 	PROVE_RACE=1 go test -count=1 -parallel 4 ./prove
 
+# mutate shows of each proof that it fails when its mechanism is taken out of a copy of the source.
+mutate:
+	go test -tags mutate -run TestMutations -timeout 60m -v ./prove
+
 # bench measures the decisions in virtual time and fails on a bound that is not met.
 bench:
 	go run ./cmd/bench
--- a/pkg/assembler/assembler.go
+++ b/pkg/assembler/assembler.go
@@ -62,7 +62,7 @@
 		fx.Provide(
 			tracer.New, tracer.NewLog, newRandom, newPaced, newClient, newAuthenticator, newCaller, newFollower, newFleet,
 			newMembership, newGranter, newReserver, newRoutes, newDispatcher, forwarder.NewPools, newArchiver, newRunner, newPoller,
-			newClaims, newServer, newVMServer,
+			newClaims, newOrderer, newServer, newVMServer,
 		),
 		fx.Invoke(runLifecycle),
 	)
--- a/pkg/assembler/server.go
+++ b/pkg/assembler/server.go
@@ -1,13 +1,19 @@
 package assembler
 
 import (
+	"context"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/archiver"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
+	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
 	"github.com/dogwoodledge/dogwoodledge/pkg/forwarder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/orderer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/runner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/server"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
@@ -17,15 +23,22 @@
 func newServer(
 	s loader.Settings, client *storer.Client, a *archiver.Archiver, f *follower.Follower, d *forwarder.Dispatcher,
 	p *forwarder.Pools, m *messenger.Membership, c *messenger.Caller, claims *server.Claims, t *tracer.Tracer,
-	r *runner.Runner, fleet *Fleet, log logrus.FieldLogger,
+	r *runner.Runner, fleet *Fleet, o *orderer.Orderer, log logrus.FieldLogger,
 ) *server.Server {
 	cfg := server.Config{
 		VM: s.VM.ID, Callers: s.Listen.Callers, Operators: s.Listen.Operators,
 		OperatorKeyHashes: s.Operators.KeyHashes, DrainLimit: s.DrainLimit,
 	}
 	return server.New(cfg, server.Parts{
-		Store: client, Archiver: a, Follower: f, Dispatcher: d, Pools: p, Membership: m, Caller: c, Claims: claims,
+		Store: client, Archiver: a, Follower: f, Dispatcher: d, Pools: p, Membership: m, Caller: c, Claims: claims, Orderer: o,
 		Metrics: t.Handler(), Log: log, OnBatch: r.Poke,
 		OnEndpointNews: fleet.announce,
 	})
 }
+
+func newOrderer(s loader.Settings, client *storer.Client, p *forwarder.Pools) *orderer.Orderer {
+	send := func(ctx context.Context, e declarer.Endpoint, o orderer.Order, fence int64) (outcome.Outcome, error) {
+		return p.Order(ctx, e, string(o.Kind), o.Name, fence)
+	}
+	return orderer.New(s.VM.ID, client, send, time.Now)
+}
--- a/pkg/commander/endpoint.go
+++ b/pkg/commander/endpoint.go
@@ -4,14 +4,18 @@
 	"net/http"
 
 	"github.com/spf13/cobra"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/orderer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/server"
 )
 
 func newEndpoint(s *session) *cobra.Command {
 	cmd := &cobra.Command{Use: "endpoint", Short: "Show endpoints and take them out of work"}
 	cmd.AddCommand(
 		newEndpointList(s),
-		newEndpointOrder(s, "leave", "Give an endpoint no new work; what it runs goes on to its end"),
-		newEndpointOrder(s, "return", "Give an endpoint work again"),
+		newEndpointMove(s, "leave", "Give an endpoint no new work; what it runs goes on to its end"),
+		newEndpointMove(s, "return", "Give an endpoint work again"),
+		newEndpointOrder(s),
 	)
 	return cmd
 }
@@ -33,7 +37,7 @@
 	}
 }
 
-func newEndpointOrder(s *session, order, short string) *cobra.Command {
+func newEndpointMove(s *session, order, short string) *cobra.Command {
 	return &cobra.Command{
 		Use: order + " NAME", Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
@@ -48,3 +52,20 @@
 		},
 	}
 }
+
+func newEndpointOrder(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "order NAME KIND WHAT", Short: "Order an engine to loadModel, loadAdapter, loadVersion or setRole",
+		Args: cobra.ExactArgs(3),
+		RunE: func(_ *cobra.Command, args []string) error {
+			reply := server.OrderReply{}
+			order := orderer.Order{Kind: orderer.Kind(args[1]), Name: args[2]}
+			if err := s.operator(http.MethodPost, "/endpoints/"+args[0]+"/order", order, &reply); err != nil {
+				return err
+			}
+			return s.print(reply, func() {
+				s.printf("endpoint %s carried out %s %s under fence %d\n", args[0], args[1], args[2], reply.Fence)
+			})
+		},
+	}
+}
--- a/pkg/loader/declarations_test.go
+++ b/pkg/loader/declarations_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
 )
 
 // TestBadDeclarations reads folders of an input and the errors that it must give.
@@ -70,3 +72,21 @@
 	require.ErrorContains(t, err, `vm.yaml:4: fleet.key is "00": give at least 32`)
 	require.ErrorContains(t, err, "vm.yaml:5: operators.keyHashes")
 }
+
+func FuzzParse(f *testing.F) {
+	base, err := os.ReadFile("testdata/base.yaml")
+	require.NoError(f, err)
+	f.Add(base)
+	f.Add([]byte("kind: account\nname: [\n"))
+	f.Add([]byte("---\n- 1\n---\nkind: endpoint\naddress: x"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		snapshot, err := Parse([]File{{Name: "f.yaml", Text: text}})
+		if err != nil {
+			return
+		}
+		raw, hash, err := snapshot.Encode()
+		require.NoError(t, err)
+		_, err = declarer.Decode(raw, hash)
+		require.NoError(t, err)
+	})
+}
--- a/pkg/server/operators.go
+++ b/pkg/server/operators.go
@@ -23,6 +23,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
+	"github.com/dogwoodledge/dogwoodledge/pkg/orderer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
@@ -91,6 +92,7 @@
 	api.HandleFunc("/status", s.status).Methods(http.MethodGet)
 	api.HandleFunc("/snapshot", s.snapshot).Methods(http.MethodGet)
 	api.HandleFunc("/batches", s.activeBatches).Methods(http.MethodGet)
+	api.HandleFunc("/endpoints/{name}/order", s.giveOrder).Methods(http.MethodPost)
 	api.HandleFunc("/endpoints/{name}/leave", s.endpointOrder(true)).Methods(http.MethodPost)
 	api.HandleFunc("/endpoints/{name}/return", s.endpointOrder(false)).Methods(http.MethodPost)
 	return r
@@ -306,10 +308,13 @@
 	op := OperatorProblem{}
 	var fields *loader.FieldErrors
 	var race *RaceLostError
+	var busy *orderer.BusyError
 	switch {
 	case errors.As(err, &fields):
 		op.Problem = *newProblem(http.StatusUnprocessableEntity, "declarations", "Declarations not accepted", fields.Error())
 		op.Errors = fields.Errors
+	case errors.As(err, &busy):
+		op.Problem = *newProblem(http.StatusConflict, "orderBusy", "Another order runs", busy.Error()).withRetry(busy.RetryAfter)
 	case errors.As(err, &race):
 		op.Problem = *newProblem(http.StatusConflict, "raceLost", "Another change came first", race.Error())
 		op.Current, op.Changes = &race.Current, describe(race.Changes)
--- /dev/null
+++ b/pkg/server/orders.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
+	"github.com/dogwoodledge/dogwoodledge/pkg/orderer"
+)
+
+// OrderReply says how an order ended and which fence it carried.
+type OrderReply struct {
+	Endpoint string `json:"endpoint"`
+	Fence    int64  `json:"fence"`
+	Outcome  string `json:"outcome"`
+}
+
+// giveOrder gives an engine an operator's order under its fenced lease.
+func (s *Server) giveOrder(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
+	e, ok := s.follower.Current().Snapshot.Endpoint(name)
+	if !ok || len(e.Models) == 0 {
+		writeOperatorProblem(w, &problemError{problem: badField("endpoint", name, "name a declared model engine")})
+		return
+	}
+	body, err := readBody(w, r)
+	order := orderer.Order{}
+	if err == nil {
+		err = s.decode(body, &order)
+	}
+	if err != nil {
+		writeOperatorProblem(w, err)
+		return
+	}
+	fence, o, err := s.Orderer.Give(r.Context(), e, order)
+	if err != nil {
+		writeOperatorProblem(w, orderError(o, err))
+		return
+	}
+	writeJSON(w, http.StatusOK, OrderReply{Endpoint: name, Fence: fence, Outcome: outcome.Name(o)})
+}
+
+// orderError says of an order that failed on its way whether the engine may carry it out.
+func orderError(o outcome.Outcome, err error) error {
+	if _, isUnknown := o.(outcome.Unknown); !isUnknown {
+		return err
+	}
+	p := newProblem(http.StatusBadGateway, "orderUncertain", "Order uncertain", err.Error())
+	return &problemError{problem: p.withOutcome(o).withRetry(orderer.LeaseLength)}
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/forwarder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/orderer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
@@ -50,6 +51,7 @@
 	Membership *messenger.Membership
 	Caller     *messenger.Caller
 	Claims     *Claims
+	Orderer    *orderer.Orderer
 	Metrics    http.Handler
 	Log        logrus.FieldLogger
 	// OnBatch is called after a batch job came in.
--- a/prove/config_test.go
+++ b/prove/config_test.go
@@ -157,3 +157,20 @@
 	require.NoError(t, err, out)
 	assert.Contains(t, out, fmt.Sprintf("revision %d", 2))
 }
+
+// TestOrdersCarryTheirFence gives an engine orders through two VMs.
+func TestOrdersCarryTheirFence(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetSize{vms: 2, engines: 1})
+	for i, v := range f.vms {
+		out, err := f.cli(v, operatorKey, "endpoint", "order", "engine-1", "loadModel", "card-writer")
+		require.NoError(t, err, out)
+		assert.Contains(t, out, fmt.Sprintf("under fence %d", i+1))
+	}
+	out, err := f.cli(f.vms[0], operatorKey, "endpoint", "order", "engine-1", "explode", "x")
+	require.Error(t, err)
+	assert.Contains(t, out, "kind: use one of: loadModel loadAdapter loadVersion setRole")
+	f.platformFaults(emulator.PlatformFaults{IsDown: true})
+	out, err = f.cli(f.vms[0], operatorKey, "endpoint", "order", "engine-1", "loadModel", "card-writer")
+	require.Error(t, err, out)
+}
