--- a/pkg/bencher/main.go
+++ b/pkg/bencher/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 )
 
@@ -24,6 +25,8 @@
 	{"cost", runCost},
 }
 
+var errDone = errors.New("done")
+
 // Main runs the scenarios named by args, or all of them, and returns the exit code: 1 when a bound is not met.
 func Main(args []string, out io.Writer) int {
 	r := &report{out: out}
@@ -34,8 +37,23 @@
 		SilenceErrors: true,
 		RunE:          func(_ *cobra.Command, names []string) error { return runNamed(r, names) },
 	}
+	tradeoff := ""
+	cmd.Flags().StringVar(&tradeoff, "tradeoff", "", "instead, print the curve between the two users' weights and plot it into this file")
+	cmd.PreRunE = func(*cobra.Command, []string) error {
+		if tradeoff == "" {
+			return nil
+		}
+		if err := writeTradeoff(out, tradeoff); err != nil {
+			return err
+		}
+		return errDone
+	}
 	cmd.SetArgs(args)
-	if err := cmd.Execute(); err != nil {
+	err := cmd.Execute()
+	if errors.Is(err, errDone) {
+		return 0
+	}
+	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "bench:", err)
 		return 2
 	}
--- a/pkg/declarer/kinds.go
+++ b/pkg/declarer/kinds.go
@@ -85,13 +85,12 @@
 
 // Link joins two regions; BulkShare is the part of its rate that bulk traffic may take.
 type Link struct {
-	Meta             `yaml:",inline"`
-	Regions          []string      `yaml:"regions" json:"regions" validate:"required,len=2,unique"`
-	MegabitsPerSec   float64       `yaml:"megabitsPerSecond" json:"megabitsPerSecond" validate:"required,gt=0"`
-	OneWayDelay      time.Duration `yaml:"oneWayDelay" json:"oneWayDelay" validate:"required,gt=0"`
-	BulkShare        float64       `yaml:"bulkShare" json:"bulkShare" validate:"gte=0,lte=1"`
-	OnlineOverShare  float64       `yaml:"onlineOverflowShare" json:"onlineOverflowShare" validate:"gte=0,lte=1"`
-	GossipPeersRound int           `yaml:"gossipPeersPerRound,omitempty" json:"gossipPeersPerRound,omitempty" validate:"gte=0"`
+	Meta            `yaml:",inline"`
+	Regions         []string      `yaml:"regions" json:"regions" validate:"required,len=2,unique"`
+	MegabitsPerSec  float64       `yaml:"megabitsPerSecond" json:"megabitsPerSecond" validate:"required,gt=0"`
+	OneWayDelay     time.Duration `yaml:"oneWayDelay" json:"oneWayDelay" validate:"required,gt=0"`
+	BulkShare       float64       `yaml:"bulkShare" json:"bulkShare" validate:"gte=0,lte=1"`
+	OnlineOverShare float64       `yaml:"onlineOverflowShare" json:"onlineOverflowShare" validate:"gte=0,lte=1"`
 }
 
 // OnlinePolicy says what online requests are promised.
--- a/pkg/emulator/platform.go
+++ b/pkg/emulator/platform.go
@@ -20,6 +20,7 @@
 	IsDown         bool          `json:"isDown"`
 	Slow           time.Duration `json:"slow"`
 	LoseAnswers    int           `json:"loseAnswers"`
+	LoseCommits    int           `json:"loseCommits"`
 	IsVMListFrozen bool          `json:"isVMListFrozen"`
 	IsVMListDown   bool          `json:"isVMListDown"`
 }
@@ -143,6 +144,10 @@
 	for _, key := range tx.Deletes {
 		p.deleteRow(key)
 	}
+	if p.faults.LoseCommits > 0 {
+		p.faults.LoseCommits--
+		return 0, &storer.UnavailableError{Operation: "commit", MayHaveRun: true, Cause: errAnswerLost}
+	}
 	return p.version, p.loseAnswer("commit")
 }
 
--- a/pkg/orderer/lease.go
+++ b/pkg/orderer/lease.go
@@ -57,7 +57,8 @@
 
 // Error says who holds what and when to come back.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("%s is held by %s for %s %s: come back in %s", e.What, e.Lease.Holder, e.Lease.Kind, e.Lease.Name, e.RetryAfter)
+	l := e.Lease
+	return fmt.Sprintf("%s is held by %s for %s %s: come back in %s", e.What, l.Holder, l.Kind, l.Name, e.RetryAfter)
 }
 
 // StaleError says that the lease may have been lost before the order was sent; nothing was sent.
--- a/prove/config_test.go
+++ b/prove/config_test.go
@@ -98,7 +98,7 @@
 func TestPresetWriteAnswerLost(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetSize{vms: 2})
-	f.platformFaults(emulator.PlatformFaults{LoseAnswers: 2})
+	f.platformFaults(emulator.PlatformFaults{LoseCommits: 1})
 	out, err := f.cli(f.vms[0], operatorKey, "preset", "use", "peak")
 	require.NoError(t, err, out)
 	assert.Contains(t, out, "revision 2")
--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -129,6 +129,7 @@
 	*process
 	id, region, zone          string
 	callers, operators, peers netip.AddrPort
+	platform                  netip.AddrPort
 }
 
 func (v *vm) url(path string) string { return "http://" + v.callers.String() + path }
@@ -188,7 +189,16 @@
 
 func (f *fleet) startVM(id string, segmentItems int) *vm {
 	f.t.Helper()
-	v := &vm{id: id, region: "syd", zone: "syd-a", callers: freeAddress(f.t), operators: freeAddress(f.t), peers: freeAddress(f.t)}
+	return f.startVMIn(id, "syd", f.platform, segmentItems)
+}
+
+// startVMIn starts a VM in a region that reaches the platform at an address of its own.
+func (f *fleet) startVMIn(id, region string, platform netip.AddrPort, segmentItems int) *vm {
+	f.t.Helper()
+	v := &vm{
+		id: id, region: region, zone: region + "-a", platform: platform,
+		callers: freeAddress(f.t), operators: freeAddress(f.t), peers: freeAddress(f.t),
+	}
 	f.post("http://"+f.platform.String()+"/admin/vms", storer.VMRecord{
 		ID: id, Address: v.peers, Region: v.region, AvailabilityZone: v.zone,
 	})
@@ -207,7 +217,7 @@
 lease: {length: 2s, renew: 500ms}
 pollEvery: 1s
 segmentItems: %d
-`, v.id, v.region, v.zone, v.callers, v.operators, v.peers, f.platform, follower.HashKey(operatorKey), max(1, segmentItems))
+`, v.id, v.region, v.zone, v.callers, v.operators, v.peers, v.platform, follower.HashKey(operatorKey), max(1, segmentItems))
 	file := filepath.Join(f.dir, v.id+".yaml")
 	require.NoError(f.t, os.WriteFile(file, []byte(settings), 0o600))
 	v.process = start(f.t, v.id, "dogwoodledged", "--settings", file)
@@ -262,6 +272,18 @@
 availabilityZones: [syd-a]
 holdsStore: true
 ---
+kind: region
+name: norr
+availabilityZones: [norr-a]
+---
+kind: link
+name: syd-norr
+regions: [syd, norr]
+megabitsPerSecond: 30
+oneWayDelay: 1ms
+bulkShare: 0.5
+onlineOverflowShare: 0.5
+---
 kind: account
 name: counter
 keyHashes: ["%s"]
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -61,16 +61,16 @@
 
 metric() { curl -sf "http://127.0.0.1:$((18700 + $1))/metrics" | awk -v m="$2" '$1 ~ "^" m {print int($NF); exit}'; }
 
+# request_cost TOKENS measures what a streamed request of so many tokens takes of all VMs together.
 request_cost() {
-  local n=2000 before after
+  local tokens=$1 n=600 before=0 after=0
   for i in $(seq 1 $n); do
-    echo "{\"at\":\"$((i * 5))ms\",\"model\":\"card-writer\",\"prompt\":\"A card for order $i\",\"tokens\":16}"
+    echo "{\"at\":\"$((i * 25))ms\",\"model\":\"card-writer\",\"prompt\":\"A card for order $i\",\"tokens\":$tokens}"
   done >"$DIR/work.jsonl"
-  before=0; after=0
   for pid in "${vms[@]}"; do before=$((before + $(ticks "$pid"))); done
   DOGWOODLEDGE_KEY=demo-counter-key bin/dogwoodledge load "$DIR/work.jsonl" --vm 127.0.0.1:18501,127.0.0.1:18502,127.0.0.1:18503
   for pid in "${vms[@]}"; do after=$((after + $(ticks "$pid"))); done
-  awk -v t=$((after - before)) -v n=$n 'BEGIN {printf "request tokens=16 milliCoreSecondsEach=%.3f\n", t * 10 / n}'
+  awk -v t=$((after - before)) -v n=$n -v k="$tokens" 'BEGIN {printf "request tokens=%d milliCoreSecondsEach=%.3f\n", k, t * 10 / n}'
 }
 
 batch_cost() {
@@ -89,8 +89,10 @@
 }
 counts() { curl -sf http://127.0.0.1:18000/admin/counts; }
 
-for n in 3 9 18 36; do idle $n; stop_all; done
+if [ "${1:-all}" = all ]; then
+  for n in 3 9 18 36; do idle $n; stop_all; done
+fi
 fleet 3
 sleep 3
-request_cost
+for tokens in 8 40 80; do request_cost $tokens; done
 batch_cost
