Read the list of jobs only when it changed, and watch leases from few VMs

Change: the list's entries hold only what a choice needs; a row changes whenever the list does, and VMs read that one instead; jobs with nothing free are looked at often by three VMs only, by rendezvous hashing, and ten times less often by the others.

--- a/pkg/archiver/jobs.go
+++ b/pkg/archiver/jobs.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
@@ -40,6 +42,34 @@
 
 func activeKey(id string) string { return "active/" + id }
 
+// epochKey is a row that changes whenever the list of active jobs does, so that VMs read the list only then.
+const epochKey = "active-epoch"
+
+// ActiveRow is an entry of the list of active jobs: what a VM must know to choose one.
+type ActiveRow struct {
+	ID      string    `json:"id"`
+	Account string    `json:"account"`
+	Model   string    `json:"model"`
+	Lines   int       `json:"lines"`
+	Parts   int       `json:"parts"`
+	Due     time.Time `json:"due"`
+}
+
+func newActiveRow(j JobRow) ActiveRow {
+	return ActiveRow{ID: j.ID, Account: j.Account, Model: j.File.Model, Lines: j.File.Lines, Parts: j.File.Parts, Due: j.Due}
+}
+
+// newEpoch returns the write that announces a change of the list; it needs no check, for any new value will do.
+func newEpoch() storer.Put {
+	return storer.Put{Key: epochKey, Value: []byte(strconv.Quote(uuid.NewString()))}
+}
+
+// Epoch returns the version of the list of active jobs.
+func (a *Archiver) Epoch(ctx context.Context) (int64, error) {
+	row, err := a.store.Read(ctx, epochKey)
+	return row.Version, err
+}
+
 // JobID returns the id of the job that the account's key names, so that a job sent again is found.
 func JobID(account, key string) string {
 	return deriveID("batch_", account, key)
@@ -60,7 +90,7 @@
 	key := jobKey(job.Account, job.ID)
 	tx := storer.Transaction{
 		Checks: []storer.Check{{Key: key}},
-		Puts:   []storer.Put{storer.PutJSON(key, job), storer.PutJSON(activeKey(job.ID), job)},
+		Puts:   []storer.Put{storer.PutJSON(key, job), storer.PutJSON(activeKey(job.ID), newActiveRow(job)), newEpoch()},
 	}
 	_, err := a.commit(ctx, tx, key, func(storer.Row) bool { return true })
 	if err != nil && !isConflict(err) {
@@ -95,11 +125,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return decodeJobs(rows)
+	return decodeRows[JobRow](rows)
 }
 
 // ActiveJobs returns every job that is not at its end.
-func (a *Archiver) ActiveJobs(ctx context.Context) ([]JobRow, error) {
+func (a *Archiver) ActiveJobs(ctx context.Context) ([]ActiveRow, error) {
 	rows := []storer.Row{}
 	err := storer.ListAll(ctx, a.store, activeKey(""), func(r storer.Row) bool {
 		rows = append(rows, r)
@@ -108,19 +138,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return decodeJobs(rows)
+	return decodeRows[ActiveRow](rows)
 }
 
-func decodeJobs(rows []storer.Row) ([]JobRow, error) {
-	jobs := make([]JobRow, 0, len(rows))
+func decodeRows[T any](rows []storer.Row) ([]T, error) {
+	list := make([]T, 0, len(rows))
 	for _, r := range rows {
-		job := JobRow{}
-		if err := json.Unmarshal(r.Value, &job); err != nil {
+		var v T
+		if err := json.Unmarshal(r.Value, &v); err != nil {
 			return nil, errors.Wrapf(err, "decode row %q", r.Key)
 		}
-		jobs = append(jobs, job)
+		list = append(list, v)
 	}
-	return jobs, nil
+	return list, nil
 }
 
 // CancelJob ends a running job; segments that were not committed by then never will be.
@@ -160,7 +190,7 @@
 		}
 		tx := storer.Transaction{
 			Checks:  []storer.Check{{Key: key, Version: version}},
-			Puts:    []storer.Put{storer.PutJSON(key, job)},
+			Puts:    []storer.Put{storer.PutJSON(key, job), newEpoch()},
 			Deletes: []string{activeKey(id)},
 		}
 		_, err = a.commit(ctx, tx, key, func(storer.Row) bool { return false })
--- a/pkg/assembler/fleet.go
+++ b/pkg/assembler/fleet.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,10 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
 )
 
-const megabitBytes = 1_000_000 / 8
+const (
+	megabitBytes  = 1_000_000 / 8
+	watchersOfJob = 3
+)
 
 // Fleet joins what the configuration declares with which VMs are live, and tells the other parts of changes.
 type Fleet struct {
@@ -56,6 +60,15 @@
 	return *f.kept.Load()
 }
 
+// IsWatcher reports whether this VM is one of the few that look often for lapsed leases of the job.
+func (f *Fleet) IsWatcher(job string) bool {
+	f.mu.Lock()
+	live := f.view.Live("")
+	f.mu.Unlock()
+	ranked := ranker.Rank(job, live)
+	return slices.Contains(ranked[:min(watchersOfJob, len(ranked))], f.vm.ID)
+}
+
 // BatchPolicy returns what the preset in force says of batch.
 func (f *Fleet) BatchPolicy() declarer.BatchPolicy {
 	return f.follower.Current().Preset.Batch
--- a/pkg/assembler/lifecycle.go
+++ b/pkg/assembler/lifecycle.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/fx"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := client.Snapshot(ctx, &wire.SnapshotRequest{Hash: hash})
+	reply, err := client.Snapshot(ctx, &wire.SnapshotRequest{Hash: hash}, grpc.UseCompressor(gzip.Name))
 	return reply.GetSnapshot(), err
 }
 
--- a/pkg/bencher/cost.go
+++ b/pkg/bencher/cost.go
@@ -1,6 +1,10 @@
 package bencher
 
 import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +17,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/limiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/ranker"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/router"
+	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
 )
 
@@ -27,6 +32,8 @@
 	bytesPerMiB   = 1 << 20
 	mostStateMiB  = 128.0
 	accountsLarge = 1200
+	changesADay   = 650
+	secondsADay   = 86_400
 )
 
 // fleetSize is one size at which costs are measured.
@@ -241,6 +248,36 @@
 	return mib
 }
 
+// snapshotBytes is the size of a configuration of the size, as it is and as it goes between VMs.
+func snapshotBytes(s fleetSize) (plain, packed float64) {
+	all := []declarer.Declaration{}
+	for i := range s.accounts {
+		sum := sha256.Sum256([]byte(strconv.Itoa(i)))
+		all = append(all, &declarer.Account{
+			Meta:      declarer.Meta{KindName: "account", Name: "account-" + strconv.Itoa(i)},
+			KeyHashes: []string{"sha256:" + hex.EncodeToString(sum[:])},
+			Limits:    declarer.AccountLimits{RequestsPerSecond: 50, TokensPerSecond: 20000}, Weight: 1,
+		})
+	}
+	for i := range s.endpoints {
+		all = append(all, &declarer.Endpoint{
+			Meta:    declarer.Meta{KindName: "endpoint", Name: endpointName(i)},
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8000),
+			Region:  "region-" + strconv.Itoa(i%s.regions), AvailabilityZone: "az-" + strconv.Itoa(i%s.regions),
+			Models: []string{"model-" + strconv.Itoa(i%s.models)}, Slots: engineSlots,
+		})
+	}
+	raw, _, err := declarer.NewSnapshot(all).Encode()
+	if err != nil {
+		return 0, 0
+	}
+	b := bytes.Buffer{}
+	z := gzip.NewWriter(&b)
+	_, _ = z.Write(raw)
+	_ = z.Close()
+	return float64(len(raw)), float64(b.Len())
+}
+
 // runCost is scenario 8: what decisions and control cost today and at the size to come.
 func runCost(r *report) {
 	for _, c := range []struct {
@@ -265,6 +302,10 @@
 		r.atMost("cost/gossip/"+s.name, "bytesPerVMSecond", perVM, mostControl)
 		r.info("cost/gossip/"+s.name, "bytesAcrossRegionsSecond", crossed)
 		r.atMost("cost/gossip/"+s.name, "liveVMsCalledLost", float64(g.lostSeen), 0)
+		plain, packed := snapshotBytes(s)
+		r.info("cost/snapshot/"+s.name, "bytes", plain)
+		r.info("cost/snapshot/"+s.name, "bytesPacked", packed)
+		r.atMost("cost/control/"+s.name, "bytesPerVMSecond", perVM+packed*changesADay/secondsADay, mostControl)
 		r.atMost("cost/state/"+s.name, "heapMiB", stateMiB(s), mostStateMiB)
 	}
 }
--- a/pkg/commander/batch.go
+++ b/pkg/commander/batch.go
@@ -190,14 +190,14 @@
 		Use: "active", Short: "List every account's batches that are not at their end (operators)", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			reply := struct {
-				Batches []archiver.JobRow `json:"batches"`
+				Batches []archiver.ActiveRow `json:"batches"`
 			}{}
 			if err := s.operator(http.MethodGet, "/batches", nil, &reply); err != nil {
 				return err
 			}
 			return s.print(reply, func() {
 				for _, b := range reply.Batches {
-					s.printf("%s %-16s %8d items, due in %s\n", b.ID, b.Account, b.File.Lines, time.Until(b.Due).Round(time.Second))
+					s.printf("%s %-16s %8d items, due in %s\n", b.ID, b.Account, b.Lines, time.Until(b.Due).Round(time.Second))
 				}
 			})
 		},
--- a/pkg/runner/claim.go
+++ b/pkg/runner/claim.go
@@ -27,30 +27,50 @@
 	}
 }
 
-// refreshJobs reads the active jobs and ranks them by slack.
+// refreshJobs reads the active jobs if their list has changed, and ranks them by slack.
 func (r *Runner) refreshJobs(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, err := r.archiver.ActiveJobs(ctx)
+	epoch, err := r.archiver.Epoch(ctx)
+	if err == nil && epoch != r.epoch {
+		err = r.readJobs(ctx, epoch)
+	}
 	if err != nil {
 		r.log.WithError(err).Debug("jobs not listed")
 		return false
 	}
+	r.rankJobs()
+	return true
+}
+
+func (r *Runner) readJobs(ctx context.Context, epoch int64) error {
+	rows, err := r.archiver.ActiveJobs(ctx)
+	if err != nil {
+		return err
+	}
+	r.epoch = epoch
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	jobs := make([]batcher.Job, 0, len(rows))
-	r.rows = map[string]archiver.JobRow{}
+	r.rows = map[string]archiver.ActiveRow{}
 	for _, row := range rows {
+		r.rows[row.ID] = row
+	}
+	r.forgetEnded()
+	return nil
+}
+
+func (r *Runner) rankJobs() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	jobs := make([]batcher.Job, 0, len(r.rows))
+	for _, row := range r.rows {
 		left, ok := r.left[row.ID]
 		if !ok {
-			left = row.File.Lines
+			left = row.Lines
 		}
-		r.rows[row.ID] = row
-		jobs = append(jobs, batcher.Job{ID: row.ID, Model: row.File.Model, Due: row.Due, Remaining: left})
+		jobs = append(jobs, batcher.Job{ID: row.ID, Model: row.Model, Due: row.Due, Remaining: left})
 	}
 	r.jobs = batcher.Rank(time.Now(), jobs, r.rates)
-	r.forgetEnded()
-	return true
 }
 
 // forgetEnded drops what is known of jobs that are no longer listed; the segments of a cancelled job stop.
@@ -111,7 +131,7 @@
 	return want > 0
 }
 
-func (r *Runner) nextJob(model string) (archiver.JobRow, bool) {
+func (r *Runner) nextJob(model string) (archiver.ActiveRow, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -120,13 +140,13 @@
 			return r.rows[j.ID], true
 		}
 	}
-	return archiver.JobRow{}, false
+	return archiver.ActiveRow{}, false
 }
 
 // claimFrom takes up one segment of the job; a job with nothing free is left alone for a while.
 //
 // A claim once begun is brought to its end although the runner stops, so that its lease is known and released.
-func (r *Runner) claimFrom(ctx context.Context, job archiver.JobRow) {
+func (r *Runner) claimFrom(ctx context.Context, job archiver.ActiveRow) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	isClaimed, err := r.tryClaim(ctx, job)
@@ -139,15 +159,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rest := r.cfg.LeaseRenew/2 + time.Duration(r.random.Int64N(int64(r.cfg.LeaseRenew)))
+	if !r.fleet.IsWatcher(job.ID) {
+		rest *= seldomWatch
+	}
 	r.restTill[job.ID] = time.Now().Add(rest)
 }
 
-func (r *Runner) tryClaim(ctx context.Context, job archiver.JobRow) (bool, error) {
+func (r *Runner) tryClaim(ctx context.Context, job archiver.ActiveRow) (bool, error) {
 	segments, err := r.archiver.Segments(ctx, job.ID)
 	if err != nil {
 		return false, err
 	}
-	if segments.Done() == job.File.Parts {
+	if segments.Done() == job.Parts {
 		_, err := r.archiver.FinishJob(ctx, job.Account, job.ID, time.Now())
 		return false, err
 	}
@@ -159,21 +182,21 @@
 	return r.claim(ctx, job, n, segments[n])
 }
 
-func (r *Runner) observe(job archiver.JobRow, segments archiver.Segments) {
+func (r *Runner) observe(job archiver.ActiveRow, segments archiver.Segments) {
 	completed, failed := segments.Counts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.left[job.ID] = job.File.Lines - completed - failed
+	r.left[job.ID] = job.Lines - completed - failed
 	r.rates.Observe(time.Now(), job.ID, completed+failed)
 }
 
 // chooseFree picks a segment at random among those that nobody holds, so that VMs seldom race for one.
-func (r *Runner) chooseFree(job archiver.JobRow, segments archiver.Segments) (int, bool) {
+func (r *Runner) chooseFree(job archiver.ActiveRow, segments archiver.Segments) (int, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	free := []int{}
-	for n := range job.File.Parts {
+	for n := range job.Parts {
 		row, ok := segments[n]
 		key := archiver.SegmentKey(job.ID, n)
 		switch {
@@ -192,7 +215,7 @@
 }
 
 // claim writes this VM's lease with a higher fence and loads the segment with what the last holder saved.
-func (r *Runner) claim(ctx context.Context, job archiver.JobRow, n int, old archiver.HeldRow) (bool, error) {
+func (r *Runner) claim(ctx context.Context, job archiver.ActiveRow, n int, old archiver.HeldRow) (bool, error) {
 	row := batcher.SegmentRow{
 		Holder: r.holder, Fence: old.Fence + 1, State: batcher.SegmentRunning, Checkpoint: old.Checkpoint,
 	}
@@ -203,8 +226,8 @@
 	if err != nil {
 		return false, err
 	}
-	seg := &heldSegment{job: job, number: n, row: row, version: version}
-	if err := r.load(ctx, seg); err != nil {
+	seg := &heldSegment{number: n, row: row, version: version}
+	if err := r.load(ctx, seg, job); err != nil {
 		row.Holder = ""
 		_, _ = r.archiver.WriteSegment(ctx, job.ID, n, row, version)
 		return false, err
@@ -219,15 +242,15 @@
 	return true, nil
 }
 
-func (r *Runner) load(ctx context.Context, seg *heldSegment) error {
-	job, version, err := r.archiver.Job(ctx, seg.job.Account, seg.job.ID)
+func (r *Runner) load(ctx context.Context, seg *heldSegment, from archiver.ActiveRow) error {
+	job, version, err := r.archiver.Job(ctx, from.Account, from.ID)
 	if err != nil {
 		return err
 	}
 	if job.State != archiver.JobRunning {
 		return errors.Errorf("batch %s is %s", job.ID, job.State)
 	}
-	seg.jobVersion = version
+	seg.job, seg.jobVersion = job, version
 	if seg.lines, err = r.archiver.Part(ctx, job.File.Upload, seg.number); err != nil {
 		return err
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -24,6 +24,8 @@
 	commitRing    = 64
 	maxHeld       = 16
 	endpointPause = time.Second
+	// seldomWatch is how much longer a VM that is no watcher of a job leaves it alone when it had nothing free.
+	seldomWatch = 10
 )
 
 // Granter is what the runner needs of the keepers on this VM.
@@ -35,6 +37,8 @@
 // Fleet tells which endpoints this VM keeps now and what the preset says of batch.
 type Fleet interface {
 	KeptEndpoints() []declarer.Endpoint
+	// IsWatcher reports whether this VM is one of the few that look often for lapsed leases of the job.
+	IsWatcher(job string) bool
 	BatchPolicy() declarer.BatchPolicy
 	BatchRetryBudget() float64
 }
@@ -67,7 +71,8 @@
 	held     map[string]*heldSegment
 	items    map[string]*item
 	jobs     []batcher.Ranked
-	rows     map[string]archiver.JobRow
+	rows     map[string]archiver.ActiveRow
+	epoch    int64
 	left     map[string]int
 	restTill map[string]time.Time
 	paused   map[string]time.Time
@@ -97,7 +102,7 @@
 		holder:   cfg.VM + "/" + uuid.NewString(),
 		archiver: a, granter: g, fleet: f, pools: p, log: log, random: random,
 		held: map[string]*heldSegment{}, items: map[string]*item{},
-		rows: map[string]archiver.JobRow{}, left: map[string]int{},
+		rows: map[string]archiver.ActiveRow{}, left: map[string]int{},
 		restTill: map[string]time.Time{}, paused: map[string]time.Time{},
 		watch: batcher.NewLeaseWatch(cfg.LeaseLength), rates: batcher.NewRateEstimator(),
 		budget:    retrier.NewBudget(0),
--- a/pkg/server/operators.go
+++ b/pkg/server/operators.go
@@ -342,7 +342,7 @@
 		return
 	}
 	writeJSON(w, http.StatusOK, struct {
-		Batches []archiver.JobRow `json:"batches"`
+		Batches []archiver.ActiveRow `json:"batches"`
 	}{jobs})
 }
 
