--- a/pkg/bencher/tradeoff.go
+++ b/pkg/bencher/tradeoff.go
@@ -16,6 +16,9 @@
 const (
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
+
+	tradeHeader = "| yieldFactor | yieldFrom | reservedShare | idle share of batch | rush first token p95 | p99 of alone |\n" +
+		"|---|---|---|---|---|---|"
 )
 
 // tradePoint is one policy between the two users' weights and what it gives each of them.
@@ -58,12 +61,12 @@
 	peak := highestAloneRate()
 	alone := rushBench(ownPolicy, tailFirst(), peak, false)
 	points := plotter.XYs{}
-	_, _ = fmt.Fprintln(out, "| yieldFactor | yieldFrom | reservedShare | idle share of batch | rush first token p95 | p99 of alone |")
-	_, _ = fmt.Fprintln(out, "|---|---|---|---|---|---|")
+	_, _ = fmt.Fprintln(out, tradeHeader)
 	for _, p := range tradePolicies() {
 		p.measure(peak, alone)
 		points = append(points, plotter.XY{X: p.share, Y: p.rushP95})
-		_, _ = fmt.Fprintf(out, "| %g | %g | %g | %.3f | %.0f ms | %.2f |\n", p.factor, p.from, p.reserve, p.share, p.rushP95, p.aloneP99)
+		_, _ = fmt.Fprintf(out, "| %g | %g | %g | %.3f | %.0f ms | %.2f |\n",
+			p.factor, p.from, p.reserve, p.share, p.rushP95, p.aloneP99)
 	}
 	return draw(points, file)
 }
--- a/prove/region_test.go
+++ b/prove/region_test.go
@@ -99,7 +99,9 @@
 	assert.EqualValues(t, 2, f.revision(far))
 
 	link.cut(false)
-	f.await("the booking runs once the store is back", func() bool { return f.book(far, "k1", "kiln 1").status == http.StatusCreated })
+	f.await("the booking runs once the store is back", func() bool {
+		return f.book(far, "k1", "kiln 1").status == http.StatusCreated
+	})
 	assert.Equal(t, map[string]int{"kiln 1": 1}, f.ledger())
 	id := f.submit(far, f.writeBatch(20, 5))
 	f.requireBatchWhole(far, id, 20, 5, 0)
