--- a/pkg/bencher/main.go
+++ b/pkg/bencher/main.go
@@ -38,7 +38,7 @@
 		RunE:          func(_ *cobra.Command, names []string) error { return runNamed(r, names) },
 	}
 	tradeoff := ""
-	cmd.Flags().StringVar(&tradeoff, "tradeoff", "", "instead, print the curve between the two users' weights and plot it into this file")
+	cmd.Flags().StringVar(&tradeoff, "tradeoff", "", "print and plot the curve between the two users' weights instead")
 	cmd.PreRunE = func(*cobra.Command, []string) error {
 		if tradeoff == "" {
 			return nil
