--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 # prove runs the proofs of docs/PROOFS.md on real processes.
 prove:
-	PROVE_RACE=1 go test -count=1 -parallel 4 ./prove
+	scripts/prove.sh
 
 # mutate shows of each proof that it fails when its mechanism is taken out of a copy of the source.
 mutate:
--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -216,8 +216,10 @@
 operators: {keyHashes: ["%s"]}
 lease: {length: 2s, renew: 500ms}
 pollEvery: 1s
+trace: {file: %s}
 segmentItems: %d
-`, v.id, v.region, v.zone, v.callers, v.operators, v.peers, v.platform, follower.HashKey(operatorKey), max(1, segmentItems))
+`, v.id, v.region, v.zone, v.callers, v.operators, v.peers, v.platform, follower.HashKey(operatorKey),
+		filepath.Join(f.dir, v.id+".spans"), max(1, segmentItems))
 	file := filepath.Join(f.dir, v.id+".yaml")
 	require.NoError(f.t, os.WriteFile(file, []byte(settings), 0o600))
 	v.process = start(f.t, v.id, "dogwoodledged", "--settings", file)
--- /dev/null
+++ b/scripts/prove.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Runs the proofs on real processes built under the race detector: a line `pass|fail NAME` each, then the counts.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p tmp
+PROVE_RACE=1 go test -count=1 -parallel 4 -v "$@" ./prove >tmp/prove.log 2>&1
+status=$?
+awk '/^--- PASS:/ {print "pass", $3; p++} /^--- FAIL:/ {print "fail", $3; f++}
+  END {printf "%d passed, %d failed\n", p, f; exit !p}' tmp/prove.log || status=1
+[ $status -eq 0 ] || grep -v '^=== ' tmp/prove.log | tail -n 100
+exit $status
