Pace objects by debt, so that a part fits through a small share

A part of 500 KB was held back for its own 32 s, longer than the call's 10 s, so every claim abroad wrote its lease, failed and was given back, for ever.

Change: an object waits only for those before it; a VM whose share is spent claims nothing meanwhile.

--- a/pkg/archiver/archiver.go
+++ b/pkg/archiver/archiver.go
@@ -24,6 +24,11 @@
 	return &Archiver{store: s, partLines: partLines}
 }
 
+// IsBehind reports whether the link's share is spent for now, so that more batch work is better left to VMs near the store.
+func (a *Archiver) IsBehind() bool {
+	return storer.WaitOf(a.store) > 0
+}
+
 // AbsentError says that the account has no such file or batch.
 type AbsentError struct {
 	Kind, ID string
--- a/pkg/runner/claim.go
+++ b/pkg/runner/claim.go
@@ -120,7 +120,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isEnding || len(r.held) >= maxHeld {
+	if r.isEnding || len(r.held) >= maxHeld || r.archiver.IsBehind() {
 		return false
 	}
 	for _, seg := range r.held {
--- a/pkg/storer/paced.go
+++ b/pkg/storer/paced.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -40,18 +41,19 @@
 	return p.sent.Load(), p.got.Load()
 }
 
-// PutObject stores body under name once the pace allows it.
+// PutObject stores body under name once what went before it is paid for.
 func (p *Paced) PutObject(ctx context.Context, name string, body []byte) error {
-	if err := p.pace(ctx, len(body)); err != nil {
+	if err := p.settle(ctx); err != nil {
 		return err
 	}
 	p.sent.Add(int64(len(body)))
+	p.charge(len(body))
 	return p.Store.PutObject(ctx, name, body)
 }
 
-// GetObject opens the object and charges its length to what comes after it, for it is not known before.
+// GetObject opens the object once what went before it is paid for; its length is known, and charged, only then.
 func (p *Paced) GetObject(ctx context.Context, name string) (io.ReadCloser, error) {
-	if err := p.pace(ctx, 1); err != nil {
+	if err := p.settle(ctx); err != nil {
 		return nil, err
 	}
 	body, err := p.Store.GetObject(ctx, name)
@@ -64,17 +66,54 @@
 		return nil, err
 	}
 	p.got.Add(int64(len(raw)))
-	return io.NopCloser(bytes.NewReader(raw)), p.pace(ctx, len(raw))
+	p.charge(len(raw))
+	return io.NopCloser(bytes.NewReader(raw)), nil
 }
 
-// pace waits for n bytes, a burst at a time.
-func (p *Paced) pace(ctx context.Context, n int) error {
-	for n > 0 && p.limit.Limit() != rate.Inf {
-		step := min(n, p.limit.Burst())
-		if err := p.limit.WaitN(ctx, step); err != nil {
-			return &UnavailableError{Operation: "wait for the link's pace", Cause: err}
-		}
-		n -= step
+// Wait returns how long the next object waits for those before it.
+//
+// A part is larger than what a small share carries in a second, so an object is never held back for its own length,
+// which would time out every time, but the ones behind it are.
+func (p *Paced) Wait() time.Duration {
+	rest := p.limit.Tokens()
+	if p.limit.Limit() == rate.Inf || rest >= 0 {
+		return 0
+	}
+	return time.Duration(-rest / float64(p.limit.Limit()) * float64(time.Second))
+}
+
+// settle waits until the earlier objects are paid for; nothing was sent when it fails.
+func (p *Paced) settle(ctx context.Context) error {
+	wait := p.Wait()
+	if wait == 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return &UnavailableError{Operation: "wait for the link's share", After: wait, Cause: ctx.Err()}
+	}
+}
+
+// charge takes n bytes from the share, in steps of its burst, and lets it go below zero.
+func (p *Paced) charge(n int) {
+	if p.limit.Limit() == rate.Inf {
+		return
+	}
+	for burst := p.limit.Burst(); n > 0 && burst > 0; n -= burst {
+		p.limit.ReserveN(time.Now(), min(n, burst))
+	}
+}
+
+// WaitOf returns how long the next object of the store waits for the link; only a paced store ever makes one wait.
+func WaitOf(s Store) time.Duration {
+	switch s := s.(type) {
+	case *Paced:
+		return s.Wait()
+	default:
+		return 0
 	}
-	return nil
 }
