--- a/pkg/bencher/flood.go
+++ b/pkg/bencher/flood.go
@@ -44,17 +44,9 @@
 // runFlood is scenario 3: a flood by one account must not be felt by the others.
 func runFlood(r *report) {
 	peak := highestAloneRate()
-	for _, c := range []struct {
-		name string
-		kind policyKind
-		p    keeper.Policy
-	}{
-		{"tailFirst", ownPolicy, tailFirst()},
-		{"throughputFirst", ownPolicy, throughputFirst()},
-		{"fifo", fifoPolicy, tailFirst()},
-	} {
-		calm := floodBench(c.kind, c.p, peak, false).others("flood")
-		flooded := floodBench(c.kind, c.p, peak, true).others("flood")
+	for _, c := range policyCases() {
+		calm := floodBench(c.kind, c.policy, peak, false).others("flood")
+		flooded := floodBench(c.kind, c.policy, peak, true).others("flood")
 		first := quantile(flooded.first, 99) / quantile(calm.first, 99)
 		gap := quantile(flooded.gap, 99) / quantile(calm.gap, 99)
 		name := "flood/" + c.name
--- /dev/null
+++ b/pkg/bencher/gossip.go
@@ -0,0 +1,97 @@
+package bencher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+)
+
+// gossipNet delivers datagrams between detectors in virtual time and counts their bytes.
+type gossipNet struct {
+	clock     *clock
+	random    *rand.Rand
+	detectors map[netip.AddrPort]*detector.Detector
+	bytes     float64
+	crossed   float64
+	regions   map[netip.AddrPort]string
+	isCounted bool
+	lostSeen  int
+}
+
+func gossipAt(s fleetSize) *gossipNet {
+	g := &gossipNet{
+		clock: newClock(), random: rand.New(rand.NewPCG(3, 3)), detectors: map[netip.AddrPort]*detector.Detector{},
+		regions: map[netip.AddrPort]string{},
+	}
+	all := []detector.Member{}
+	for i := range s.vms {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		all = append(all, detector.Member{
+			VM: fmt.Sprintf("vm-%03d", i), Address: addr, Region: "region-" + strconv.Itoa(i%s.regions), AvailabilityZone: "az-1",
+		})
+	}
+	for i, m := range all {
+		d := detector.New(detector.DefaultConfig(m), rand.New(rand.NewPCG(uint64(i), 4)))
+		d.Handle(epoch, detector.Listed{Members: all})
+		g.detectors[m.Address], g.regions[m.Address] = d, m.Region
+		g.clock.after(time.Duration(g.random.Int64N(int64(time.Second))), func() { g.wake(m.Address) })
+	}
+	return g
+}
+
+func (g *gossipNet) wake(addr netip.AddrPort) {
+	d := g.detectors[addr]
+	g.carry(addr, d.Handle(g.clock.now, detector.Woken{}))
+	if wake, ok := d.NextWake().Get(); ok {
+		g.clock.at(wake, func() { g.wake(addr) })
+	}
+}
+
+func (g *gossipNet) carry(from netip.AddrPort, outs []detector.Output) {
+	for _, out := range outs {
+		switch out := out.(type) {
+		case detector.Send:
+			g.send(from, out)
+		case detector.Changed:
+			if out.Member.State == detector.Lost && g.isCounted {
+				g.lostSeen++
+			}
+		}
+	}
+}
+
+func (g *gossipNet) send(from netip.AddrPort, out detector.Send) {
+	raw, err := messenger.EncodeDatagram(out.Message)
+	if err != nil {
+		return
+	}
+	if g.isCounted {
+		n := float64(len(raw) + tagBytes + udpHeader)
+		g.bytes += n
+		if g.regions[from] != g.regions[out.To] {
+			g.crossed += n
+		}
+	}
+	if g.random.IntN(lossOneIn) == 0 {
+		return
+	}
+	g.clock.after(2*time.Millisecond, func() {
+		if d, ok := g.detectors[out.To]; ok {
+			g.carry(out.To, d.Handle(g.clock.now, detector.Received{From: from, Message: out.Message}))
+		}
+	})
+}
+
+// run returns the bytes a VM sends a second, and those that cross regions in all, while VMs come and go.
+func (g *gossipNet) run() (perVM, crossed float64) {
+	g.clock.run(epoch.Add(gossipWarmUp))
+	g.isCounted = true
+	g.clock.run(epoch.Add(gossipWarmUp + gossipLength))
+	seconds := gossipLength.Seconds()
+	return g.bytes / float64(len(g.detectors)) / seconds, g.crossed / seconds
+}
--- a/pkg/bencher/idle.go
+++ b/pkg/bencher/idle.go
@@ -47,18 +47,9 @@
 // runIdle is scenario 2: batch fills the idle seconds between bursts.
 func runIdle(r *report) {
 	peak := highestAloneRate()
-	for _, c := range []struct {
-		name  string
-		kind  policyKind
-		p     keeper.Policy
-		least float64
-	}{
-		{"tailFirst", ownPolicy, tailFirst(), leastTail},
-		{"throughputFirst", ownPolicy, throughputFirst(), leastThrough},
-		{"fifo", fifoPolicy, tailFirst(), 0},
-		{"split", splitPolicy, tailFirst(), 0},
-	} {
-		b := idleBench(c.kind, c.p, peak)
+	least := map[string]float64{"tailFirst": leastTail, "throughputFirst": leastThrough}
+	for _, c := range policyCases() {
+		b := idleBench(c.kind, c.policy, peak)
 		name := "idle/" + c.name
 		share := float64(b.batchTokens) / float64(batchAloneTokens()-b.onlineTokens)
 		if c.kind != ownPolicy {
@@ -66,7 +57,7 @@
 			r.info(name, "firstTokenP95Ms", quantile(b.online.first, 95))
 			continue
 		}
-		r.atLeast(name, "batchShareOfLeft", share, c.least)
+		r.atLeast(name, "batchShareOfLeft", share, least[c.name])
 		r.atMost(name, "firstTokenP95Ms", quantile(b.online.first, 95), milliseconds(firstTokenTarget))
 		r.atMost(name, "tokenGapP95Ms", quantile(b.online.gap, 95), milliseconds(tokenGapTarget))
 		r.atMost(name, "thrownAway", b.thrownAway(), mostThrownAway)
--- a/pkg/bencher/main.go
+++ b/pkg/bencher/main.go
@@ -10,11 +10,14 @@
 	"github.com/spf13/cobra"
 )
 
-// scenarios maps names to what they measure, in the order of the report.
-var scenarios = []struct {
+// scenario is one part of the report.
+type scenario struct {
 	name string
 	run  func(*report)
-}{
+}
+
+// scenarios maps names to what they measure, in the order of the report.
+var scenarios = []scenario{
 	{"rush", runRush},
 	{"idle", runIdle},
 	{"flood", runFlood},
@@ -66,14 +69,8 @@
 
 func runNamed(r *report, names []string) error {
 	for _, name := range names {
-		if !slices.ContainsFunc(scenarios, func(s struct {
-			name string
-			run  func(*report)
-		},
-		) bool {
-			return s.name == name
-		}) {
-			return fmt.Errorf("no scenario %q", name)
+		if !slices.ContainsFunc(scenarios, func(s scenario) bool { return s.name == name }) {
+			return errors.Errorf("no scenario %q", name)
 		}
 	}
 	for _, s := range scenarios {
--- a/pkg/bencher/presets.go
+++ b/pkg/bencher/presets.go
@@ -41,3 +41,20 @@
 	p.ReservedShare, p.LatencyHeadroom, p.YieldFactor, p.YieldFrom = 0.02, 1, 8, 0.6
 	return p
 }
+
+// policyCase is one policy under a name of the report.
+type policyCase struct {
+	name   string
+	kind   policyKind
+	policy keeper.Policy
+}
+
+// policyCases are the system's own policies under both users' weights, and the baselines beside them.
+func policyCases() []policyCase {
+	return []policyCase{
+		{"tailFirst", ownPolicy, tailFirst()},
+		{"throughputFirst", ownPolicy, throughputFirst()},
+		{"fifo", fifoPolicy, tailFirst()},
+		{"split", splitPolicy, tailFirst()},
+	}
+}
--- a/pkg/bencher/rush.go
+++ b/pkg/bencher/rush.go
@@ -85,17 +85,8 @@
 	peak := highestAloneRate()
 	r.info("rush", "peakRequestsPerSecond", peak)
 	alone := rushBench(ownPolicy, tailFirst(), peak, false)
-	for _, c := range []struct {
-		name string
-		kind policyKind
-		p    keeper.Policy
-	}{
-		{"tailFirst", ownPolicy, tailFirst()},
-		{"throughputFirst", ownPolicy, throughputFirst()},
-		{"fifo", fifoPolicy, tailFirst()},
-		{"split", splitPolicy, tailFirst()},
-	} {
-		b := rushBench(c.kind, c.p, peak, true)
+	for _, c := range policyCases() {
+		b := rushBench(c.kind, c.policy, peak, true)
 		name := "rush/" + c.name
 		if c.kind != ownPolicy {
 			r.info(name, "firstTokenP95Ms", quantile(b.online.first, 95))
--- /dev/null
+++ b/pkg/core/detector/hear.go
@@ -0,0 +1,105 @@
+package detector
+
+import (
+	"time"
+)
+
+func (d *Detector) receive(now time.Time, in Received, out []Output) []Output {
+	d.heardAt = now
+	switch m := in.Message.(type) {
+	case Probe:
+		out = d.hear(now, m.News, out)
+		ack := Ack{Number: m.Number, OnBehalfOf: m.OnBehalfOf, News: d.newsFor(m.News.From.VM)}
+		return append(out, Send{To: in.From, Message: ack})
+	case Ack:
+		out = d.hear(now, m.News, out)
+		if m.OnBehalfOf.IsValid() && m.OnBehalfOf != d.self.Address {
+			return append(out, Send{To: m.OnBehalfOf, Message: m})
+		}
+		if p, ok := d.current.Get(); ok && p.number == m.Number {
+			p.isAcked = true
+		}
+	case ProbeRequest:
+		out = d.hear(now, m.News, out)
+		relayed := Probe{Number: m.Number, OnBehalfOf: in.From, News: d.newsFor("")}
+		return append(out, Send{To: m.Target, Message: relayed})
+	}
+	return out
+}
+
+// hear takes in what a message carries besides its purpose.
+func (d *Detector) hear(now time.Time, n News, out []Output) []Output {
+	out = d.learn(now, n.From, out)
+	for _, m := range n.Members {
+		out = d.learn(now, m, out)
+	}
+	for _, e := range n.Endpoints {
+		if d.hearEndpoint(e) {
+			out = append(out, EndpointHeard{News: e})
+		}
+	}
+	if n.Head.Revision > d.head.Revision {
+		out = append(out, HeadHeard{Head: n.Head, VM: n.From.VM})
+	}
+	return out
+}
+
+func (d *Detector) hearEndpoint(e EndpointNews) bool {
+	if old, ok := d.endpoints[e.Endpoint]; ok && old.Number >= e.Number {
+		return false
+	}
+	d.endpoints[e.Endpoint] = e
+	d.endNews.add(e.Endpoint, e)
+	return true
+}
+
+// learn takes in one member's state if it is newer than what is known.
+func (d *Detector) learn(now time.Time, m Member, out []Output) []Output {
+	if m.VM == d.self.VM {
+		d.refute(m)
+		return out
+	}
+	old, ok := d.members[m.VM]
+	if ok && !isNewer(m, old.Member) {
+		return out
+	}
+	d.members[m.VM] = &record{Member: m, since: now}
+	d.news.add(m.VM, m)
+	if ok && old.State == m.State && old.Address == m.Address {
+		return out
+	}
+	return append(out, Changed{Member: m})
+}
+
+func isNewer(m, old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	return m.State > old.State
+}
+
+// refute raises this VM's incarnation above a rumour that speaks ill of it.
+func (d *Detector) refute(m Member) {
+	isSame := m.Incarnation == d.self.Incarnation && m.State == d.self.State
+	if m.Incarnation < d.self.Incarnation || isSame {
+		return
+	}
+	if m.Incarnation == d.self.Incarnation && m.State < d.self.State {
+		return
+	}
+	d.self.Incarnation = m.Incarnation + 1
+	d.news.add(d.self.VM, d.self)
+}
+
+// listed takes in members that nobody spoke of yet; whom others called lost stays so until it speaks for itself.
+func (d *Detector) listed(now time.Time, in Listed, out []Output) []Output {
+	for _, m := range in.Members {
+		if _, ok := d.members[m.VM]; ok || m.VM == d.self.VM {
+			continue
+		}
+		m.Incarnation, m.State = 0, Alive
+		d.members[m.VM] = &record{Member: m, since: now}
+		out = append(out, Changed{Member: m})
+	}
+	return out
+}
