Leave a slot with the live VM that granted it

Cause: TestKeeperKilledWhileRequestsQueue failed at times: requests waited 27 s and were refused while the engine was idle. Shown by the new keeper's own metrics: 8 of 16 slots in use with nothing running. While the killed keeper was still suspected, it was the first choice, so the reserver took slots that the second choice had granted for misplaced, moved them to the dead VM and gave them back there.

Ruled out: the order of return and declaration (mended before; still failed), the return ring (its workers were idle), the keeper itself (16 slots, 24 askers and 16 returns in virtual time gave all 24).

Change: slots move only when the VM that granted them is gone.

--- a/pkg/granter/reserver.go
+++ b/pkg/granter/reserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -246,13 +247,17 @@
 	r.onLoad(ret.slot.Endpoint, loadFromWire(reply.GetLoad()))
 }
 
-// DeclareMoved tells the new keepers of endpoints whose keeper changed which slots this VM holds there.
+// DeclareMoved tells the new keepers of endpoints whose keeper is gone which slots this VM holds there.
+//
+// A slot stays with the VM that granted it as long as that one is live, be it the first choice or not: only it counts
+// the slot, so only it must get it back.
 func (r *Reserver) DeclareMoved(view *messenger.View) {
 	moved := map[string][]Slot{}
+	live := view.Live("")
 	r.mu.Lock()
 	for id, s := range r.held {
 		keepers := view.Keepers(s.Endpoint, s.Region)
-		if s.By == "" || len(keepers) == 0 || keepers[0] == s.By {
+		if s.By == "" || len(keepers) == 0 || slices.Contains(live, s.By) {
 			continue
 		}
 		s.By = keepers[0]
