--- /dev/null
+++ b/pkg/granter/reserver_test.go
@@ -0,0 +1,53 @@
+package granter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+)
+
+// viewOf is a fleet of one region; the VM that is asked is vm-self.
+func viewOf(states map[string]detector.State) *messenger.View {
+	v := &messenger.View{Self: detector.Member{VM: "vm-self", Region: "syd"}}
+	for _, vm := range []string{"vm-self", "vm-a", "vm-b"} {
+		v.Members = append(v.Members, detector.Member{VM: vm, Region: "syd", State: states[vm]})
+	}
+	return v
+}
+
+// endpointKeptBy finds an endpoint whose first choice is the VM.
+func endpointKeptBy(t *testing.T, v *messenger.View, vm string) string {
+	t.Helper()
+	for i := range 100 {
+		name := fmt.Sprintf("engine-%d", i)
+		if v.Keepers(name, "syd")[0] == vm {
+			return name
+		}
+	}
+	require.Fail(t, "no endpoint is kept by "+vm)
+	return ""
+}
+
+// TestSlotsMoveOnlyFromAGoneKeeper holds a slot of the second choice while the first is suspected, then loses the second.
+func TestSlotsMoveOnlyFromAGoneKeeper(t *testing.T) {
+	suspected := viewOf(map[string]detector.State{"vm-a": detector.Suspect})
+	endpoint := endpointKeptBy(t, suspected, "vm-a")
+	g := newTestGranter(&worker{}, 4)
+	defer g.Stop()
+	r := NewReserver(g, nil, nil, logrus.New(), nil)
+	r.hold(Slot{Request: Request{ID: "x", Endpoint: endpoint, HoldUntil: time.Now().Add(time.Minute)}, Region: "syd", By: "vm-b"})
+
+	r.DeclareMoved(suspected)
+	assert.Equal(t, "vm-b", r.held["x"].By, "vm-b counts the slot, so vm-b must get it back")
+
+	lost := viewOf(map[string]detector.State{"vm-a": detector.Lost, "vm-b": detector.Lost})
+	r.DeclareMoved(lost)
+	assert.Equal(t, "vm-self", r.held["x"].By, "with vm-b gone the new first choice learns of it")
+}
