Measure heartbeats beside polling for the configuration's head

Cause: decision 04 kept the re-request on heartbeats without a measurement beside plain polling at the size to come.

--- a/pkg/bencher/cost.go
+++ b/pkg/bencher/cost.go
@@ -30,7 +30,9 @@
 	mostStateMiB  = 128.0
 	accountsLarge = 1200
 	changesADay   = 650
-	secondsADay   = 86_400
+	// mostUntilInForce is the time within which a configuration is in force everywhere (letter 1), in seconds.
+	mostUntilInForce = 16.0
+	secondsADay      = 86_400
 )
 
 // fleetSize is one size at which costs are measured.
@@ -214,6 +216,7 @@
 		r.atMost("cost/gossip/"+s.name, "bytesPerVMSecond", perVM, mostControl)
 		r.info("cost/gossip/"+s.name, "bytesAcrossRegionsSecond", crossed)
 		r.atMost("cost/gossip/"+s.name, "liveVMsCalledLost", float64(g.lostSeen), 0)
+		r.atMost("cost/head/"+s.name, "secondsUntilEverywhere", gossipAt(s).spread().Seconds(), mostUntilInForce)
 		plain, packed := snapshotBytes(s)
 		r.info("cost/snapshot/"+s.name, "bytes", plain)
 		r.info("cost/snapshot/"+s.name, "bytesPacked", packed)
--- a/pkg/bencher/gossip.go
+++ b/pkg/bencher/gossip.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
 )
@@ -21,12 +24,13 @@
 	regions   map[netip.AddrPort]string
 	isCounted bool
 	lostSeen  int
+	headAt    map[netip.AddrPort]time.Time
 }
 
 func gossipAt(s fleetSize) *gossipNet {
 	g := &gossipNet{
 		clock: newClock(), random: rand.New(rand.NewPCG(3, 3)), detectors: map[netip.AddrPort]*detector.Detector{},
-		regions: map[netip.AddrPort]string{},
+		regions: map[netip.AddrPort]string{}, headAt: map[netip.AddrPort]time.Time{},
 	}
 	all := []detector.Member{}
 	for i := range s.vms {
@@ -55,6 +59,8 @@
 func (g *gossipNet) carry(from netip.AddrPort, outs []detector.Output) {
 	for _, out := range outs {
 		switch out := out.(type) {
+		case detector.HeadHeard:
+			g.raise(from, out.Head)
 		case detector.Send:
 			g.send(from, out)
 		case detector.Changed:
@@ -95,3 +101,26 @@
 	seconds := gossipLength.Seconds()
 	return g.bytes / float64(len(g.detectors)) / seconds, g.crossed / seconds
 }
+
+// raise brings a head into force at one VM, which tells it on from then.
+func (g *gossipNet) raise(at netip.AddrPort, head configurator.Head) {
+	g.detectors[at].Handle(g.clock.now, detector.HeadRaised{Head: head})
+	g.headAt[at] = g.clock.now
+}
+
+// spread returns how long a head takes from one VM to all others, by heartbeats alone.
+func (g *gossipNet) spread() time.Duration {
+	start := epoch.Add(gossipWarmUp)
+	g.clock.run(start)
+	first := slices.SortedFunc(maps.Keys(g.detectors), netip.AddrPort.Compare)[0]
+	g.raise(first, configurator.Head{Revision: 1})
+	g.clock.run(start.Add(gossipLength))
+	if len(g.headAt) < len(g.detectors) {
+		return gossipLength
+	}
+	last := time.Duration(0)
+	for _, at := range g.headAt {
+		last = max(last, at.Sub(start))
+	}
+	return last
+}
