--- a/prove/chat_test.go
+++ b/prove/chat_test.go
@@ -142,7 +142,7 @@
 	for i := range 20 {
 		wg.Go(func() {
 			prompt := fmt.Sprintf("Long card %d", i)
-			requireWhole(t, f.chat(f.vms[0], prompt, 120), prompt, 120)
+			requireWhole(t, f.chat(f.vms[0], prompt, 300), prompt, 300)
 		})
 	}
 	f.await("the streams run", func() bool { return f.executions(0)+f.executions(1) >= 20 })
