Take out what nothing calls

Cause: the whole change read once more: seven exported names had no caller (ParseHead, Addresses, IsPresent, OrElse, IsOpen, CachedBlocks, Kinds). Change: they are gone; two sleeps in tests say that they are virtual time. Behaviour is as it was.

--- a/pkg/core/detector/detector.go
+++ b/pkg/core/detector/detector.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -147,14 +146,3 @@
 	slices.SortFunc(list, strings.Compare)
 	return list
 }
-
-// Addresses returns where to reach the live members, by VM id.
-func (d *Detector) Addresses() map[string]netip.AddrPort {
-	list := map[string]netip.AddrPort{}
-	for vm, r := range d.members {
-		if r.State != Lost {
-			list[vm] = r.Address
-		}
-	}
-	return list
-}
--- a/pkg/emulator/engine_model.go
+++ b/pkg/emulator/engine_model.go
@@ -106,9 +106,6 @@
 // Waiting returns how many sequences wait for admission.
 func (m *EngineModel) Waiting() int { return len(m.waiting) }
 
-// CachedBlocks returns how many leading blocks of the prompt the engine holds.
-func (m *EngineModel) CachedBlocks(blocks []uint64) int { return m.cache.prefix(blocks) }
-
 // Step runs one step and returns how long it takes and the tokens it yields, or zero when the engine is idle.
 func (m *EngineModel) Step() (time.Duration, []Emission) {
 	for len(m.waiting) > 0 && len(m.running) < m.timing.MaxSequences {
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"sync/atomic"
@@ -211,9 +210,3 @@
 	}
 	return declarer.Decode(raw, out.Hash)
 }
-
-// ParseHead reads a head row's value.
-func ParseHead(raw []byte) (HeadRow, error) {
-	row := HeadRow{}
-	return row, errors.Wrap(json.Unmarshal(raw, &row), "decode head")
-}
--- a/pkg/granter/granter_test.go
+++ b/pkg/granter/granter_test.go
@@ -61,6 +61,7 @@
 			got <- err
 		}()
 		synctest.Wait()
+		// In the bubble of synctest this is virtual time and takes none.
 		time.Sleep(2 * time.Second)
 		g.Tell("engine-1", keeper.Returned{ID: "a", Report: keeper.Report{Took: 2 * time.Second}})
 		require.NoError(t, <-got)
@@ -91,6 +92,7 @@
 		require.NoError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
+			// In the bubble of synctest this is virtual time and takes none.
 			time.Sleep(time.Second)
 			cancel()
 		}()
--- a/pkg/option/option.go
+++ b/pkg/option/option.go
@@ -20,16 +20,3 @@
 func (o Option[T]) Get() (T, bool) {
 	return o.value, o.present
 }
-
-// IsPresent reports whether a value is held.
-func (o Option[T]) IsPresent() bool {
-	return o.present
-}
-
-// OrElse returns the value, or fallback when absent.
-func (o Option[T]) OrElse(fallback T) T {
-	if o.present {
-		return o.value
-	}
-	return fallback
-}
--- a/pkg/orderer/lease.go
+++ b/pkg/orderer/lease.go
@@ -39,9 +39,6 @@
 // isLoad reports whether the order reads weights.
 func (k Kind) isLoad() bool { return k != SetRole }
 
-// Kinds lists the kinds of orders as operators write them.
-func Kinds() []Kind { return []Kind{LoadModel, LoadAdapter, LoadVersion, SetRole} }
-
 // Order is what an engine is to do.
 type Order struct {
 	Kind Kind   `json:"kind" validate:"required,oneof=loadModel loadAdapter loadVersion setRole"`
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -78,11 +78,6 @@
 	return Counts{Reads: c.reads.Load(), Writes: c.writes.Load(), Objects: c.objects.Load(), Failures: c.failures.Load()}
 }
 
-// IsOpen reports whether the circuit refuses calls at the moment.
-func (c *Client) IsOpen() bool {
-	return c.breaker.State() == gobreaker.StateOpen
-}
-
 // Read returns the row, with Version 0 when it is absent.
 func (c *Client) Read(ctx context.Context, key string) (Row, error) {
 	c.reads.Add(1)
