Count an order's lease from before its write

Cause: found by reading: the age of the lease was taken between two adjacent lines, so a holder paused while the answer to its write was on the way (the likelier pause) sent its order under a lease that may have lapsed. Ruled out: engines that check fencing, which refuse the old number by themselves. Change: the age counts from before the write; a test pauses the answer for a lease's length.

--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -67,15 +67,16 @@
 //
 // Errors: *BusyError and *StaleError, after which nothing was sent; the store's errors; and the engine's.
 func (o *Orderer) Give(ctx context.Context, e declarer.Endpoint, order Order) (int64, outcome.Outcome, error) {
+	// Counted from before the write: a pause while its answer is on the way makes the lease old as well.
+	askedAt := o.now()
 	leases, err := o.take(ctx, e, order)
 	if err != nil {
 		return 0, outcome.NotRun{Reason: err.Error()}, err
 	}
-	takenAt := o.now()
 	fence := leases[0].lease.Fence
 	ctx, cancel := context.WithTimeout(ctx, LongestOrder)
 	defer cancel()
-	if age := o.now().Sub(takenAt); age > sendWithin {
+	if age := o.now().Sub(askedAt); age > sendWithin {
 		_ = o.end(context.WithoutCancel(ctx), leases, Idle)
 		return fence, outcome.NotRun{}, &StaleError{Endpoint: e.Name, After: age}
 	}
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
 	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/emulator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
 var (
@@ -178,6 +179,28 @@
 	assert.Equal(t, []int64{1, 2}, b.fences)
 }
 
+// pausing is a store whose caller is paused while the answer to its write is on the way.
+type pausing struct {
+	*emulator.Platform
+	pause func()
+}
+
+// Commit writes and then pauses.
+func (p *pausing) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
+	version, err := p.Platform.Commit(ctx, tx)
+	p.pause()
+	return version, err
+}
+
+func TestHolderPausedBeforeItsOrderSendsNothing(t *testing.T) {
+	b := newBench()
+	o := New("vm-1", &pausing{Platform: b.store, pause: func() { b.wait(LeaseLength) }}, b.send, b.clock)
+	_, _, err := o.Give(ctx, endpoint("e", false), load)
+	var stale *StaleError
+	require.ErrorAs(t, err, &stale)
+	assert.Empty(t, b.fences)
+}
+
 func TestStoreDownSendsNothing(t *testing.T) {
 	b := newBench()
 	b.store.SetFaults(emulator.PlatformFaults{IsDown: true})
