--- /dev/null
+++ b/pkg/assembler/gateway.go
@@ -0,0 +1,236 @@
+package assembler
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/listener"
+	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+	"github.com/dogwoodledge/dogwoodledge/pkg/worker"
+	"github.com/dogwoodledge/dogwoodledge/platform"
+)
+
+const (
+	// metricsPort is where deploy/system.toml says that metrics are.
+	metricsPort = 7661
+	metricsPath = "/metrics"
+	readyPath   = "/readyz"
+	// idleConnections bounds the idle connections to one endpoint: its slots.
+	idleConnections = 8
+	sweepEvery      = time.Second
+	// memoryShare of the VM's memory is the heap's soft limit; the rest is for stacks and sockets.
+	memoryShare = 0.6
+	// stopMarginShare of the grace is kept for the last acts.
+	stopMarginShare = 0.12
+	// unreadyNotice is how long the balancer takes to see a VM as not ready: two questions, one a second.
+	unreadyNotice = 2200 * time.Millisecond
+	stopPoll      = 20 * time.Millisecond
+	logTimeout    = 100 * time.Millisecond
+)
+
+// gatewayParts are the parts of a VM on the platform.
+type gatewayParts struct {
+	fx.In
+
+	Settings  platform.Settings
+	Log       logrus.FieldLogger
+	Ring      *tracer.Ring
+	Store     *platform.Store
+	Watcher   *watcher.Watcher
+	Balancer  *balancer.Balancer
+	Gossiper  *gossiper.Gossiper
+	Pool      *dialer.Pool
+	JobKeeper *jobkeeper.Keeper
+	Worker    *worker.Worker
+	Listener  *listener.Listener
+}
+
+// NewGateway returns the daemon of a VM on the platform.
+func NewGateway(s platform.Settings) *fx.App {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	return fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.Grace),
+		fx.Supply(s),
+		fx.Provide(
+			newRandom, newRing, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
+			newBalancer, newGossiper, newPool, newRelayer, newJobKeeper, newWorker, newListener,
+		),
+		fx.Invoke(runGateway),
+	)
+}
+
+func newRing() *tracer.Ring { return tracer.NewRing(os.Stdout) }
+
+func newGatewayLog(s platform.Settings, r *tracer.Ring) logrus.FieldLogger {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log.SetOutput(r)
+	return log.WithFields(logrus.Fields{"vm": s.VM.ID})
+}
+
+func newGatewayTracer(s platform.Settings) (*tracer.Tracer, error) {
+	return tracer.New(loader.Settings{VM: s.VM})
+}
+
+func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store) }
+
+func newTable(s *platform.Store) storer.Table { return s }
+
+func newWatcher(t storer.Table, b *balancer.Balancer, log logrus.FieldLogger) *watcher.Watcher {
+	return watcher.New(t, watcher.Decoder{
+		ConfigTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, EndpointTable: platform.EndpointTable,
+		Config: platform.DecodeConfig, Endpoint: platform.DecodeEndpoint,
+	}, b.Retain, log)
+}
+
+func newBalancer(s platform.Settings, source func() *rand.Rand) *balancer.Balancer {
+	t := placer.Topology{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions}
+	return balancer.New(s.VM.ID, t, source())
+}
+
+func newGossiper(
+	s platform.Settings, t storer.Table, b *balancer.Balancer, w *watcher.Watcher, log logrus.FieldLogger,
+) *gossiper.Gossiper {
+	return gossiper.New(gossiper.Config{
+		VM: s.VM.ID, Incarnation: time.Now().UnixMicro(), Address: netip.AddrPortFrom(s.IP, s.FirstPort),
+		ConfigVersion: func() int64 {
+			if c := w.Current().Config; c != nil {
+				return c.Version
+			}
+			return 0
+		},
+	}, t, b, log)
+}
+
+func newPool() *dialer.Pool { return dialer.NewPool(idleConnections) }
+
+func newRelayer(
+	w *watcher.Watcher, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter, log logrus.FieldLogger,
+) *relayer.Relayer {
+	return relayer.New(platform.Headers(), w.Current, b, p, m, log)
+}
+
+func newJobKeeper(
+	s platform.Settings, t storer.Table, w *watcher.Watcher, g *gossiper.Gossiper, log logrus.FieldLogger,
+) *jobkeeper.Keeper {
+	return jobkeeper.New(jobkeeper.Config{
+		VM: s.VM.ID, Incarnation: g.Incarnation(), RowBytes: s.RowBytes,
+	}, t, platform.JobCodec{}, w.Current, g, log)
+}
+
+func newWorker(
+	k *jobkeeper.Keeper, w *watcher.Watcher, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter,
+	log logrus.FieldLogger,
+) *worker.Worker {
+	return worker.New(platform.Headers(), k, w.Current, b, p, m, log)
+}
+
+func newListener(
+	s platform.Settings, w *watcher.Watcher, rl *relayer.Relayer, k *jobkeeper.Keeper, t *tracer.Tracer,
+	log logrus.FieldLogger,
+) *listener.Listener {
+	return listener.New(listener.Config{
+		Callers: s.Callers, Ready: s.Ready, ReadyPath: readyPath,
+		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
+	}, w.Current, rl, k, t.Handler(), log)
+}
+
+// gateway is the running daemon.
+type gateway struct {
+	gatewayParts
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func runGateway(lc fx.Lifecycle, p gatewayParts) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &gateway{gatewayParts: p, ctx: ctx, cancel: cancel}
+	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.stop})
+}
+
+func (g *gateway) start(context.Context) error {
+	g.Watcher.Start(g.ctx)
+	if err := g.Gossiper.Start(g.ctx); err != nil {
+		return err
+	}
+	g.JobKeeper.Start(g.ctx)
+	g.Worker.Start(g.ctx)
+	go g.runSweep()
+	if err := g.Listener.Start(); err != nil {
+		return err
+	}
+	g.Log.WithFields(logrus.Fields{
+		"availabilityZone": g.Settings.VM.AvailabilityZone, "callers": g.Settings.Callers.String(),
+		"store": g.Settings.Store.String(),
+	}).Info("started")
+	return nil
+}
+
+// stop is the planned stop: hand the batch work over, and answer what has begun.
+func (g *gateway) stop(context.Context) error {
+	start := time.Now()
+	limit := start.Add(time.Duration(float64(g.Settings.Grace) * (1 - stopMarginShare)))
+	g.Log.Info("leaving")
+	g.Listener.Leave()
+	g.Gossiper.Leave()
+	g.Worker.Leave()
+	for time.Now().Before(limit) {
+		isNoticed := time.Since(start) > unreadyNotice
+		if isNoticed && g.Listener.Open() == 0 && g.Worker.Running() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	g.Log.WithFields(logrus.Fields{"open": g.Listener.Open(), "items": g.Worker.Running()}).Info("stopped")
+	g.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
+	defer cancel()
+	g.Listener.Stop(ctx)
+	g.Ring.Close(logTimeout)
+	return nil
+}
+
+func (g *gateway) runSweep() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case now := <-tick.C:
+			reg := g.Watcher.Current()
+			g.Pool.Sweep(now, func(id string) bool { _, ok := reg.Endpoints[id]; return ok })
+		}
+	}
+}
+
+func runOnPlatform() error {
+	file := os.Getenv(platform.SettingsVariable)
+	if file == "" {
+		return errors.Errorf("environment variable %s is empty: set it to the settings file's path", platform.SettingsVariable)
+	}
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	return runApp(NewGateway(s))
+}
--- a/pkg/assembler/main.go
+++ b/pkg/assembler/main.go
@@ -34,6 +34,14 @@
 	}
 	cmd.Flags().StringVarP(&file, "settings", "s", "", "settings file (YAML)")
 	_ = cmd.MarkFlagRequired("settings")
+	cmd.AddCommand(&cobra.Command{
+		Use:           "platform",
+		Short:         "Serve on the users' platform, whose settings file the environment names",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return runOnPlatform() },
+	})
 	cmd.SetArgs(args)
 	err := cmd.Execute()
 	var fields *loader.FieldErrors
@@ -54,7 +62,11 @@
 	if err != nil {
 		return err
 	}
-	app := New(s)
+	return runApp(New(s))
+}
+
+// runApp starts the daemon, waits for a signal and stops it.
+func runApp(app *fx.App) error {
 	startCtx, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
--- /dev/null
+++ b/pkg/core/placer/batch.go
@@ -0,0 +1,96 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+)
+
+// batchReserve is how many slots of an endpoint batch leaves free for the next online request.
+const batchReserve = 0
+
+// Room returns the endpoint at which the VM may start a batch item now.
+//
+// VMs with waiting items take free slots in an order of their own at each endpoint, so that two of them seldom take the
+// same one; should they, Excess makes one of them yield.
+func (p *Placer) Room(now time.Time, vm string, endpoints []registrar.Endpoint) (registrar.Endpoint, bool) {
+	best, found := registrar.Endpoint{}, false
+	bestCost := 0.0
+	for _, e := range endpoints {
+		k := KeyOf(e.ID)
+		load := p.view.at(now, k)
+		free := e.Slots - batchReserve - load.sum()
+		if e.IsDraining || free <= p.rank(now, vm, e.ID) || p.conditionOf(k).isSuspect(now, holdGuess) {
+			continue
+		}
+		cost := float64(load.sum())/float64(e.Slots) + float64(p.topology.To(e.AvailabilityZone))*distanceWeight
+		if !found || cost < bestCost {
+			best, bestCost, found = e, cost, true
+		}
+	}
+	return best, found
+}
+
+// distanceWeight is the share of an endpoint's slots that staying one step nearer is worth to an item.
+const distanceWeight = 0.2
+
+// rank returns how many other VMs with waiting items come first at the endpoint.
+func (p *Placer) rank(now time.Time, vm, endpoint string) int {
+	own := rankHash(vm, endpoint)
+	n := 0
+	for name, peer := range p.view.peers {
+		if peer.report.Pending > 0 && now.Sub(peer.at) < peerSilence && rankHash(name, endpoint) < own {
+			n++
+		}
+	}
+	return n
+}
+
+func rankHash(vm, endpoint string) uint64 { return xxhash.Sum64String(vm + "\x00" + endpoint) }
+
+// Excess returns how many of the VM's batch items at the endpoint must yield to online requests.
+//
+// All VMs work it out alike: those with the most batch items there give up theirs first.
+func (p *Placer) Excess(now time.Time, vm string, e registrar.Endpoint) int {
+	k := KeyOf(e.ID)
+	load := p.view.at(now, k)
+	over := min(load.sum()-e.Slots, load.Batch)
+	own := p.view.own[k]
+	if over <= 0 || own == nil || own.Batch == 0 {
+		return 0
+	}
+	type share struct {
+		vm    string
+		batch int
+	}
+	shares := []share{{vm, own.Batch}}
+	for name, peer := range p.view.peers {
+		if b := peer.report.Loads[k].Batch; b > 0 && now.Sub(peer.at) < peerSilence {
+			shares = append(shares, share{name, b})
+		}
+	}
+	slices.SortFunc(shares, func(a, b share) int {
+		if c := cmp.Compare(b.batch, a.batch); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.vm, b.vm)
+	})
+	mine := 0
+	for over > 0 {
+		for i := range shares {
+			if over == 0 || shares[i].batch == 0 {
+				continue
+			}
+			shares[i].batch--
+			over--
+			if shares[i].vm == vm {
+				mine++
+			}
+		}
+	}
+	return mine
+}
--- /dev/null
+++ b/pkg/core/placer/events.go
@@ -0,0 +1,118 @@
+package placer
+
+import "time"
+
+// Class says which kind of work a request is.
+type Class int
+
+// The classes of work.
+const (
+	Online Class = iota
+	Batch
+)
+
+// Ticket names a request under way in later events.
+type Ticket struct {
+	key    Key
+	class  Class
+	id     uint64
+	sent   time.Time
+	first  time.Time
+	isOver bool
+}
+
+// Start counts a request that is about to be sent to the endpoint.
+func (p *Placer) Start(now time.Time, endpoint string, class Class, id uint64) *Ticket {
+	t := &Ticket{key: KeyOf(endpoint), class: class, id: id, sent: now}
+	l := p.view.ownAt(t.key)
+	if class == Online {
+		l.Online++
+	} else {
+		l.Batch++
+	}
+	p.conditionOf(t.key).silent[id] = now
+	return t
+}
+
+// FirstByte notes that the request's answer has begun.
+func (p *Placer) FirstByte(now time.Time, t *Ticket, wasQueued bool) {
+	if !t.first.IsZero() {
+		return
+	}
+	t.first = now
+	c := p.conditionOf(t.key)
+	delete(c.silent, t.id)
+	c.succeed()
+	if !wasQueued && t.class == Online {
+		c.first = smooth(c.first, now.Sub(t.sent))
+	}
+}
+
+// Ending says how a request at an endpoint ended.
+type Ending int
+
+// The endings of a request at an endpoint.
+const (
+	// EndedWhole is a whole answer.
+	EndedWhole Ending = iota
+	// EndedHere means that this VM or its caller broke off.
+	EndedHere
+	// EndedFull means that the endpoint refused for want of room.
+	EndedFull
+	// EndedBroken means that the endpoint could not be reached, broke off or answered nonsense.
+	EndedBroken
+)
+
+// End takes the request out of the counts.
+func (p *Placer) End(now time.Time, t *Ticket, how Ending) {
+	if t.isOver {
+		return
+	}
+	t.isOver = true
+	l := p.view.ownAt(t.key)
+	if t.class == Online {
+		l.Online--
+	} else {
+		l.Batch--
+	}
+	if l.sum() == 0 {
+		delete(p.view.own, t.key)
+	}
+	c := p.conditionOf(t.key)
+	delete(c.silent, t.id)
+	switch how {
+	case EndedWhole:
+		if t.class == Online && !t.first.IsZero() {
+			c.hold = smooth(c.hold, now.Sub(t.sent))
+		}
+	case EndedFull, EndedBroken:
+		c.fail(now)
+	case EndedHere:
+	}
+}
+
+// Hear takes in a peer's report.
+func (p *Placer) Hear(now time.Time, r Report) {
+	p.view.peers[r.VM] = &peer{at: now, report: r}
+}
+
+// Forget drops a peer that is gone.
+func (p *Placer) Forget(vm string) { delete(p.view.peers, vm) }
+
+// Own returns a copy of this VM's counts.
+func (p *Placer) Own() map[Key]Load {
+	own := make(map[Key]Load, len(p.view.own))
+	for k, l := range p.view.own {
+		own[k] = *l
+	}
+	return own
+}
+
+// Retain drops what is known of endpoints that are gone.
+func (p *Placer) Retain(known map[Key]bool) {
+	for k := range p.conditions {
+		if _, isBusy := p.view.own[k]; !known[k] && !isBusy {
+			delete(p.conditions, k)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/core/placer/placer.go
@@ -0,0 +1,199 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+)
+
+// Distance is how far an endpoint is from this VM.
+type Distance int
+
+// The distances, from near to far.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Topology says how far apart places are.
+type Topology struct {
+	AvailabilityZone string
+	Regions          map[string]string
+}
+
+// To returns the distance to an availability zone.
+func (t Topology) To(zone string) Distance {
+	switch {
+	case zone == t.AvailabilityZone:
+		return SameZone
+	case t.Regions[zone] != "" && t.Regions[zone] == t.Regions[t.AvailabilityZone]:
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
+
+// Round trips by distance, as the deployments' sheets state them.
+var roundTrips = [...]time.Duration{
+	SameZone: 400 * time.Microsecond, SameRegion: 3 * time.Millisecond, OtherRegion: 41 * time.Millisecond,
+}
+
+// yieldTime is how long batch takes to give a slot up: a report to the VM that runs it, and its engine's next step.
+const yieldTime = 15 * time.Millisecond
+
+// Placer places requests at endpoints; it is not safe for concurrent use.
+type Placer struct {
+	topology   Topology
+	random     *rand.Rand
+	view       view
+	conditions map[Key]*condition
+	// longest is the longest deadline seen of a route, which tells first attempts from repeated ones.
+	longest map[string]time.Duration
+}
+
+// New returns a placer for a VM.
+func New(t Topology, random *rand.Rand) *Placer {
+	return &Placer{
+		topology: t, random: random, view: newView(), conditions: map[Key]*condition{}, longest: map[string]time.Duration{},
+	}
+}
+
+// Ask is a request that needs an endpoint.
+type Ask struct {
+	Route registrar.Route
+	// Candidates are the service's endpoints that requests may be sent to.
+	Candidates []registrar.Endpoint
+	// Tried holds the ids of endpoints that this request was sent to before.
+	Tried map[string]bool
+	// Left is the time until the caller's deadline; Waited is how long the request has been here.
+	Left, Waited time.Duration
+}
+
+// Decision is Send or Refuse.
+type Decision interface{ isDecision() }
+
+// Send says where the request goes, and what that was decided on.
+type Send struct {
+	Endpoint registrar.Endpoint
+	Load     Load
+	// Estimate is the expected time to the first byte.
+	Estimate time.Duration
+	// NeedsYield says that batch must give up a slot for the request.
+	NeedsYield bool
+}
+
+// Refuse says that no endpoint can serve the request in time.
+type Refuse struct {
+	Reason     string
+	RetryAfter time.Duration
+	Estimate   time.Duration
+}
+
+func (Send) isDecision()   {}
+func (Refuse) isDecision() {}
+
+func (p *Placer) conditionOf(k Key) *condition {
+	c, ok := p.conditions[k]
+	if !ok {
+		c = newCondition()
+		p.conditions[k] = c
+	}
+	return c
+}
+
+// Place decides on a request.
+func (p *Placer) Place(now time.Time, a Ask) Decision {
+	isFirst := p.isFirstAttempt(a)
+	best, found := p.best(now, a)
+	if !found {
+		return Refuse{Reason: "no endpoint is usable", RetryAfter: p.returnTime(a)}
+	}
+	limit := a.Route.Objective - a.Waited
+	if !isFirst {
+		limit = min(a.Left/2, lateLimit)
+	}
+	if a.Route.Objective > 0 && best.Estimate > limit {
+		return Refuse{Reason: "no endpoint answers in time", RetryAfter: p.returnTime(a), Estimate: best.Estimate}
+	}
+	return best
+}
+
+// lateLimit is the longest wait for a first event that callers bear: they leave after two seconds of silence.
+const lateLimit = 1500 * time.Millisecond
+
+// firstShare is the share of the longest deadline seen from which on a request counts as a first attempt.
+const firstShare = 0.97
+
+func (p *Placer) isFirstAttempt(a Ask) bool {
+	longest := p.longest[a.Route.Name]
+	if a.Left > longest {
+		p.longest[a.Route.Name] = a.Left
+		return true
+	}
+	return float64(a.Left) >= firstShare*float64(longest)
+}
+
+// Callers come back after at most a third of the time that they have left.
+const (
+	shortestReturn = 0.06
+	longestReturn  = 0.3
+)
+
+// returnTime spreads returning callers over the time within which they come back at all.
+func (p *Placer) returnTime(a Ask) time.Duration {
+	share := shortestReturn + p.random.Float64()*(longestReturn-shortestReturn)
+	return time.Duration(share * float64(a.Left))
+}
+
+func (p *Placer) best(now time.Time, a Ask) (Send, bool) {
+	best, found := Send{}, false
+	bestCost := time.Duration(0)
+	for _, e := range a.Candidates {
+		if a.Tried[e.ID] {
+			continue
+		}
+		s, cost := p.estimate(now, a.Route, e)
+		if !found || cost < bestCost {
+			best, bestCost, found = s, cost, true
+		}
+	}
+	return best, found
+}
+
+// suspectCost puts suspect endpoints behind all others that can still serve.
+const suspectCost = 10 * time.Second
+
+// estimate returns the expected time to the first byte at the endpoint and the cost to compare endpoints by.
+func (p *Placer) estimate(now time.Time, r registrar.Route, e registrar.Endpoint) (Send, time.Duration) {
+	k := KeyOf(e.ID)
+	c := p.conditionOf(k)
+	load := p.view.at(now, k)
+	s := Send{Endpoint: e, Load: load, Estimate: c.first + roundTrips[p.topology.To(e.AvailabilityZone)]}
+	cost := s.Estimate
+	switch {
+	case load.sum() < e.Slots:
+		// Ties go to the endpoint with the most room, as a share of its slots.
+		cost += time.Duration(load.sum()) * tieBreak / time.Duration(e.Slots)
+	case load.Online < e.Slots:
+		s.NeedsYield = true
+		s.Estimate += yieldTime
+		cost = s.Estimate + yieldTime + time.Duration(load.Online)*tieBreak/time.Duration(e.Slots)
+	default:
+		ahead := load.Online - e.Slots + 1
+		wait := c.hold * time.Duration(ahead) / time.Duration(e.Slots)
+		s.Estimate += wait
+		cost = s.Estimate + yieldTime
+	}
+	if c.isSuspect(now, max(r.Objective, firstGuess)) {
+		cost += suspectCost
+	}
+	return s, cost + time.Duration(p.random.Int64N(int64(jitter)))
+}
+
+const (
+	// tieBreak is what a whole endpoint full of running requests weighs against the way to another: its slower steps.
+	tieBreak = 20 * time.Millisecond
+	jitter   = time.Millisecond
+)
--- /dev/null
+++ b/pkg/core/registrar/config.go
@@ -0,0 +1,149 @@
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// The kinds of route.
+const (
+	KindSafe Kind = iota + 1
+	KindNonIdempotent
+	KindStream
+	KindBatch
+)
+
+// Split is a share of a route's requests that goes to one service.
+type Split struct {
+	Service string
+	Weight  int
+}
+
+// Route says where requests with a host and a path prefix go, and what holds for them.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Splits holds at least one service.
+	Splits []Split
+	// Timeout bounds the time from reading a request to the end of its answer; zero means none. Items ignore it.
+	Timeout time.Duration
+	// Objective is the time to the first byte, or event, within which an answer is on time.
+	Objective   time.Duration
+	MaxAttempts int
+	// Priority ranks routes; 0 is the highest.
+	Priority int
+	// IsResumable marks streams that another endpoint may go on with.
+	IsResumable bool
+	// MaxGap is the longest pause between events of an answer on time.
+	MaxGap time.Duration
+	// Due is the time after which a job's results are late.
+	Due time.Duration
+	// AbandonAfter is the age of a job at which its items may be given up.
+	AbandonAfter time.Duration
+	// WaitingTokens bounds the tokens of accepted and unfinished items; 0 means no bound.
+	WaitingTokens int64
+}
+
+// IsIdempotent says whether a request of the route may run again after it may have run.
+func (r Route) IsIdempotent() bool {
+	return r.Kind == KindSafe || r.Kind == KindBatch || (r.Kind == KindStream && r.IsResumable)
+}
+
+// ServiceFor returns the service for a request, the same one for the same id.
+func (r Route) ServiceFor(requestID string) string {
+	if len(r.Splits) == 1 {
+		return r.Splits[0].Service
+	}
+	sum := 0
+	for _, s := range r.Splits {
+		sum += s.Weight
+	}
+	if sum <= 0 {
+		return r.Splits[0].Service
+	}
+	at := int(xxhash.Sum64String(requestID) % uint64(sum))
+	for _, s := range r.Splits {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Splits[0].Service
+}
+
+// Allows says whether the route sends requests to the service.
+func (r Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// Service is a set of endpoints that serve the same requests.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections of all VMs together to one endpoint.
+	MaxConnections int
+	// IsEngine marks services of model engines.
+	IsEngine bool
+	// Slots is how many requests an engine runs at once; 0 where only its endpoints say so.
+	Slots int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]Route
+}
+
+// Index prepares the configuration for look-ups and returns it.
+func (c *Config) Index() *Config {
+	c.byHost = map[string][]Route{}
+	for _, r := range c.Routes {
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	return c
+}
+
+// Match returns the route with the host and the longest prefix of the path.
+func (c *Config) Match(host, path string) (Route, bool) {
+	host = strings.ToLower(host)
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// BatchRoutes returns the host's routes for batch jobs.
+func (c *Config) BatchRoutes(host string) []Route {
+	var found []Route
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if r.Kind == KindBatch {
+			found = append(found, r)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/pkg/gossiper/gossiper.go
@@ -0,0 +1,358 @@
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+)
+
+const (
+	// VMTable lists the VMs, each under its name.
+	VMTable = "vm"
+	// heartbeat is how often a VM reports when nothing changes: four reports within the silence that peers bear.
+	heartbeat = 300 * time.Millisecond
+	// sendBudget is how many datagrams a second a VM may send.
+	sendBudget = 800
+	// urgentGap is the shortest time between urgent reports.
+	urgentGap = 3 * time.Millisecond
+	// Silence is the age of the last report at which a VM counts as lost.
+	Silence = 1500 * time.Millisecond
+	// registerRetry is the pause after a failed registration.
+	registerRetry = 200 * time.Millisecond
+	// forgetAfter is how long a silent VM's row is kept: longer than any outage that VMs come back from.
+	forgetAfter = 60 * time.Second
+)
+
+// Config is who this VM is.
+type Config struct {
+	VM          string
+	Incarnation int64
+	Address     netip.AddrPort
+	// ConfigVersion returns the version of the newest configuration known here.
+	ConfigVersion func() int64
+}
+
+// record is a VM's row in the store.
+type record struct {
+	Address     netip.AddrPort `json:"address"`
+	Incarnation int64          `json:"incarnation"`
+}
+
+// Member is what is known of another VM.
+type Member struct {
+	VM          string
+	Address     netip.AddrPort
+	Incarnation int64
+	Config      int64
+	IsLeaving   bool
+	// HeardAt is the time of its last report; zero when there was none.
+	HeardAt  time.Time
+	sequence uint64
+	listedAt time.Time
+}
+
+// Gossiper exchanges reports with the other VMs.
+type Gossiper struct {
+	cfg      Config
+	store    storer.Table
+	balancer *balancer.Balancer
+	feed     *watcher.Feed
+	conn     *net.UDPConn
+	log      logrus.FieldLogger
+
+	mu        sync.Mutex
+	members   map[string]*Member
+	isLeaving atomic.Bool
+	sequence  uint64
+	started   time.Time
+	// onChange hears that a VM came, left or was lost.
+	onChange func()
+}
+
+// New returns a gossiper.
+func New(
+	cfg Config, store storer.Table, b *balancer.Balancer, log logrus.FieldLogger,
+) *Gossiper {
+	g := &Gossiper{cfg: cfg, store: store, balancer: b, log: log, members: map[string]*Member{}, onChange: func() {}}
+	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.hearTable, log)
+	return g
+}
+
+// OnChange sets who hears that a VM came, left or was lost.
+func (g *Gossiper) OnChange(f func()) { g.onChange = f }
+
+// Start listens, registers this VM and exchanges reports until ctx ends.
+func (g *Gossiper) Start(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(g.cfg.Address))
+	if err != nil {
+		return errors.Wrap(err, "listen for reports")
+	}
+	g.conn = conn
+	g.started = time.Now()
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	go g.runRegister(ctx)
+	go g.feed.Run(ctx)
+	go g.runReceive()
+	go g.runSend(ctx)
+	return nil
+}
+
+// Leave tells the peers that this VM stops.
+func (g *Gossiper) Leave() {
+	g.isLeaving.Store(true)
+	g.send()
+}
+
+// State says whether a VM's incarnation can be counted on.
+type State int
+
+// The states of a VM.
+const (
+	Live State = iota
+	Leaving
+	Lost
+)
+
+// StateOf returns the state of a VM in the incarnation; unknown VMs count as live until Silence after the start.
+func (g *Gossiper) StateOf(vm string, incarnation int64) State {
+	if vm == g.cfg.VM {
+		switch {
+		case incarnation != g.cfg.Incarnation:
+			return Lost
+		case g.isLeaving.Load():
+			return Leaving
+		default:
+			return Live
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[vm]
+	now := time.Now()
+	switch {
+	case ok && m.Incarnation > incarnation:
+		return Lost
+	case ok && now.Sub(m.HeardAt) < Silence && m.IsLeaving:
+		return Leaving
+	case ok && now.Sub(m.HeardAt) < Silence:
+		return Live
+	case now.Sub(g.started) < Silence:
+		return Live
+	default:
+		return Lost
+	}
+}
+
+// VM is one incarnation of a VM.
+type VM struct {
+	Name        string
+	Incarnation int64
+}
+
+// Incarnation returns that of this VM.
+func (g *Gossiper) Incarnation() int64 { return g.cfg.Incarnation }
+
+// LiveVMs returns the VMs that take work, this one included unless it leaves.
+func (g *Gossiper) LiveVMs() []VM {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var vms []VM
+	if !g.isLeaving.Load() {
+		vms = append(vms, VM{Name: g.cfg.VM, Incarnation: g.cfg.Incarnation})
+	}
+	now := time.Now()
+	for _, m := range g.members {
+		if now.Sub(m.HeardAt) < Silence && !m.IsLeaving {
+			vms = append(vms, VM{Name: m.VM, Incarnation: m.Incarnation})
+		}
+	}
+	return vms
+}
+
+func (g *Gossiper) hearTable(u watcher.Update) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for _, e := range u.Entries {
+		if e.Key == g.cfg.VM {
+			continue
+		}
+		if e.IsRemoved {
+			delete(g.members, e.Key)
+			continue
+		}
+		r := record{}
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			g.log.WithError(err).WithField("vm", e.Key).Warn("VM's row can't be read")
+			continue
+		}
+		m, ok := g.members[e.Key]
+		if !ok {
+			m = &Member{VM: e.Key}
+			g.members[e.Key] = m
+		}
+		if r.Incarnation >= m.Incarnation {
+			m.Address, m.Incarnation, m.listedAt = r.Address, r.Incarnation, now
+		}
+	}
+}
+
+func (g *Gossiper) runRegister(ctx context.Context) {
+	value, err := json.Marshal(record{Address: g.cfg.Address, Incarnation: g.cfg.Incarnation})
+	if err != nil {
+		g.log.WithError(err).Error("VM's row can't be written")
+		return
+	}
+	put := storer.Change{Puts: []storer.Entry{{Table: VMTable, Key: g.cfg.VM, Value: value}}}
+	for ctx.Err() == nil {
+		if _, err = g.store.Apply(ctx, put); err == nil {
+			g.log.WithField("incarnation", g.cfg.Incarnation).Info("VM registered")
+			return
+		}
+		time.Sleep(registerRetry)
+	}
+}
+
+func (g *Gossiper) runReceive() {
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			g.log.WithError(err).Warn("report not received")
+			continue
+		}
+		m, err := decode(buf[:n])
+		if err != nil {
+			g.log.WithError(err).WithField("from", from.String()).Warn("report can't be read")
+			continue
+		}
+		g.hear(m, from)
+	}
+}
+
+func (g *Gossiper) hear(m message, from netip.AddrPort) {
+	if m.VM == g.cfg.VM {
+		return
+	}
+	g.mu.Lock()
+	known, ok := g.members[m.VM]
+	if !ok {
+		known = &Member{VM: m.VM, Address: netip.AddrPortFrom(from.Addr().Unmap(), from.Port())}
+		g.members[m.VM] = known
+	}
+	if m.Incarnation < known.Incarnation || (m.Incarnation == known.Incarnation && m.Sequence <= known.sequence) {
+		g.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	isNews := now.Sub(known.HeardAt) >= Silence || known.IsLeaving != m.IsLeaving || m.Incarnation != known.Incarnation
+	known.Incarnation, known.sequence, known.Config = m.Incarnation, m.Sequence, m.Config
+	known.IsLeaving, known.HeardAt = m.IsLeaving, now
+	g.mu.Unlock()
+	g.balancer.Hear(m.report())
+	if isNews {
+		g.onChange()
+	}
+}
+
+func (g *Gossiper) runSend(ctx context.Context) {
+	beat := time.NewTimer(0)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+			g.onChange()
+		case <-g.balancer.Changed():
+			if !g.pause(ctx) {
+				return
+			}
+		case <-g.balancer.Urgent():
+		}
+		g.send()
+		beat.Reset(heartbeat)
+		if !wait(ctx, urgentGap) {
+			return
+		}
+	}
+}
+
+// pause spaces reports so that the budget holds, but not urgent ones.
+func (g *Gossiper) pause(ctx context.Context) bool {
+	g.mu.Lock()
+	gap := time.Duration(len(g.members)) * time.Second / sendBudget
+	g.mu.Unlock()
+	t := time.NewTimer(gap)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-g.balancer.Urgent():
+	}
+	return true
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (g *Gossiper) send() {
+	report := g.balancer.Report()
+	g.mu.Lock()
+	g.sequence++
+	m := message{
+		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
+		Pending: report.Pending, Config: g.cfg.ConfigVersion(), Loads: loadMessages(report),
+	}
+	now := time.Now()
+	targets := make([]netip.AddrPort, 0, len(g.members))
+	for name, member := range g.members {
+		if now.Sub(member.HeardAt) > forgetAfter && now.Sub(member.listedAt) > forgetAfter {
+			delete(g.members, name)
+			continue
+		}
+		targets = append(targets, member.Address)
+	}
+	g.mu.Unlock()
+	b, err := encode(m)
+	if err != nil || len(b) > maxDatagram {
+		g.log.WithError(err).WithField("bytes", len(b)).Error("report not sent")
+		return
+	}
+	for _, to := range targets {
+		// A lost report is made good by the next one.
+		_, _ = g.conn.WriteToUDPAddrPort(b, to)
+	}
+}
+
+func loadMessages(r placer.Report) []loadMessage {
+	loads := make([]loadMessage, 0, len(r.Loads))
+	for k, l := range r.Loads {
+		loads = append(loads, loadMessage{Key: uint64(k), Online: uint16(l.Online), Batch: uint16(l.Batch)})
+	}
+	return loads
+}
--- /dev/null
+++ b/pkg/gossiper/message.go
@@ -0,0 +1,61 @@
+package gossiper
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+)
+
+// maxDatagram keeps a report within one packet of the links.
+const maxDatagram = 1400
+
+// format guards against datagrams of other programs and of other versions.
+const format = 0xd061
+
+type message struct {
+	_ struct{} `cbor:",toarray"`
+
+	Format int
+	// VM and Incarnation name the sender; Sequence orders its messages.
+	VM          string
+	Incarnation int64
+	Sequence    uint64
+	IsLeaving   bool
+	Pending     int
+	// Config is the version of the newest configuration that the sender knows.
+	Config int64
+	Loads  []loadMessage
+}
+
+type loadMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key    uint64
+	Online uint16
+	Batch  uint16
+}
+
+func encode(m message) ([]byte, error) {
+	m.Format = format
+	return cbor.Marshal(m)
+}
+
+func decode(b []byte) (message, error) {
+	m := message{}
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		return m, errors.Wrap(err, "datagram")
+	}
+	if m.Format != format || m.VM == "" {
+		return m, errors.Errorf("datagram of format %#x", m.Format)
+	}
+	return m, nil
+}
+
+func (m message) report() placer.Report {
+	r := placer.Report{VM: m.VM, Pending: m.Pending, Loads: make(map[placer.Key]placer.Load, len(m.Loads))}
+	for _, l := range m.Loads {
+		r.Loads[placer.Key(l.Key)] = placer.Load{Online: int(l.Online), Batch: int(l.Batch)}
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/jobkeeper/rows.go
@@ -0,0 +1,120 @@
+package jobkeeper
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	// jobTable holds the jobs' rows and those that order acceptances; resultTable the results, checkpointTable outputs of
+	// items that are not at their end.
+	jobTable        = "job"
+	resultTable     = "result"
+	checkpointTable = "checkpoint"
+	gatePrefix      = "gate/"
+	// partitions spreads the jobs; a partition handles its transactions one after another.
+	partitions = 8
+	// encodedShare of a row's bytes is used, since the limit may be meant after encoding to base64.
+	encodedShare = 0.7
+)
+
+func partitionNames() []string {
+	names := make([]string, partitions)
+	for i := range names {
+		names[i] = strconv.Itoa(i)
+	}
+	return names
+}
+
+func partitionOf(job string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(job))
+	return strconv.Itoa(int(h.Sum32() % partitions))
+}
+
+func blobName(job string) string { return "job-" + job }
+
+func gateKey(host, prefix string) string {
+	return gatePrefix + strconv.FormatUint(xxhash.Sum64String(host+"\x00"+prefix), 16)
+}
+
+func encodeJob(j jobber.Job) (storer.Entry, error) {
+	value, err := json.Marshal(j)
+	return storer.Entry{Table: jobTable, Partition: partitionOf(j.ID), Key: j.ID, Value: value}, errors.Wrap(err, "encode job")
+}
+
+func decodeJob(e storer.Entry) (jobber.Job, error) {
+	j := jobber.Job{}
+	return j, errors.Wrap(json.Unmarshal(e.Value, &j), "job "+e.Key)
+}
+
+// resultHead opens the first row of a result.
+type resultHead struct {
+	ID    string       `json:"id"`
+	State jobber.State `json:"state"`
+	Rows  int          `json:"rows"`
+}
+
+func resultKey(job string, position, row int) string {
+	return fmt.Sprintf("%s/%05d/%03d", job, position, row)
+}
+
+// encodeResult returns the rows of a result at its position.
+func encodeResult(job string, position int, r Result, rowBytes int) ([]storer.Entry, error) {
+	chunks := slices.Collect(slices.Chunk(r.Output, int(float64(rowBytes)*encodedShare)))
+	if len(chunks) == 0 {
+		chunks = [][]byte{nil}
+	}
+	head, err := json.Marshal(resultHead{ID: r.ID, State: r.State, Rows: len(chunks)})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode result")
+	}
+	chunks[0] = slices.Concat(head, []byte("\n"), chunks[0])
+	rows := make([]storer.Entry, 0, len(chunks))
+	for n, chunk := range chunks {
+		rows = append(rows, storer.Entry{
+			Table: resultTable, Partition: partitionOf(job), Key: resultKey(job, position, n), Value: chunk,
+		})
+	}
+	return rows, nil
+}
+
+// decodeResults returns the whole results in the rows, which stand in order from the position on.
+func decodeResults(job string, position int, rows []storer.Entry) ([]Result, error) {
+	var results []Result
+	for len(rows) > 0 {
+		if !strings.HasPrefix(rows[0].Key, fmt.Sprintf("%s/%05d/000", job, position)) {
+			break
+		}
+		text, output, ok := bytes.Cut(rows[0].Value, []byte("\n"))
+		head := resultHead{}
+		if !ok {
+			return results, errors.Errorf("result row %s has no head", rows[0].Key)
+		}
+		if err := json.Unmarshal(text, &head); err != nil {
+			return results, errors.Wrap(err, "result row "+rows[0].Key)
+		}
+		if head.Rows > len(rows) {
+			break
+		}
+		r := Result{ID: head.ID, State: head.State, Output: output}
+		for _, row := range rows[1:head.Rows] {
+			r.Output = append(r.Output, row.Value...)
+		}
+		results = append(results, r)
+		rows = rows[head.Rows:]
+		position++
+	}
+	return results, nil
+}
--- /dev/null
+++ b/pkg/jobkeeper/submit.go
@@ -0,0 +1,295 @@
+package jobkeeper
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+)
+
+const (
+	// submitTimeout leaves the caller time to try another VM.
+	submitTimeout = 3 * time.Second
+	// gateWait is how long a VM waits to hear of the jobs that others took in.
+	gateWait = 500 * time.Millisecond
+	maxItems = 200
+	maxID    = 100
+	// quotaRetry is when waiting items may have finished: an item's run.
+	quotaRetry = time.Second
+)
+
+// SubmitError says what is wrong with a submitted job.
+type SubmitError struct {
+	Field, Value, Remedy string
+}
+
+func (e *SubmitError) Error() string {
+	return fmt.Sprintf("batch job: %s is %q: %s", e.Field, e.Value, e.Remedy)
+}
+
+// Submit takes a job in.
+func (k *Keeper) Submit(w http.ResponseWriter, r *http.Request, route registrar.Route) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	cfg := k.registry().Config
+	body, err := relayer.ReadBody(w, r, cfg.Limits.BodyBytes)
+	if tooLarge := (*relayer.BodyTooLargeError)(nil); errors.As(err, &tooLarge) {
+		relayer.WriteProblem(w, http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	if err != nil {
+		relayer.WriteProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	id := k.codec.JobID(r)
+	items, err := k.codec.Items(body)
+	if err == nil {
+		err = checkJob(id, items)
+	}
+	if err != nil {
+		k.log.WithError(err).WithField("job", id).Info("job refused")
+		relayer.WriteProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	job := newJob(id, items, route, cfg.Version, start)
+	job.Holder = k.self()
+	status, err := k.accept(ctx, job, items, body, route)
+	k.answerSubmit(w, job, status, err, start)
+}
+
+func (k *Keeper) answerSubmit(w http.ResponseWriter, job jobber.Job, status int, err error, start time.Time) {
+	log := k.log.WithFields(logrus.Fields{
+		"job": job.ID, "items": job.Total(), "config": job.Config, "status": status,
+		"took": time.Since(start).Milliseconds(),
+	})
+	if err != nil {
+		log = log.WithField("cause", err.Error())
+	}
+	log.Info("job submitted")
+	switch status {
+	case http.StatusAccepted:
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(status)
+	case http.StatusTooManyRequests:
+		relayer.WriteRetry(w, status, quotaRetry, "too many tokens wait on this route")
+	case http.StatusServiceUnavailable:
+		relayer.WriteRetry(w, status, retryPause, "the store can't be reached")
+	default:
+		relayer.WriteProblem(w, status, "nobody knows yet whether the job was taken in: send it again")
+	}
+}
+
+func checkJob(id string, items []Item) error {
+	switch {
+	case id == "" || len(id) > maxID:
+		return &SubmitError{Field: "id", Value: id, Remedy: fmt.Sprintf("send one of 1 to %d characters", maxID)}
+	case len(items) == 0 || len(items) > maxItems:
+		return &SubmitError{
+			Field: "items", Value: fmt.Sprint(len(items)), Remedy: fmt.Sprintf("send 1 to %d items", maxItems),
+		}
+	}
+	seen := map[string]bool{}
+	for _, i := range items {
+		if i.ID == "" || seen[i.ID] {
+			return &SubmitError{Field: "item id", Value: i.ID, Remedy: "give each item an id of its own"}
+		}
+		if i.Path == "" || i.Path[0] != '/' || i.Tokens < 0 {
+			return &SubmitError{Field: "item " + i.ID + " path or tokens", Value: i.Path, Remedy: "give a path and tokens"}
+		}
+		seen[i.ID] = true
+	}
+	return nil
+}
+
+func newJob(id string, items []Item, route registrar.Route, config int64, now time.Time) jobber.Job {
+	j := jobber.Job{
+		ID: id, Host: route.Host, PathPrefix: route.PathPrefix, Config: config,
+		Due: now.Add(route.Due).UnixMilli(), AbandonAt: now.Add(route.AbandonAfter).UnixMilli(),
+	}
+	for _, i := range items {
+		j.Tokens = append(j.Tokens, i.Tokens)
+	}
+	return j
+}
+
+// accept writes the job unless it is there already, and returns the status of the answer.
+func (k *Keeper) accept(
+	ctx context.Context, job jobber.Job, items []Item, body []byte, route registrar.Route,
+) (int, error) {
+	if _, ok, _ := k.lookUp(job.ID); ok {
+		return http.StatusAccepted, nil
+	}
+	if !k.fits(job, route) {
+		return http.StatusTooManyRequests, nil
+	}
+	if err := k.putItems(ctx, job.ID, body); err != nil {
+		return http.StatusServiceUnavailable, err
+	}
+	isInDoubt := false
+	for {
+		status, err := k.acceptOnce(ctx, job, route)
+		switch {
+		case status == http.StatusAccepted:
+			k.payloads.put(job.ID, items)
+			return status, nil
+		case err == nil:
+			if isInDoubt {
+				status = http.StatusGatewayTimeout
+			}
+			return status, nil
+		}
+		if unavailable := (*storer.UnavailableError)(nil); errors.As(err, &unavailable) && unavailable.MayHaveRun {
+			isInDoubt = true
+		}
+		if !isInDoubt && ctx.Err() == nil && isRefusedByStore(err) {
+			return http.StatusServiceUnavailable, err
+		}
+		if !pause(ctx, retryPause) {
+			if isInDoubt {
+				return http.StatusGatewayTimeout, err
+			}
+			return http.StatusServiceUnavailable, err
+		}
+	}
+}
+
+func isRefusedByStore(err error) bool {
+	unavailable := (*storer.UnavailableError)(nil)
+	return errors.As(err, &unavailable) && !unavailable.MayHaveRun
+}
+
+func (k *Keeper) putItems(ctx context.Context, id string, body []byte) error {
+	err := k.store.PutBlob(ctx, blobName(id), body)
+	exists := (*storer.ExistsError)(nil)
+	if errors.As(err, &exists) {
+		return nil
+	}
+	return err
+}
+
+// errBehind says that other VMs took jobs in that are not known here yet.
+var errBehind = errors.New("other jobs were taken in meanwhile")
+
+// acceptOnce tries to write the job's row; a nil error goes with a final status.
+func (k *Keeper) acceptOnce(ctx context.Context, job jobber.Job, route registrar.Route) (int, error) {
+	if _, ok, _ := k.lookUp(job.ID); ok {
+		return http.StatusAccepted, nil
+	}
+	if !k.fits(job, route) {
+		return http.StatusTooManyRequests, nil
+	}
+	row, err := encodeJob(job)
+	if err != nil {
+		return 0, err
+	}
+	absent := row
+	absent.Value = nil
+	c := storer.Change{Expect: []storer.Entry{absent}, Puts: []storer.Entry{row}}
+	key := gateKey(route.Host, route.PathPrefix)
+	if route.WaitingTokens > 0 {
+		k.mu.Lock()
+		gate := storer.Entry{Table: jobTable, Partition: partitionOf(key), Key: key, Version: k.gates[key]}
+		k.mu.Unlock()
+		c.Expect = append(c.Expect, gate)
+		gate.Value = []byte(job.ID)
+		c.Puts = append(c.Puts, gate)
+		c.IsAcross = gate.Partition != row.Partition
+	}
+	ver, err := k.store.Apply(ctx, c)
+	if stale := asStale(err); stale != nil {
+		return k.acceptAfterStale(ctx, job, stale, key)
+	}
+	if err != nil {
+		return 0, err
+	}
+	row.Version = ver
+	entries := []storer.Entry{row}
+	if len(c.Puts) > 1 {
+		c.Puts[1].Version = ver
+		entries = append(entries, c.Puts[1])
+	}
+	k.hear(watcher.Update{Entries: entries})
+	return http.StatusAccepted, nil
+}
+
+// acceptAfterStale waits for the feed to tell of the jobs that moved the gate on.
+func (k *Keeper) acceptAfterStale(
+	ctx context.Context, job jobber.Job, stale *storer.StaleError, key string,
+) (int, error) {
+	gate := int64(0)
+	for _, e := range stale.Current {
+		switch e.Key {
+		case job.ID:
+			if e.Version > 0 && !e.IsRemoved {
+				k.hear(watcher.Update{Entries: []storer.Entry{e}})
+				return http.StatusAccepted, nil
+			}
+		case key:
+			gate = e.Version
+		}
+	}
+	limit := time.Now().Add(gateWait)
+	for time.Now().Before(limit) {
+		k.mu.Lock()
+		isKnown, news := k.gates[key] >= gate, k.news
+		k.mu.Unlock()
+		if isKnown {
+			break
+		}
+		select {
+		case <-news:
+		case <-time.After(time.Until(limit)):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	return 0, errBehind
+}
+
+// fits says whether the job's tokens may wait besides those of the jobs known here.
+func (k *Keeper) fits(job jobber.Job, route registrar.Route) bool {
+	if route.WaitingTokens <= 0 {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	sum := job.WaitingTokens()
+	for _, r := range k.jobs {
+		if r.job.Host == route.Host && r.job.PathPrefix == route.PathPrefix {
+			sum += r.job.WaitingTokens()
+		}
+	}
+	return sum <= route.WaitingTokens
+}
+
+func asStale(err error) *storer.StaleError {
+	stale := (*storer.StaleError)(nil)
+	if errors.As(err, &stale) {
+		return stale
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+var _ Members = (*gossiper.Gossiper)(nil)
--- /dev/null
+++ b/pkg/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener answers callers' connections and the balancer's questions for readiness, and hands requests on by route.
+package listener
--- /dev/null
+++ b/pkg/relayer/headers.go
@@ -0,0 +1,33 @@
+package relayer
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Headers names the headers that the relayer reads and sets.
+type Headers struct {
+	RequestID, Deadline, ExpectInstance, NotExecuted, Signature, LastEventID string
+}
+
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// ForwardHeader returns the headers without those that concern one connection.
+func ForwardHeader(from http.Header) http.Header {
+	h := make(http.Header, len(from))
+	for name, values := range from {
+		h[name] = values
+	}
+	for _, list := range from["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(h, name)
+	}
+	return h
+}
--- /dev/null
+++ b/pkg/tracer/meter.go
@@ -0,0 +1,61 @@
+package tracer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// latencyBounds are the histogram's bounds in seconds, dense around the objectives for first events.
+var latencyBounds = []float64{.01, .025, .05, .075, .1, .15, .2, .25, .3, .4, .5, .75, 1, 1.5, 2, 3, 5, 10}
+
+// Meter counts what happens to requests and items.
+type Meter struct {
+	ended metric.Int64Counter
+	took  metric.Float64Histogram
+	first metric.Float64Histogram
+	items metric.Int64Counter
+}
+
+// NewMeter returns a meter of the process's metrics.
+func NewMeter(*Tracer) (*Meter, error) {
+	m, errs := otel.Meter("dogwoodledge"), [4]error{}
+	meter := &Meter{}
+	meter.ended, errs[0] = m.Int64Counter("requests_ended",
+		metric.WithDescription("online requests by route and outcome"))
+	meter.took, errs[1] = m.Float64Histogram("request_seconds",
+		metric.WithDescription("time from a request to the end of its answer"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	meter.first, errs[2] = m.Float64Histogram("first_byte_seconds",
+		metric.WithDescription("time from a request to the first byte of its answer"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	meter.items, errs[3] = m.Int64Counter("item_runs",
+		metric.WithDescription("runs of batch items by how they ended"))
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Wrap(err, "set up metrics")
+		}
+	}
+	return meter, nil
+}
+
+// RequestEnded counts an online request.
+func (m *Meter) RequestEnded(route, outcome string, took time.Duration) {
+	m.ended.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("route", route), attribute.String("outcome", outcome)))
+	m.took.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+}
+
+// FirstByte records the time to the first byte.
+func (m *Meter) FirstByte(route string, took time.Duration) {
+	m.first.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+}
+
+// ItemRun counts a run of a batch item.
+func (m *Meter) ItemRun(outcome string) {
+	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
--- /dev/null
+++ b/pkg/watcher/feed.go
@@ -0,0 +1,169 @@
+package watcher
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	// watchWait is the longest wait of one call; a silent connection is given up soon after it, within the bounds for
+	// configurations and leaving endpoints.
+	watchWait = 1500 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a failed call.
+	firstRetry   = 50 * time.Millisecond
+	longestRetry = 400 * time.Millisecond
+	scanPage     = 500
+)
+
+// Update is what a feed hears: all rows of the table, or those that changed.
+type Update struct {
+	Entries []storer.Entry
+	// Version is the store's version up to which the table is now known.
+	Version int64
+	// IsFull says that rows which are not in Entries do not exist.
+	IsFull bool
+	// AfterOutage says that the store could not be reached shortly before.
+	AfterOutage bool
+}
+
+// Feed follows one table.
+type Feed struct {
+	store      storer.Table
+	table      string
+	partitions []string
+	hear       func(Update)
+	log        logrus.FieldLogger
+
+	version  int64
+	isSynced bool
+	failed   int
+	lostAt   time.Time
+
+	confirmed atomic.Int64
+	known     atomic.Int64
+}
+
+// NewFeed returns a feed of the table's partitions that passes each update to hear.
+func NewFeed(
+	store storer.Table, table string, partitions []string, hear func(Update), log logrus.FieldLogger,
+) *Feed {
+	return &Feed{
+		store: store, table: table, partitions: partitions, hear: hear,
+		log: log.WithField("table", table),
+	}
+}
+
+// Version returns the store's version up to which the table is known; 0 before the first full read.
+func (f *Feed) Version() int64 { return f.known.Load() }
+
+// Age returns how long ago the store last answered.
+func (f *Feed) Age(now time.Time) time.Duration {
+	at := f.confirmed.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
+// run follows the table until ctx ends.
+func (f *Feed) run(ctx context.Context) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			pause = firstRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, longestRetry)
+	}
+}
+
+// Run follows the table until ctx ends.
+func (f *Feed) Run(ctx context.Context) { f.run(ctx) }
+
+func (f *Feed) step(ctx context.Context) error {
+	if !f.isSynced {
+		u, err := f.scan(ctx)
+		return f.take(u, err)
+	}
+	page, err := f.store.Watch(ctx, f.table, f.version, watchWait)
+	lost := (*storer.HistoryLostError)(nil)
+	if errors.As(err, &lost) {
+		f.log.WithField("after", f.version).Info("history lost, reading the table anew")
+		f.isSynced = false
+		return nil
+	}
+	return f.take(Update{Entries: page.Entries, Version: page.Version}, err)
+}
+
+func (f *Feed) scan(ctx context.Context) (Update, error) {
+	u := Update{IsFull: true}
+	for _, p := range f.partitions {
+		from := ""
+		for {
+			page, err := f.store.Scan(ctx, storer.Range{Table: f.table, Partition: p, From: from, Limit: scanPage})
+			if err != nil {
+				return u, err
+			}
+			u.Entries = append(u.Entries, page.Entries...)
+			if u.Version == 0 || page.Version < u.Version {
+				u.Version = page.Version
+			}
+			if !page.HasMore || len(page.Entries) == 0 {
+				break
+			}
+			from = page.Entries[len(page.Entries)-1].Key + "\x00"
+		}
+	}
+	return u, nil
+}
+
+func (f *Feed) take(u Update, err error) error {
+	now := time.Now()
+	if err != nil {
+		f.failed++
+		f.lostAt = now
+		if f.failed == 1 {
+			f.log.WithError(err).WithField("version", f.version).Warn("store lost")
+		}
+		return err
+	}
+	if f.failed > 0 {
+		f.log.WithFields(logrus.Fields{"failures": f.failed, "version": u.Version}).Info("store regained")
+		f.failed = 0
+	}
+	f.confirmed.Store(now.UnixNano())
+	f.isSynced = true
+	u.AfterOutage = !f.lostAt.IsZero() && now.Sub(f.lostAt) < outageMemory
+	if u.Version > f.version || u.IsFull {
+		f.version = u.Version
+	}
+	if len(u.Entries) > 0 || u.IsFull {
+		f.hear(u)
+	}
+	f.known.Store(f.version)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/worker/item.go
@@ -0,0 +1,194 @@
+package worker
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+)
+
+const (
+	abandoned = jobber.Abandoned
+	// stallTimeout is how long an endpoint may send nothing: well over a pause that makes a stream late.
+	stallTimeout = 2 * time.Second
+	maxRefusal   = 64 << 10
+)
+
+// Reasons to end a run from here.
+var (
+	errNeedless = errors.New("the item needs no run here")
+	errYield    = errors.New("online requests need the slot")
+	errStall    = errors.New("the endpoint sent nothing")
+)
+
+// AnswerError says that an endpoint's answer gives no result.
+type AnswerError struct {
+	Endpoint string
+	Status   int
+	Detail   string
+}
+
+func (e *AnswerError) Error() string {
+	return "endpoint " + e.Endpoint + " answered status " + strconv.Itoa(e.Status) + ": " + e.Detail
+}
+
+// runItem runs the item at an endpoint and takes in how the run ended.
+func (w *Worker) runItem(ctx context.Context, t *task, run *itemRun, route registrar.Route) {
+	err := w.exchange(ctx, t, run)
+	run.cancel(errNeedless)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	isCurrent := t.run == run
+	if isCurrent {
+		t.run = nil
+	}
+	outcome := w.takeEnd(ctx, t, run, route, err, isCurrent)
+	w.metrics.ItemRun(outcome)
+	fields := logrus.Fields{
+		"job": t.work.id, "item": t.item.ID, "endpoint": run.endpoint.ID, "outcome": outcome,
+		"lastEvent": t.lastEvent, "took": time.Since(run.started).Milliseconds(),
+		"dueIn": time.Until(t.work.due).Milliseconds(),
+	}
+	if err != nil {
+		fields["cause"] = err.Error()
+	}
+	w.log.WithFields(fields).Info("item run ended")
+}
+
+// takeEnd takes in the end of a run and names its outcome; the lock is held.
+func (w *Worker) takeEnd(
+	ctx context.Context, t *task, run *itemRun, route registrar.Route, err error, isCurrent bool,
+) string {
+	if err == nil {
+		w.balancer.End(run.ticket, placer.EndedWhole)
+		if isCurrent {
+			w.finish(t, jobkeeper.Result{ID: t.item.ID, State: jobber.Succeeded, Output: t.output})
+		}
+		return "whole"
+	}
+	if cause := context.Cause(ctx); !isCurrent || errors.Is(cause, errYield) || errors.Is(cause, errNeedless) {
+		w.balancer.End(run.ticket, placer.EndedHere)
+		return "stopped"
+	}
+	how, outcome := placer.EndedBroken, "broken"
+	t.notBefore = time.Now().Add(retryAfter)
+	if answer := (*AnswerError)(nil); errors.As(err, &answer) {
+		switch answer.Status {
+		case http.StatusUnprocessableEntity:
+			how, outcome = placer.EndedWhole, "impossible"
+			w.finish(t, jobkeeper.Result{ID: t.item.ID, State: abandoned})
+		case http.StatusInternalServerError:
+			how, outcome = placer.EndedWhole, "failed"
+			t.failures++
+			if t.failures >= route.MaxAttempts {
+				w.finish(t, jobkeeper.Result{ID: t.item.ID, State: abandoned})
+			}
+		case http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+			how, outcome = placer.EndedFull, "refused"
+		}
+	}
+	w.balancer.End(run.ticket, how)
+	return outcome
+}
+
+// exchange sends the item and reads its events; nil says that the output is whole.
+func (w *Worker) exchange(ctx context.Context, t *task, run *itemRun) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn, err := w.pool.Get(ctx, run.endpoint.ID, run.endpoint.Address)
+	if err != nil {
+		return err
+	}
+	if !w.registry().IsUsable(run.endpoint) || ctx.Err() != nil || w.keeper.IsOver(t.work.id) {
+		_ = conn.Close()
+		return errNeedless
+	}
+	stall := time.AfterFunc(stallTimeout, func() { cancel(errStall) })
+	defer stall.Stop()
+	x, err := w.pool.Do(ctx, conn, w.outgoing(t, run))
+	if err != nil {
+		return err
+	}
+	defer x.Close()
+	if err := w.checkAnswer(x, t, run); err != nil {
+		return err
+	}
+	events := relayer.NewEventReader(x)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		stall.Reset(stallTimeout)
+		w.balancer.FirstByte(run.ticket, true)
+		if err := w.takeEvent(t, run, e); err != nil {
+			return err
+		}
+	}
+}
+
+func (w *Worker) outgoing(t *task, run *itemRun) dialer.Request {
+	h := t.item.Header.Clone()
+	h[w.headers.RequestID] = []string{t.item.ID}
+	h[w.headers.ExpectInstance] = []string{run.endpoint.ID}
+	w.mu.Lock()
+	if t.lastEvent >= 0 {
+		h[w.headers.LastEventID] = []string{strconv.FormatInt(t.lastEvent, 10)}
+	}
+	w.mu.Unlock()
+	return dialer.Request{
+		Method: http.MethodPost, Target: t.item.Path, Host: t.work.host, Header: h, Body: t.item.Body,
+		IDHeader: w.headers.RequestID, ID: t.item.ID,
+	}
+}
+
+func (w *Worker) checkAnswer(x *dialer.Exchange, t *task, run *itemRun) error {
+	res := x.Response
+	if res.StatusCode == http.StatusOK {
+		if res.Header.Get(w.headers.Signature) == "" || res.Header.Get(w.headers.RequestID) != t.item.ID {
+			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
+		}
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(x, maxRefusal))
+	return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: string(text[:min(len(text), maxDetail)])}
+}
+
+const maxDetail = 100
+
+// takeEvent appends an event of the current run to the item's output.
+func (w *Worker) takeEvent(t *task, run *itemRun, e relayer.Event) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.run != run {
+		return errNeedless
+	}
+	if e.ID >= 0 && t.lastEvent >= 0 && e.ID != t.lastEvent+1 {
+		return errors.Errorf("event %d follows event %d", e.ID, t.lastEvent)
+	}
+	if e.Data != nil {
+		if t.hasOutput {
+			t.output = append(t.output, '\n')
+		}
+		t.output = append(t.output, e.Data...)
+		t.hasOutput = true
+	}
+	if e.ID >= 0 {
+		t.lastEvent = e.ID
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/worker/worker.go
@@ -0,0 +1,368 @@
+package worker
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+)
+
+const (
+	// tickEvery bounds how late the worker sees what nobody signals, such as peers that fell silent.
+	tickEvery = 100 * time.Millisecond
+	// stepGap spaces rounds of decisions: about a step of an engine.
+	stepGap = 4 * time.Millisecond
+	// retryAfter is the pause of an item after a failure that says nothing of the item itself.
+	retryAfter = 200 * time.Millisecond
+	// loadRetry is the pause after a job's items could not be read.
+	loadRetry = 300 * time.Millisecond
+)
+
+// Metrics counts runs; its methods must not block.
+type Metrics interface {
+	ItemRun(outcome string)
+}
+
+// Worker runs items.
+type Worker struct {
+	headers  relayer.Headers
+	keeper   *jobkeeper.Keeper
+	registry func() *registrar.Registry
+	balancer *balancer.Balancer
+	pool     *dialer.Pool
+	metrics  Metrics
+	log      logrus.FieldLogger
+
+	mu        sync.Mutex
+	jobs      map[string]*work
+	isLeaving bool
+	ctx       context.Context
+}
+
+// work is a job that this VM runs.
+type work struct {
+	id        string
+	due       time.Time
+	host      string
+	items     []jobkeeper.Item
+	tasks     map[int]*task
+	isLoading bool
+	retryLoad time.Time
+}
+
+// task is an item that is not at its end.
+type task struct {
+	work  *work
+	index int
+	item  jobkeeper.Item
+
+	// events had so far.
+	lastEvent int64
+	output    []byte
+	hasOutput bool
+	// failures counts the endpoints' own failures.
+	failures  int
+	notBefore time.Time
+	run       *itemRun
+	// saved is how much of the output, up to which event, is in checkpoints.
+	saved      int
+	savedEvent int64
+	isOver     bool
+}
+
+// itemRun is one run of an item at an endpoint.
+type itemRun struct {
+	endpoint registrar.Endpoint
+	ticket   *placer.Ticket
+	cancel   context.CancelCauseFunc
+	started  time.Time
+}
+
+// New returns a worker.
+func New(
+	h relayer.Headers, k *jobkeeper.Keeper, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
+	m Metrics, log logrus.FieldLogger,
+) *Worker {
+	return &Worker{
+		headers: h, keeper: k, registry: registry, balancer: b, pool: p, metrics: m, log: log, jobs: map[string]*work{},
+	}
+}
+
+// Start runs items until ctx ends.
+func (w *Worker) Start(ctx context.Context) {
+	w.ctx = ctx
+	go w.run(ctx)
+	go w.runCheckpoint(ctx)
+}
+
+// Leave starts no further item and hands the jobs over; items under way go on.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	w.isLeaving = true
+	running := map[string][]int{}
+	for id, j := range w.jobs {
+		for i, t := range j.tasks {
+			if t.run != nil {
+				running[id] = append(running[id], i)
+			}
+		}
+	}
+	w.mu.Unlock()
+	w.balancer.SetPending(0)
+	w.keeper.HandOver(w.ctx, running)
+}
+
+// Running returns how many items are under way or wait to be written.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for id, j := range w.jobs {
+		for i, t := range j.tasks {
+			if t.run != nil || (t.isOver && w.keeper.IsUnwritten(id, i)) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *Worker) run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-w.keeper.Changed():
+		case <-w.balancer.Freed():
+		}
+		w.step(ctx, time.Now())
+		if !sleep(ctx, stepGap) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (w *Worker) step(ctx context.Context, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.syncJobs(ctx, now)
+	w.stopNeedless()
+	w.yield(now)
+	if !w.isLeaving {
+		w.startItems(ctx, now)
+	}
+}
+
+// syncJobs takes over which jobs this VM holds and which of their items are left; the lock is held.
+func (w *Worker) syncJobs(ctx context.Context, now time.Time) {
+	for _, h := range w.keeper.Held() {
+		j, ok := w.jobs[h.Job.ID]
+		if !ok {
+			j = &work{id: h.Job.ID, due: h.Job.DueTime(), host: h.Job.Host, tasks: map[int]*task{}}
+			w.jobs[h.Job.ID] = j
+		}
+		if j.items == nil {
+			if !j.isLoading && now.After(j.retryLoad) {
+				j.isLoading = true
+				go w.runLoad(ctx, j)
+			}
+			continue
+		}
+		for _, i := range h.Items {
+			if _, ok := j.tasks[i]; !ok && i < len(j.items) {
+				j.tasks[i] = &task{work: j, index: i, item: j.items[i], lastEvent: -1}
+			}
+		}
+	}
+}
+
+// runLoad reads the items of a job, and what was saved of their outputs.
+func (w *Worker) runLoad(ctx context.Context, j *work) {
+	items, err := w.keeper.Items(ctx, j.id, true)
+	saved := map[int]jobkeeper.Checkpoint{}
+	if err == nil {
+		saved, err = w.keeper.Checkpoints(ctx, j.id)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j.isLoading = false
+	if err != nil {
+		j.retryLoad = time.Now().Add(loadRetry)
+		w.log.WithError(err).WithField("job", j.id).Warn("job's items can't be read yet")
+		return
+	}
+	j.items = items
+	for i, c := range saved {
+		if i < len(items) {
+			j.tasks[i] = &task{
+				work: j, index: i, item: items[i], lastEvent: c.LastEvent, output: c.Output, hasOutput: true,
+				saved: len(c.Output), savedEvent: c.LastEvent,
+			}
+		}
+	}
+}
+
+// stopNeedless ends the runs of items that have their result or whose job is over or elsewhere; the lock is held.
+func (w *Worker) stopNeedless() {
+	for id, j := range w.jobs {
+		isHeld := w.keeper.IsHeld(id)
+		for i, t := range j.tasks {
+			if t.run != nil && (!isHeld || w.keeper.IsFinished(id, i)) {
+				w.cancel(t, errNeedless)
+			}
+			if !isHeld && t.run == nil {
+				delete(j.tasks, i)
+			}
+		}
+		if !isHeld && len(j.tasks) == 0 && !j.isLoading {
+			delete(w.jobs, id)
+		}
+	}
+}
+
+// yield gives slots up that online requests need; the lock is held.
+func (w *Worker) yield(now time.Time) {
+	byEndpoint := map[string][]*task{}
+	for _, j := range w.jobs {
+		for _, t := range j.tasks {
+			if t.run != nil {
+				byEndpoint[t.run.endpoint.ID] = append(byEndpoint[t.run.endpoint.ID], t)
+			}
+		}
+	}
+	reg := w.registry()
+	for id, tasks := range byEndpoint {
+		e, ok := reg.Endpoints[id]
+		if !ok {
+			e = tasks[0].run.endpoint
+		}
+		n := w.balancer.Excess(e)
+		if n == 0 {
+			continue
+		}
+		slices.SortFunc(tasks, func(a, b *task) int {
+			if c := b.work.due.Compare(a.work.due); c != 0 {
+				return c
+			}
+			return b.run.started.Compare(a.run.started)
+		})
+		for _, t := range tasks[:min(n, len(tasks))] {
+			w.cancel(t, errYield)
+			t.notBefore = now
+		}
+	}
+}
+
+// cancel ends the task's run; its slot counts as free at once.
+func (w *Worker) cancel(t *task, cause error) {
+	t.run.cancel(cause)
+	w.balancer.End(t.run.ticket, placer.EndedHere)
+	t.run = nil
+}
+
+// startItems starts waiting items while there is room, the earliest due first; the lock is held.
+func (w *Worker) startItems(ctx context.Context, now time.Time) {
+	waiting := w.waiting(now)
+	w.balancer.SetPending(len(waiting))
+	full := map[string]bool{}
+	started := 0
+	for _, t := range waiting {
+		reg := w.registry()
+		route, ok := reg.Config.Match(t.work.host, t.item.Path)
+		if !ok || route.Kind != registrar.KindBatch {
+			w.abandonIfGone(t, reg)
+			continue
+		}
+		service := route.ServiceFor(t.item.ID)
+		if full[service] {
+			continue
+		}
+		e, ticket, ok := w.balancer.StartBatch(usable(reg.Of(service)))
+		if !ok {
+			full[service] = true
+			continue
+		}
+		runCtx, cancel := context.WithCancelCause(ctx)
+		t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
+		started++
+		go w.runItem(runCtx, t, t.run, route)
+	}
+	if started > 0 {
+		w.balancer.SetPending(len(waiting) - started)
+	}
+}
+
+func (w *Worker) waiting(now time.Time) []*task {
+	var waiting []*task
+	for id, j := range w.jobs {
+		if w.keeper.IsOver(id) {
+			continue
+		}
+		for i, t := range j.tasks {
+			if t.run == nil && !t.isOver && !now.Before(t.notBefore) && !w.keeper.IsFinished(id, i) {
+				waiting = append(waiting, t)
+			}
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *task) int {
+		if c := a.work.due.Compare(b.work.due); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(len(b.output), len(a.output)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.item.ID, b.item.ID)
+	})
+	return waiting
+}
+
+func usable(endpoints []registrar.Endpoint) []registrar.Endpoint {
+	list := make([]registrar.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if !e.IsDraining {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// abandonIfGone gives an item up whose route the configuration no longer has.
+func (w *Worker) abandonIfGone(t *task, reg *registrar.Registry) {
+	if reg.Config.Version < w.keeper.ConfigOf(t.work.id) {
+		return
+	}
+	w.log.WithFields(logrus.Fields{
+		"job": t.work.id, "item": t.item.ID, "config": reg.Config.Version,
+	}).Warn("item given up: its route is gone")
+	w.finish(t, jobkeeper.Result{ID: t.item.ID, State: abandoned})
+}
+
+func (w *Worker) finish(t *task, r jobkeeper.Result) {
+	t.isOver = true
+	t.output = nil
+	w.keeper.Finish(w.ctx, t.work.id, t.index, r)
+}
