--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"os/signal"
+	"reflect"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +45,9 @@
 	// unreadyNotice is how long the balancer takes to see a VM as not ready: two questions, one a second.
 	unreadyNotice = 2200 * time.Millisecond
 	stopPoll      = 20 * time.Millisecond
-	logTimeout    = 100 * time.Millisecond
+	// reloadEvery is how late a change of the settings without a signal is seen.
+	reloadEvery = 5 * time.Second
+	logTimeout  = 100 * time.Millisecond
 )
 
 // gatewayParts are the parts of a VM on the platform.
@@ -175,6 +180,7 @@
 	g.JobKeeper.Start(g.ctx)
 	g.Worker.Start(g.ctx)
 	go g.runSweep()
+	go g.runReload()
 	if err := g.Listener.Start(); err != nil {
 		return err
 	}
@@ -209,6 +215,39 @@
 	return nil
 }
 
+// runReload reads the settings file anew when it may have changed; a faulty one is logged and the settings stay.
+func (g *gateway) runReload() {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-hup:
+			g.Log.Info("told that the settings changed")
+		case <-tick.C:
+		}
+		g.reload()
+	}
+}
+
+func (g *gateway) reload() {
+	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		g.Log.WithError(err).Warn("settings can't be used, those in force stay")
+		return
+	}
+	if reflect.DeepEqual(s, g.Settings) {
+		return
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	g.Settings = s
+	g.Log.Info("settings read anew; addresses hold from the next start on")
+}
+
 func (g *gateway) runSweep() {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
--- a/pkg/worker/item.go
+++ b/pkg/worker/item.go
@@ -46,14 +46,16 @@
 // runItem runs the item at an endpoint and takes in how the run ended.
 func (w *Worker) runItem(ctx context.Context, t *task, run *itemRun, route registrar.Route) {
 	err := w.exchange(ctx, t, run)
-	run.cancel(errNeedless)
+	// The cause must be read before the context is released, which sets one.
+	cause := context.Cause(ctx)
+	run.cancel(nil)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	isCurrent := t.run == run
 	if isCurrent {
 		t.run = nil
 	}
-	outcome := w.takeEnd(ctx, t, run, route, err, isCurrent)
+	outcome := w.takeEnd(t, run, route, err, cause, isCurrent)
 	w.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
 		"job": t.work.id, "item": t.item.ID, "endpoint": run.endpoint.ID, "outcome": outcome,
@@ -68,7 +70,7 @@
 
 // takeEnd takes in the end of a run and names its outcome; the lock is held.
 func (w *Worker) takeEnd(
-	ctx context.Context, t *task, run *itemRun, route registrar.Route, err error, isCurrent bool,
+	t *task, run *itemRun, route registrar.Route, err, cause error, isCurrent bool,
 ) string {
 	if err == nil {
 		w.balancer.End(run.ticket, placer.EndedWhole)
@@ -77,7 +79,7 @@
 		}
 		return "whole"
 	}
-	if cause := context.Cause(ctx); !isCurrent || errors.Is(cause, errYield) || errors.Is(cause, errNeedless) {
+	if !isCurrent || errors.Is(cause, errYield) || errors.Is(cause, errNeedless) {
 		w.balancer.End(run.ticket, placer.EndedHere)
 		return "stopped"
 	}
