--- a/pkg/jobkeeper/checkpoint.go
+++ b/pkg/jobkeeper/checkpoint.go
@@ -4,70 +4,89 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"strconv"
-	"strings"
+	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
-// Checkpoint is output of an item that is not at its end: what was added since the checkpoint before.
+// Checkpoint is output of an item that is not at its end: the events behind After up to LastEvent.
 type Checkpoint struct {
-	Item int `json:"item"`
-	// LastEvent is the id of the last event in Output.
+	Item      int    `json:"item"`
+	After     int64  `json:"after"`
 	LastEvent int64  `json:"lastEvent"`
 	Output    []byte `json:"-"`
 }
 
-// Save writes the next checkpoint of each item.
+// checkpointKey orders an item's checkpoints by their events; writers that don't know of each other can't break the order.
+func checkpointKey(job string, item int, after int64) string {
+	return fmt.Sprintf("%s/%05d/%08d", job, item, after+1)
+}
+
+// Save writes a further checkpoint of each item.
 func (k *Keeper) Save(ctx context.Context, job string, list []Checkpoint) error {
-	k.mu.Lock()
-	rec, ok := k.jobs[job]
-	if !ok || rec.job.IsOver() {
-		k.mu.Unlock()
+	if k.IsOver(job) {
 		return nil
 	}
-	numbers := make([]int, len(list))
-	for n, c := range list {
-		numbers[n] = rec.checkpoints[c.Item]
-	}
-	k.mu.Unlock()
 	c := storer.Change{}
 	size := 0
-	for n, point := range list {
-		head, err := json.Marshal(point)
+	for _, point := range list {
+		row, err := encodeCheckpoint(job, point)
 		if err != nil {
-			return errors.Wrap(err, "encode checkpoint")
+			return err
 		}
-		value := append(append(head, '\n'), point.Output...)
-		if size += len(value); len(value) > int(float64(k.cfg.RowBytes)*encodedShare) || size > commitBytes || n >= commitRows {
-			break
+		size += len(row.Value)
+		if len(row.Value) > int(float64(k.cfg.RowBytes)*encodedShare) || size > commitBytes || len(c.Puts) >= commitRows {
+			return errors.Errorf("checkpoints of job %s are too large: %d bytes", job, size)
 		}
-		c.Puts = append(c.Puts, storer.Entry{
-			Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, point.Item, numbers[n]), Value: value,
-		})
+		c.Puts = append(c.Puts, row)
 	}
-	if len(c.Puts) < len(list) {
-		return errors.Errorf("checkpoints of job %s are too large: %d bytes", job, size)
+	// The rows are known before they are written, for a write without an answer may still be done.
+	k.noteCheckpoints(job, c.Puts, list)
+	_, err := k.store.Apply(ctx, c)
+	return err
+}
+
+func encodeCheckpoint(job string, c Checkpoint) (storer.Entry, error) {
+	head, err := json.Marshal(c)
+	return storer.Entry{
+		Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, c.Item, c.After),
+		Value: append(append(head, '\n'), c.Output...),
+	}, errors.Wrap(err, "encode checkpoint")
+}
+
+func decodeCheckpoint(e storer.Entry) (Checkpoint, error) {
+	c := Checkpoint{}
+	head, output, ok := bytes.Cut(e.Value, []byte("\n"))
+	if !ok {
+		return c, errors.Errorf("checkpoint row %s has no head", e.Key)
 	}
-	if _, err := k.store.Apply(ctx, c); err != nil {
-		return err
+	if err := json.Unmarshal(head, &c); err != nil {
+		return c, errors.Wrap(err, "checkpoint row "+e.Key)
 	}
+	c.Output = output
+	return c, nil
+}
+
+func (k *Keeper) noteCheckpoints(job string, rows []storer.Entry, list []Checkpoint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if rec, ok := k.jobs[job]; ok {
-		for n, point := range list {
-			rec.checkpoints[point.Item] = numbers[n] + 1
+	rec, ok := k.jobs[job]
+	if !ok {
+		return
+	}
+	for n, c := range list {
+		if !slices.Contains(rec.checkpoints[c.Item], rows[n].Key) {
+			rec.checkpoints[c.Item] = append(rec.checkpoints[c.Item], rows[n].Key)
 		}
 	}
-	return nil
 }
 
-// Checkpoints returns what is saved of the job's items.
+// Checkpoints returns what is saved of the job's items: of each, the events that follow one another without a gap.
 func (k *Keeper) Checkpoints(ctx context.Context, job string) (map[int]Checkpoint, error) {
 	saved := map[int]Checkpoint{}
-	counts := map[int]int{}
 	from := job + "/"
 	for {
 		page, err := k.store.Scan(ctx, storer.Range{
@@ -77,46 +96,38 @@
 			return nil, err
 		}
 		for _, e := range page.Entries {
-			if err := addCheckpoint(saved, counts, e); err != nil {
+			c, err := decodeCheckpoint(e)
+			if err != nil {
 				k.log.WithError(err).WithField("job", job).Warn("checkpoint can't be read")
+				continue
 			}
+			k.noteCheckpoints(job, []storer.Entry{e}, []Checkpoint{c})
+			joinCheckpoint(saved, c)
 		}
 		if !page.HasMore || len(page.Entries) == 0 {
-			break
+			return saved, nil
 		}
 		from = page.Entries[len(page.Entries)-1].Key + "\x00"
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if rec, ok := k.jobs[job]; ok {
-		for item, n := range counts {
-			rec.checkpoints[item] = max(rec.checkpoints[item], n)
-		}
-	}
-	return saved, nil
 }
 
-// addCheckpoint joins a row to the rows before it; one that doesn't follow them is left out.
-func addCheckpoint(saved map[int]Checkpoint, counts map[int]int, e storer.Entry) error {
-	parts := strings.Split(e.Key, "/")
-	head, output, ok := bytes.Cut(e.Value, []byte("\n"))
-	c := Checkpoint{}
-	if !ok || len(parts) != 3 {
-		return errors.Errorf("checkpoint row %s has no head", e.Key)
+// joinCheckpoint appends a checkpoint to the item's output when it begins where that ends.
+func joinCheckpoint(saved map[int]Checkpoint, c Checkpoint) {
+	old, ok := saved[c.Item]
+	if !ok {
+		old = Checkpoint{Item: c.Item, After: noEvent, LastEvent: noEvent}
 	}
-	if err := json.Unmarshal(head, &c); err != nil {
-		return errors.Wrap(err, "checkpoint row "+e.Key)
-	}
-	n, err := strconv.Atoi(parts[2])
-	if err != nil || n != counts[c.Item] {
-		return errors.Errorf("checkpoint row %s is not the next of %d", e.Key, counts[c.Item])
+	if c.After != old.LastEvent {
+		return
 	}
-	counts[c.Item]++
-	c.Output = append(saved[c.Item].Output, output...)
-	saved[c.Item] = c
-	return nil
+	old.Output = append(old.Output, c.Output...)
+	old.LastEvent = c.LastEvent
+	saved[c.Item] = old
 }
 
+// noEvent stands before the first event of a stream.
+const noEvent = -1
+
 // ConfigOf returns the version of the configuration that allowed the job.
 func (k *Keeper) ConfigOf(job string) int64 {
 	k.mu.Lock()
--- a/pkg/jobkeeper/commit.go
+++ b/pkg/jobkeeper/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -73,7 +72,7 @@
 	size, rows := 0, 0
 	for _, f := range rec.finished {
 		size += len(f.result.Output)
-		rows += 2 + len(f.result.Output)/int(float64(k.cfg.RowBytes)*encodedShare) + rec.checkpoints[f.item]
+		rows += 2 + len(f.result.Output)/int(float64(k.cfg.RowBytes)*encodedShare) + len(rec.checkpoints[f.item])
 		if len(batch) > 0 && (size > commitBytes || rows > commitRows) {
 			break
 		}
@@ -129,18 +128,14 @@
 	k.announce()
 }
 
-func checkpointKey(job string, item, n int) string { return fmt.Sprintf("%s/%05d/%04d", job, item, n) }
-
 // checkpointRows returns the rows of checkpoints that this VM knows of the item.
 func (k *Keeper) checkpointRows(job string, item int) []storer.Entry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var rows []storer.Entry
 	if rec, ok := k.jobs[job]; ok {
-		for n := range min(rec.checkpoints[item], commitRows) {
-			rows = append(rows, storer.Entry{
-				Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, item, n),
-			})
+		for _, key := range rec.checkpoints[item] {
+			rows = append(rows, storer.Entry{Table: checkpointTable, Partition: partitionOf(job), Key: key})
 		}
 	}
 	return rows
--- a/pkg/jobkeeper/keeper.go
+++ b/pkg/jobkeeper/keeper.go
@@ -57,8 +57,8 @@
 	// finished waits to be appended.
 	finished     []finished
 	isCommitting bool
-	// checkpoints counts the checkpoint rows written of each item.
-	checkpoints map[int]int
+	// checkpoints holds the keys of the checkpoint rows of each item.
+	checkpoints map[int][]string
 }
 
 type finished struct {
@@ -122,7 +122,7 @@
 		return
 	}
 	if !ok {
-		old = &record{checkpoints: map[int]int{}}
+		old = &record{checkpoints: map[int][]string{}}
 		k.jobs[e.Key] = old
 	}
 	old.job, old.version = j, e.Version
--- a/pkg/worker/checkpoint.go
+++ b/pkg/worker/checkpoint.go
@@ -37,7 +37,7 @@
 				continue
 			}
 			byJob[id] = append(byJob[id], jobkeeper.Checkpoint{
-				Item: i, LastEvent: t.lastEvent, Output: append([]byte(nil), t.output[t.saved:]...),
+				Item: i, After: t.savedEvent, LastEvent: t.lastEvent, Output: append([]byte(nil), t.output[t.saved:]...),
 			})
 		}
 	}
--- a/pkg/worker/worker.go
+++ b/pkg/worker/worker.go
@@ -194,7 +194,7 @@
 		}
 		for _, i := range h.Items {
 			if _, ok := j.tasks[i]; !ok && i < len(j.items) {
-				j.tasks[i] = &task{work: j, index: i, item: j.items[i], lastEvent: -1}
+				j.tasks[i] = &task{work: j, index: i, item: j.items[i], lastEvent: -1, savedEvent: -1}
 			}
 		}
 	}
