Test the gateway's promises against a stand-in of the platform; let late log lines pass

Cause: a line logged after the ring's close ended a stopping process with a panic; the new tests found it. The stand-in serves the store's published calls and endpoints with their faults.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -68,7 +68,9 @@
 }
 
 // NewGateway returns the daemon of a VM on the platform.
-func NewGateway(s platform.Settings) *fx.App {
+//
+// The options replace parts in tests.
+func NewGateway(s platform.Settings, opts ...fx.Option) *fx.App {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	return fx.New(
 		fx.NopLogger,
@@ -80,6 +82,7 @@
 			newBalancer, newGossiper, newPool, newRelayer, newJobKeeper, newWorker, newListener,
 		),
 		fx.Invoke(runGateway),
+		fx.Options(opts...),
 	)
 }
 
--- /dev/null
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -0,0 +1,288 @@
+package assembler_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/assembler"
+	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+	"github.com/dogwoodledge/dogwoodledge/platform"
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
+)
+
+const (
+	testHost = "desk.example"
+	patience = 20 * time.Second
+)
+
+var lastIP atomic.Uint32
+
+// testFleet is a store, endpoints and VMs in one process.
+type testFleet struct {
+	t         *testing.T
+	store     *standin.Store
+	server    *httptest.Server
+	endpoints []*standin.Endpoint
+	vms       []*testVM
+	routes    []map[string]any
+	version   int64
+}
+
+type testVM struct {
+	name string
+	ip   netip.Addr
+	app  *fx.App
+	base string
+}
+
+func route(kind, prefix, service string, extra map[string]any) map[string]any {
+	r := map[string]any{
+		"name": "r-" + strings.Trim(prefix, "/"), "host": testHost, "pathPrefix": prefix, "kind": kind, "service": service,
+		"timeoutMs": 5000, "targetLatencyMs": 1000, "maxAttempts": 2, "priority": 0,
+	}
+	for k, v := range extra {
+		r[k] = v
+	}
+	return r
+}
+
+func defaultRoutes() []map[string]any {
+	return []map[string]any{
+		route("safe", "/status/", "app", nil),
+		route("non_idempotent", "/book/", "app", nil),
+		route("stream", "/draft/", "llm", map[string]any{"maxAttempts": 1}),
+		route("stream", "/note/", "llm", map[string]any{"resumable": true}),
+		route("batch_job", "/batch/", "llm", map[string]any{"maxAttempts": 3, "dueMs": 18000, "maxWaitS": 60, "cap": 0}),
+	}
+}
+
+// newFleet starts a store with a configuration, three endpoints and n VMs that are ready.
+func newFleet(t *testing.T, n int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: standin.NewStore(), routes: defaultRoutes()}
+	f.server = httptest.NewServer(f.store)
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+	})
+	for _, e := range []struct{ id, service string }{{"i-llm-1", "llm"}, {"i-llm-2", "llm"}, {"i-app-1", "app"}, {"i-app-2", "app"}} {
+		f.addEndpoint(e.id, e.service)
+	}
+	f.configure()
+	for range n {
+		f.addVM()
+	}
+	return f
+}
+
+func (f *testFleet) addEndpoint(id, service string) *standin.Endpoint {
+	e := standin.NewEndpoint(id, service, "syd-a")
+	f.t.Cleanup(e.Close)
+	f.endpoints = append(f.endpoints, e)
+	f.store.Put("servers", "", id, e.Entry("ready"))
+	return e
+}
+
+func (f *testFleet) endpoint(id string) *standin.Endpoint {
+	for _, e := range f.endpoints {
+		if e.ID == id {
+			return e
+		}
+	}
+	require.Fail(f.t, "no endpoint "+id)
+	return nil
+}
+
+func (f *testFleet) configure() {
+	f.version += 3
+	f.store.Put("op", "", "config", map[string]any{
+		"version": f.version, "routes": f.routes,
+		"services": []map[string]any{
+			{"name": "llm", "maxConns": 100, "engine": map[string]any{"slots": 8}}, {"name": "app", "maxConns": 100},
+		},
+		"limits": map[string]any{
+			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+		},
+	})
+}
+
+func (f *testFleet) settings(name string) platform.Settings {
+	n := lastIP.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, 9, byte(n >> 8), byte(n)})
+	return platform.Settings{
+		VM: loader.VMSettings{ID: name, Region: "syd", AvailabilityZone: "syd-a"}, IP: ip,
+		Callers: netip.AddrPortFrom(ip, 18144), Ready: netip.AddrPortFrom(ip, 18140), FirstPort: 17660, LastPort: 17670,
+		Store: netip.MustParseAddrPort(f.server.Listener.Addr().String()), RowBytes: 65536,
+		Regions: map[string]string{"syd-a": "syd"}, EndpointHeartbeat: time.Second, Drain: 2500 * time.Millisecond,
+		Grace: 8 * time.Second, ConfigApply: 2500 * time.Millisecond, MemoryBytes: 4 << 30, FileDescriptors: 8000,
+	}
+}
+
+func (f *testFleet) addVM() *testVM {
+	f.t.Helper()
+	s := f.settings(fmt.Sprintf("front-%d", len(f.vms)+1))
+	vm := &testVM{
+		name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String(),
+		app: assembler.NewGateway(s, fx.Replace(tracer.NewRing(io.Discard))),
+	}
+	require.NoError(f.t, vm.app.Start(context.Background()))
+	f.vms = append(f.vms, vm)
+	f.t.Cleanup(func() { _ = vm.app.Stop(context.Background()) })
+	require.Eventually(f.t, func() bool {
+		res, err := http.Get("http://" + s.Ready.String() + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	}, patience, 10*time.Millisecond, "VM is not ready")
+	return vm
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is the error of reading the answer or its body.
+	err error
+}
+
+var lastRequest atomic.Uint64
+
+func newID(prefix string) string { return fmt.Sprintf("%s%08x", prefix, lastRequest.Add(1)) }
+
+type callOption func(*http.Request)
+
+func withHeader(name, value string) callOption {
+	return func(r *http.Request) { r.Header.Set(name, value) }
+}
+
+// call sends a request as a client of the platform does.
+func (f *testFleet) call(ctx context.Context, vm *testVM, method, path, id, body string, opts ...callOption) answer {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, vm.base+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	r.Host = testHost
+	r.Header.Set("X-Request-Id", id)
+	for _, o := range opts {
+		o(r)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, body: string(text), err: err}
+}
+
+func (f *testFleet) stream(vm *testVM, path, id string) answer {
+	return f.call(context.Background(), vm, http.MethodPost, path, id, "prompt",
+		withHeader("X-Token-Count", "450,250"), withHeader("X-Model", "m"), withHeader("X-Deadline-Ms", "5000"))
+}
+
+// runsOf returns the runs of a request at all endpoints.
+func (f *testFleet) runsOf(id string) []standin.Run {
+	var runs []standin.Run
+	for _, e := range f.endpoints {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+func wholeStream(id string, events int) string {
+	b := strings.Builder{}
+	for n := range events {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, standin.EventData(id, n))
+	}
+	return b.String()
+}
+
+type jobItem struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	Tokens  int64             `json:"tokens"`
+}
+
+// newItems returns n items with ids of their own.
+func newItems(n int) []jobItem {
+	items := make([]jobItem, 0, n)
+	for range n {
+		id := newID("item")
+		items = append(items, jobItem{
+			ID: id, Path: "/batch/3/" + id, Headers: map[string]string{"X-Model": "m", "X-Token-Count": "540,400"},
+			Body: []byte("body of " + id), Tokens: 940,
+		})
+	}
+	return items
+}
+
+func (f *testFleet) submit(vm *testVM, job string, items []jobItem) answer {
+	f.t.Helper()
+	body, err := json.Marshal(map[string]any{"items": items})
+	require.NoError(f.t, err)
+	return f.call(context.Background(), vm, http.MethodPost, "/batch/"+job, job, string(body))
+}
+
+type jobPage struct {
+	Total   int `json:"total"`
+	Next    int `json:"next"`
+	Results []struct {
+		ID     string `json:"id"`
+		State  string `json:"state"`
+		Output string `json:"output"`
+	} `json:"results"`
+}
+
+func (f *testFleet) read(vm *testVM, job string, after int) (jobPage, answer) {
+	f.t.Helper()
+	a := f.call(context.Background(), vm, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", job, after), newID("read"), "",
+		withHeader("X-Wait-Ms", "200"))
+	p := jobPage{}
+	if a.status == http.StatusOK {
+		require.NoError(f.t, json.NewDecoder(bufio.NewReader(bytes.NewReader([]byte(a.body)))).Decode(&p))
+	}
+	return p, a
+}
+
+// await reads a job until it has n results.
+func (f *testFleet) await(vm *testVM, job string, n int) jobPage {
+	f.t.Helper()
+	p := jobPage{}
+	require.Eventually(f.t, func() bool {
+		p, _ = f.read(vm, job, 0)
+		return len(p.Results) >= n
+	}, patience, 20*time.Millisecond, "job has too few results")
+	return p
+}
+
+func wholeOutput(id string, events int) string {
+	lines := make([]string, 0, events)
+	for n := range events {
+		lines = append(lines, standin.EventData(id, n))
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/pkg/assembler/gateway_store_test.go
@@ -0,0 +1,157 @@
+package assembler_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
+)
+
+func bytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
+
+func mustJSON(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := json.Marshal(v)
+	require.NoError(t, err)
+	return b
+}
+
+// partitionFor repeats the layout of rows, which VMs of different versions must agree on.
+func partitionFor(job string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(job))
+	return strconv.Itoa(int(h.Sum32() % 8))
+}
+
+func checkpointName(job string, item int, after int64) string {
+	return fmt.Sprintf("%s/%05d/%08d", job, item, after+1)
+}
+
+// TestSubmitUnderStoreFaults checks that each answer to a job is true, whatever the store does.
+func TestSubmitUnderStoreFaults(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		path  string
+		fault standin.Fault
+		// times is how many calls the fault strikes; 0 means all.
+		times    int64
+		statuses []int
+	}{
+		{"a lost answer is read back", "/rows-tx", standin.LoseAnswer, 1, []int{202}},
+		{"a write done late is taken in once", "/rows-tx", standin.DoLate, 1, []int{202}},
+		{"answers lost for good leave doubt", "/rows-tx", standin.LoseAnswer, 0, []int{202, 504}},
+		{"a busy store refuses", "/rows-tx", standin.Busy, 0, []int{503}},
+		{"a limited store refuses", "/rows-tx", standin.Limited, 0, []int{503}},
+		{"items that can't be written refuse", "/blob-put/", standin.Reset, 0, []int{503}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			var struck atomic.Int64
+			f.store.SetFault(func(r *http.Request) standin.Fault {
+				isHit := len(r.URL.Path) >= len(c.path) && r.URL.Path[:len(c.path)] == c.path
+				if isHit && (c.times == 0 || struck.Add(1) <= c.times) {
+					return c.fault
+				}
+				return standin.NoFault
+			})
+			items := newItems(2)
+			job := newID("job")
+			a := f.submit(f.vms[0], job, items)
+			assert.Contains(t, c.statuses, a.status)
+			f.store.SetFault(func(*http.Request) standin.Fault { return standin.NoFault })
+			if a.status == http.StatusServiceUnavailable {
+				time.Sleep(time.Second)
+				assert.Empty(t, f.runsOf(items[0].ID), "the refusal says that nothing of the job runs")
+				return
+			}
+			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+			assert.Len(t, f.await(f.vms[0], job, 2).Results, 2)
+			assert.Len(t, f.runsOf(items[0].ID), 1)
+		})
+	}
+}
+
+func TestResultsUnderLostAnswersStandOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	var calls atomic.Int64
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if r.URL.Path != "/rows-tx" {
+			return standin.NoFault
+		}
+		switch calls.Add(1) % 4 {
+		case 1:
+			return standin.LoseAnswer
+		case 2:
+			return standin.DoLate
+		default:
+			return standin.NoFault
+		}
+	})
+	job, items := newID("job"), newItems(10)
+	require.Eventually(t, func() bool { return f.submit(f.vms[0], job, items).status == http.StatusAccepted },
+		patience, 50*time.Millisecond)
+	p := f.await(f.vms[1], job, len(items))
+	seen := map[string]bool{}
+	for _, r := range p.Results {
+		assert.False(t, seen[r.ID])
+		seen[r.ID] = true
+		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+	}
+	assert.Len(t, p.Results, len(items))
+}
+
+func TestUnsureVMAnswers503(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	job, items := newID("job"), newItems(1)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	f.await(f.vms[0], job, 1)
+	f.store.SetFault(func(*http.Request) standin.Fault { return standin.Busy })
+	_, a := f.read(f.vms[0], "unknown", 0)
+	assert.Equal(t, http.StatusServiceUnavailable, a.status, "a VM that can't ask must not say that a job doesn't exist")
+}
+
+func TestEndedJobStops(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	for _, e := range f.endpoints {
+		e.Step = 300 * time.Millisecond
+	}
+	job, items := newID("job"), newItems(20)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	time.Sleep(200 * time.Millisecond)
+	for range 2 {
+		a := f.call(t.Context(), f.vms[1], http.MethodDelete, "/lots/"+job, newID("e"), "")
+		require.Equal(t, http.StatusOK, a.status)
+	}
+	time.Sleep(500 * time.Millisecond)
+	count := func() int {
+		n := 0
+		for _, e := range f.endpoints {
+			n += len(e.Runs())
+		}
+		return n
+	}
+	before := count()
+	time.Sleep(time.Second)
+	assert.Equal(t, before, count(), "an ended job starts no further item")
+	for _, e := range f.endpoints {
+		for _, r := range e.Runs() {
+			assert.True(t, r.WasCut, "a run of an ended job goes on")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/assembler/gateway_test.go
@@ -0,0 +1,335 @@
+package assembler_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
+)
+
+func TestRequestsAndJobsAreServedWhole(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	for _, path := range []string{"/draft/1", "/note/1"} {
+		id := newID("s")
+		a := f.stream(f.vms[0], path, id)
+		require.NoError(t, a.err)
+		assert.Equal(t, http.StatusOK, a.status)
+		assert.Equal(t, wholeStream(id, 6), a.body)
+		assert.NotEmpty(t, a.header.Get("X-Response-Stamp"))
+		assert.Equal(t, id, a.header.Get("X-Request-Id"))
+	}
+	id := newID("q")
+	a := f.call(context.Background(), f.vms[1], http.MethodPost, "/status/x%2Fy?a=b%20c&d", id, "where is the van")
+	assert.Equal(t, "answer to "+id, a.body)
+	run := f.runsOf(id)[0]
+	assert.Equal(t, "/status/x%2Fy?a=b%20c&d", run.Path, "path and query are passed on unchanged")
+	assert.Equal(t, "where is the van", run.Body)
+
+	items := newItems(12)
+	job := newID("job")
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[1], job, items).status, "a repeated job is taken in once")
+	first, second := f.await(f.vms[0], job, len(items)), f.await(f.vms[1], job, len(items))
+	assert.Equal(t, first, second, "results have the same positions and contents at all VMs")
+	seen := map[string]bool{}
+	for _, r := range first.Results {
+		assert.Equal(t, "succeeded", r.State)
+		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+		assert.False(t, seen[r.ID], "item listed twice")
+		seen[r.ID] = true
+		assert.Len(t, f.runsOf(r.ID), 1)
+	}
+	body := f.call(context.Background(), f.vms[1], http.MethodGet, "/items/"+job+"?id="+items[3].ID, newID("b"), "")
+	assert.Equal(t, string(items[3].Body), body.body)
+	_, missing := f.read(f.vms[0], "nosuchjob", 0)
+	assert.Equal(t, http.StatusNotFound, missing.status)
+	assert.Equal(t, http.StatusNotFound, f.stream(f.vms[0], "/nothing/", newID("s")).status)
+}
+
+// TestEndpointFaults takes one request through each fault of an endpoint.
+func TestEndpointFaults(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name, path string
+		trick      standin.Trick
+		// always does the trick to every request rather than to the first.
+		always   bool
+		statuses []int
+		runs     int
+		isCut    bool
+	}{
+		{"a full endpoint's request goes to another", "/book/1", standin.Shed, false, []int{200}, 1, false},
+		{"full endpoints everywhere refuse truly", "/book/1", standin.Shed, true, []int{503}, 0, false},
+		{"a booking runs once when its answer is lost", "/book/1", standin.LoseAll, true, []int{502}, 1, false},
+		{"a booking runs once when its answer is cut", "/book/1", standin.BreakOff, true, []int{502}, 1, false},
+		{"a booking with an unsigned answer isn't repeated", "/book/1", standin.Unsigned, true, []int{502}, 1, false},
+		{"a safe request runs again when its answer is lost", "/status/1", standin.LoseAll, false, []int{200}, 2, false},
+		{"a safe request runs again when its answer is cut", "/status/1", standin.BreakOff, false, []int{200}, 2, false},
+		{"a safe request runs again after an unsigned answer", "/status/1", standin.Unsigned, false, []int{200}, 2, false},
+		{"no request runs more often than its route says", "/status/1", standin.LoseAll, true, []int{502}, 2, false},
+		{"a failure is passed on", "/book/1", standin.Fail, true, []int{500}, 1, false},
+		{"a broken stream that can't be resumed is cut", "/draft/1", standin.BreakOff, false, []int{200}, 1, true},
+		{"a lost stream that can't be resumed isn't repeated", "/draft/1", standin.LoseAll, true, []int{502}, 1, false},
+		{"a broken stream is resumed elsewhere", "/note/1", standin.BreakOff, false, []int{200}, 2, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			var seen atomic.Int64
+			for _, e := range f.endpoints {
+				e.SetTrick(func(int, *http.Request) standin.Trick {
+					if c.always || seen.Add(1) == 1 {
+						return c.trick
+					}
+					return standin.NoTrick
+				})
+			}
+			id := newID("f")
+			opts := []callOption{withHeader("X-Deadline-Ms", "3000")}
+			if c.path == "/draft/1" || c.path == "/note/1" {
+				opts = append(opts, withHeader("X-Token-Count", "450,250"))
+			}
+			a := f.call(context.Background(), f.vms[0], http.MethodPost, c.path, id, "body", opts...)
+			assert.Contains(t, c.statuses, a.status, a.body)
+			assert.Len(t, f.runsOf(id), c.runs)
+			assert.Equal(t, c.isCut, a.err != nil, "an answer that ends early must not look complete")
+			if c.path == "/note/1" {
+				assert.Equal(t, wholeStream(id, 6), a.body)
+			}
+			if c.runs > 0 && (a.status == 503 || a.status == 429) {
+				assert.Fail(t, "the refusal says that the request has not run")
+			}
+		})
+	}
+}
+
+func TestExtraAnswerReachesNobody(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	for _, e := range f.endpoints {
+		e.SetTrick(func(n int, _ *http.Request) standin.Trick {
+			if n%2 == 0 {
+				return standin.Extra
+			}
+			return standin.NoTrick
+		})
+	}
+	for range 20 {
+		id := newID("x")
+		a := f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", id, "body", withHeader("X-Deadline-Ms", "2000"))
+		require.Equal(t, 200, a.status)
+		assert.Equal(t, "answer to "+id, a.body)
+	}
+}
+
+func TestItemsThatCannotBeDoneAreGivenUp(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		trick    standin.Trick
+		min, max int
+	}{
+		{"an item that fails at each run", standin.Fail, 3, 3},
+		{"an item that can never be done", standin.Impossible, 1, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			items := newItems(3)
+			for _, e := range f.endpoints {
+				e.SetTrick(func(_ int, r *http.Request) standin.Trick {
+					if r.Header.Get("X-Request-Id") == items[1].ID {
+						return c.trick
+					}
+					return standin.NoTrick
+				})
+			}
+			job := newID("job")
+			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+			for _, r := range f.await(f.vms[0], job, 3).Results {
+				if r.ID == items[1].ID {
+					assert.Equal(t, "abandoned", r.State)
+					continue
+				}
+				assert.Equal(t, "succeeded", r.State)
+			}
+			time.Sleep(500 * time.Millisecond)
+			runs := len(f.runsOf(items[1].ID))
+			assert.GreaterOrEqual(t, runs, c.min)
+			assert.LessOrEqual(t, runs, c.max)
+		})
+	}
+}
+
+func TestItemsGoOnAfterBreaks(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	var seen atomic.Int64
+	for _, e := range f.endpoints {
+		e.SetTrick(func(int, *http.Request) standin.Trick {
+			if seen.Add(1)%3 == 1 {
+				return standin.BreakOff
+			}
+			return standin.NoTrick
+		})
+	}
+	items := newItems(6)
+	job := newID("job")
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	for _, r := range f.await(f.vms[0], job, 6).Results {
+		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+	}
+}
+
+func TestCallerThatLeavesStopsItsRun(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	for _, e := range f.endpoints {
+		e.Step = 200 * time.Millisecond
+	}
+	id := newID("g")
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	a := f.call(ctx, f.vms[0], http.MethodPost, "/draft/1", id, "body", withHeader("X-Token-Count", "450,250"))
+	require.Error(t, a.err)
+	require.Eventually(t, func() bool {
+		runs := f.runsOf(id)
+		return len(runs) == 1 && runs[0].WasCut
+	}, 500*time.Millisecond, 10*time.Millisecond, "the endpoint still works on the request of a caller that left")
+}
+
+func TestTimeoutOfRouteEndsWaiting(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.routes[1]["timeoutMs"] = 400
+	f.configure()
+	time.Sleep(300 * time.Millisecond)
+	for _, e := range f.endpoints {
+		e.SetTrick(func(int, *http.Request) standin.Trick { return standin.Mute })
+	}
+	start := time.Now()
+	a := f.call(context.Background(), f.vms[0], http.MethodPost, "/book/1", newID("t"), "body", withHeader("X-Deadline-Ms", "4000"))
+	assert.Equal(t, http.StatusGatewayTimeout, a.status)
+	assert.Less(t, time.Since(start), 900*time.Millisecond)
+}
+
+func TestDrainingEndpointGetsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	e := f.endpoint("i-app-1")
+	f.store.Put("servers", "", e.ID, e.Entry("draining"))
+	time.Sleep(200 * time.Millisecond)
+	before := len(e.Runs())
+	for range 10 {
+		assert.Equal(t, 200, f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", newID("d"), "").status)
+	}
+	assert.Len(t, e.Runs(), before)
+}
+
+func TestBadRowsChangeNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.store.Put("op", "", "config", []byte("{not json"))
+	f.store.Put("servers", "", "i-bad-1", map[string]any{"service": 5, "address": "nowhere"})
+	f.store.Put("servers", "", "i-bad-2", map[string]any{"service": "app", "address": "10.0.0.1:1", "state": "odd", "slots": 6})
+	f.store.Forget()
+	time.Sleep(300 * time.Millisecond)
+	for range 10 {
+		assert.Equal(t, 200, f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", newID("b"), "").status)
+	}
+	f.routes = f.routes[1:]
+	f.configure()
+	require.Eventually(t, func() bool {
+		return f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", newID("b"), "").status == http.StatusNotFound
+	}, patience, 20*time.Millisecond, "the next good configuration holds")
+}
+
+func TestJobOfLostVMGoesOnBehindItsCheckpoints(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	items := newItems(2)
+	job := newID("job")
+	body, err := json.Marshal(map[string]any{"items": items})
+	require.NoError(t, err)
+	req, err := http.NewRequest(http.MethodPut, f.server.URL+"/blob-put/job-"+job, bytesReader(body))
+	require.NoError(t, err)
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	_ = res.Body.Close()
+	part := partitionFor(job)
+	save := func(after, last int64, output string) {
+		head := mustJSON(t, map[string]any{"item": 0, "after": after, "lastEvent": last})
+		f.store.Put("checkpoint", part, checkpointName(job, 0, after), append(append(head, '\n'), output...))
+	}
+	save(-1, 1, standin.EventData(items[0].ID, 0)+"\n"+standin.EventData(items[0].ID, 1))
+	// Another VM ran the item too: its rows overlap and must not be joined.
+	save(0, 2, "\n"+standin.EventData(items[0].ID, 1)+"\n"+standin.EventData(items[0].ID, 2))
+	save(1, 2, "\n"+standin.EventData(items[0].ID, 2))
+	f.store.Put("job", part, job, map[string]any{
+		"id": job, "host": testHost, "pathPrefix": "/batch/", "config": 3, "tokens": []int{940, 940},
+		"due": time.Now().Add(18 * time.Second).UnixMilli(), "abandonAt": time.Now().Add(time.Minute).UnixMilli(),
+		"holder": map[string]any{"vm": "front-lost", "incarnation": 1},
+	})
+	for _, r := range f.await(f.vms[0], job, 2).Results {
+		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+	}
+	runs := f.runsOf(items[0].ID)
+	require.Len(t, runs, 1)
+	assert.Equal(t, "2", runs[0].LastEvent, "the run goes on behind the checkpoint")
+}
+
+func TestPlannedStopCutsNothingAndHandsJobsOver(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	for _, e := range f.endpoints {
+		e.Step = 100 * time.Millisecond
+	}
+	items := newItems(30)
+	job := newID("job")
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	id := newID("s")
+	done := make(chan answer, 1)
+	go func() { done <- f.stream(f.vms[0], "/draft/1", id) }()
+	time.Sleep(150 * time.Millisecond)
+	require.NoError(t, f.vms[0].app.Stop(context.Background()))
+	a := <-done
+	require.NoError(t, a.err)
+	assert.Equal(t, wholeStream(id, 6), a.body)
+	f.await(f.vms[1], job, len(items))
+	for _, i := range items {
+		assert.LessOrEqual(t, len(f.runsOf(i.ID)), 1, "the VM that stops finishes its items, and no other runs them too")
+	}
+}
+
+func TestQuotaHoldsAcrossVMs(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	for _, e := range f.endpoints {
+		e.SetTrick(func(int, *http.Request) standin.Trick { return standin.Mute })
+	}
+	f.routes[4]["cap"] = 20 * 940
+	f.configure()
+	time.Sleep(200 * time.Millisecond)
+	statuses := make(chan int, 6)
+	for n := range 6 {
+		go func() { statuses <- f.submit(f.vms[n%2], newID("job"), newItems(8)).status }()
+	}
+	accepted := 0
+	for range 6 {
+		status := <-statuses
+		if status == http.StatusAccepted {
+			accepted++
+			continue
+		}
+		assert.Equal(t, http.StatusTooManyRequests, status)
+	}
+	assert.Equal(t, 2, accepted, "two jobs of 8 items fit a quota of 20")
+}
--- a/pkg/tracer/ring.go
+++ b/pkg/tracer/ring.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,14 +25,17 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Int64
-	done    chan struct{}
+	// quit ends the writer after what waits; done says that it has ended.
+	quit chan struct{}
+	done chan struct{}
+	once sync.Once
 }
 
 // NewRing returns a started ring in front of out.
 func NewRing(out io.Writer) *Ring {
 	r := &Ring{
 		out: out, lines: make(chan []byte, ringLines), limit: rate.NewLimiter(linesPerSecond, lineBurst),
-		done: make(chan struct{}),
+		quit: make(chan struct{}), done: make(chan struct{}),
 	}
 	go r.run()
 	return r
@@ -54,9 +58,9 @@
 // Dropped returns how many lines were dropped.
 func (r *Ring) Dropped() int64 { return r.dropped.Load() }
 
-// Close writes what waits, or gives up after the timeout.
+// Close writes what waits, or gives up after the timeout; lines written later are lost.
 func (r *Ring) Close(timeout time.Duration) {
-	close(r.lines)
+	r.once.Do(func() { close(r.quit) })
 	select {
 	case <-r.done:
 	case <-time.After(timeout):
@@ -66,12 +70,29 @@
 func (r *Ring) run() {
 	defer close(r.done)
 	told, at := int64(0), time.Now()
-	for line := range r.lines {
-		// A log that can't be written has nowhere to say so.
-		_, _ = r.out.Write(line)
+	for {
+		select {
+		case line := <-r.lines:
+			// A log that can't be written has nowhere to say so.
+			_, _ = r.out.Write(line)
+		case <-r.quit:
+			r.flush()
+			return
+		}
 		if n := r.dropped.Load(); n > told && time.Since(at) > dropReport {
 			_, _ = fmt.Fprintf(r.out, `{"level":"warning","msg":"log lines dropped","lines":%d}`+"\n", n-told)
 			told, at = n, time.Now()
 		}
 	}
 }
+
+func (r *Ring) flush() {
+	for {
+		select {
+		case line := <-r.lines:
+			_, _ = r.out.Write(line)
+		default:
+			return
+		}
+	}
+}
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -75,14 +75,10 @@
 func (f *Feed) run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		err := f.step(ctx)
-		if err == nil {
+		if err := f.step(ctx); err == nil {
 			pause = firstRetry
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
 		if !sleep(ctx, pause) {
 			return
 		}
@@ -96,7 +92,7 @@
 func (f *Feed) step(ctx context.Context) error {
 	if !f.isSynced {
 		u, err := f.scan(ctx)
-		return f.take(u, err)
+		return f.take(ctx, u, err)
 	}
 	page, err := f.store.Watch(ctx, f.table, f.version, watchWait)
 	lost := (*storer.HistoryLostError)(nil)
@@ -105,7 +101,7 @@
 		f.isSynced = false
 		return nil
 	}
-	return f.take(Update{Entries: page.Entries, Version: page.Version}, err)
+	return f.take(ctx, Update{Entries: page.Entries, Version: page.Version}, err)
 }
 
 func (f *Feed) scan(ctx context.Context) (Update, error) {
@@ -130,7 +126,10 @@
 	return u, nil
 }
 
-func (f *Feed) take(u Update, err error) error {
+func (f *Feed) take(ctx context.Context, u Update, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
 	now := time.Now()
 	if err != nil {
 		f.failed++
