--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -120,6 +120,7 @@
 ) *gossiper.Gossiper {
 	return gossiper.New(gossiper.Config{
 		VM: s.VM.ID, Incarnation: time.Now().UnixMicro(), Address: netip.AddrPortFrom(s.IP, s.FirstPort),
+		Region: s.VM.Region,
 		ConfigVersion: func() int64 {
 			if c := w.Current().Config; c != nil {
 				return c.Version
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,6 +17,8 @@
 	placer  *placer.Placer
 	nextID  uint64
 	pending int
+	// crowded holds the endpoints at which batch has to yield and peers were not told yet.
+	crowded []placer.Key
 
 	// changed tells the reporter that counts changed, urgent that a peer's batch must yield.
 	changed chan struct{}
@@ -56,6 +58,7 @@
 	t := b.placer.Start(now, s.Endpoint.ID, placer.Online, b.nextID)
 	notify(b.changed)
 	if s.NeedsYield {
+		b.crowded = append(b.crowded, placer.KeyOf(s.Endpoint.ID))
 		notify(b.urgent)
 		notify(b.freed)
 	}
@@ -114,7 +117,21 @@
 func (b *Balancer) Report() placer.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return placer.Report{VM: b.vm, Pending: b.pending, Loads: b.placer.Own()}
+	return placer.Report{VM: b.vm, Pending: b.pending, Loads: b.placer.Own(), Faults: b.placer.Faults(time.Now())}
+}
+
+// TakeYielders returns the peers whose batch has to yield since the last call.
+func (b *Balancer) TakeYielders() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	vms := map[string]bool{}
+	for _, k := range b.crowded {
+		for _, vm := range b.placer.BatchHolders(k) {
+			vms[vm] = true
+		}
+	}
+	b.crowded = b.crowded[:0]
+	return vms
 }
 
 // Hear takes in a peer's report.
--- a/pkg/core/placer/batch.go
+++ b/pkg/core/placer/batch.go
@@ -10,21 +10,34 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 )
 
-// batchReserve is how many slots of an endpoint batch leaves free for the next online request.
-const batchReserve = 0
+const (
+	// refillPause keeps batch off an endpoint that online requests have just filled: a start takes an engine some
+	// 50 ms, and is lost if the next request takes the slot back.
+	refillPause = 150 * time.Millisecond
+	// reportDelay is how long peers at most take to hear of a batch start, and reportDelayEach grows with their number.
+	reportDelay     = 60 * time.Millisecond
+	reportDelayEach = 2500 * time.Microsecond
+	// distanceWeight is the share of an endpoint's slots that staying one step nearer is worth to an item.
+	distanceWeight = 0.2
+)
 
 // Room returns the endpoint at which the VM may start a batch item now.
 //
-// VMs with waiting items take free slots in an order of their own at each endpoint, so that two of them seldom take the
-// same one; should they, Excess makes one of them yield.
+// VMs with waiting items take free slots by turns, in an order of their own at each endpoint, so that two of them
+// seldom take the same one although they hear of each other's starts late; should they, Excess makes one yield.
 func (p *Placer) Room(now time.Time, vm string, endpoints []registrar.Endpoint) (registrar.Endpoint, bool) {
 	best, found := registrar.Endpoint{}, false
 	bestCost := 0.0
 	for _, e := range endpoints {
 		k := KeyOf(e.ID)
+		c := p.conditionOf(k)
+		c.slots = e.Slots
 		load := p.view.at(now, k)
-		free := e.Slots - batchReserve - load.sum()
-		if e.IsDraining || free <= p.rank(now, vm, e.ID) || p.conditionOf(k).isSuspect(now, holdGuess) {
+		free := e.Slots - load.sum()
+		if e.IsDraining || free <= 0 || now.Sub(c.overfullAt) < refillPause || c.isSuspect(now, holdGuess) {
+			continue
+		}
+		if free <= p.turnsBefore(now, vm, e.ID, c) {
 			continue
 		}
 		cost := float64(load.sum())/float64(e.Slots) + float64(p.topology.To(e.AvailabilityZone))*distanceWeight
@@ -35,15 +48,22 @@
 	return best, found
 }
 
-// distanceWeight is the share of an endpoint's slots that staying one step nearer is worth to an item.
-const distanceWeight = 0.2
+// turnsBefore returns how many of the endpoint's free slots fall to other VMs before this one may take its next.
+func (p *Placer) turnsBefore(now time.Time, vm, endpoint string, c *condition) int {
+	settle := reportDelay + time.Duration(len(p.view.peers))*reportDelayEach
+	return p.rank(now, vm, endpoint) + c.recentStarts(now, settle)*p.view.pending
+}
 
 // rank returns how many other VMs with waiting items come first at the endpoint.
 func (p *Placer) rank(now time.Time, vm, endpoint string) int {
+	p.view.expire(now)
+	if p.view.pending == 0 {
+		return 0
+	}
 	own := rankHash(vm, endpoint)
 	n := 0
 	for name, peer := range p.view.peers {
-		if peer.report.Pending > 0 && now.Sub(peer.at) < peerSilence && rankHash(name, endpoint) < own {
+		if peer.report.Pending > 0 && rankHash(name, endpoint) < own {
 			n++
 		}
 	}
@@ -69,7 +89,7 @@
 	}
 	shares := []share{{vm, own.Batch}}
 	for name, peer := range p.view.peers {
-		if b := peer.report.Loads[k].Batch; b > 0 && now.Sub(peer.at) < peerSilence {
+		if b := peer.report.Loads[k].Batch; b > 0 {
 			shares = append(shares, share{name, b})
 		}
 	}
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -30,10 +30,22 @@
 	} else {
 		l.Batch++
 	}
-	p.conditionOf(t.key).silent[id] = now
+	c := p.conditionOf(t.key)
+	c.silent[id] = now
+	if class == Batch {
+		c.starts = append(c.starts, now)
+	}
+	p.noteOverfull(now, t.key)
 	return t
 }
 
+// noteOverfull remembers that an endpoint has more requests than slots.
+func (p *Placer) noteOverfull(now time.Time, k Key) {
+	if c, ok := p.conditions[k]; ok && c.slots > 0 && p.view.at(now, k).sum() > c.slots {
+		c.overfullAt = now
+	}
+}
+
 // FirstByte notes that the request's answer has begun.
 func (p *Placer) FirstByte(now time.Time, t *Ticket, wasQueued bool) {
 	if !t.first.IsZero() {
@@ -93,11 +105,33 @@
 
 // Hear takes in a peer's report.
 func (p *Placer) Hear(now time.Time, r Report) {
-	p.view.peers[r.VM] = &peer{at: now, report: r}
+	p.view.hear(now, r)
+	for k := range r.Loads {
+		p.noteOverfull(now, k)
+	}
 }
 
-// Forget drops a peer that is gone.
-func (p *Placer) Forget(vm string) { delete(p.view.peers, vm) }
+// Faults returns the recent failures that this VM saw, by endpoint.
+func (p *Placer) Faults(now time.Time) map[Key]float64 {
+	faults := map[Key]float64{}
+	for k, c := range p.conditions {
+		if f := c.recentFaults(now); f >= leastFault {
+			faults[k] = f
+		}
+	}
+	return faults
+}
+
+// BatchHolders returns the peers that run batch items at the endpoint.
+func (p *Placer) BatchHolders(k Key) []string {
+	var vms []string
+	for vm, peer := range p.view.peers {
+		if peer.report.Loads[k].Batch > 0 {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
 
 // Own returns a copy of this VM's counts.
 func (p *Placer) Own() map[Key]Load {
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -169,6 +169,7 @@
 func (p *Placer) estimate(now time.Time, r registrar.Route, e registrar.Endpoint) (Send, time.Duration) {
 	k := KeyOf(e.ID)
 	c := p.conditionOf(k)
+	c.slots = e.Slots
 	load := p.view.at(now, k)
 	s := Send{Endpoint: e, Load: load, Estimate: c.first + roundTrips[p.topology.To(e.AvailabilityZone)]}
 	cost := s.Estimate
@@ -186,6 +187,7 @@
 		s.Estimate += wait
 		cost = s.Estimate + yieldTime
 	}
+	cost += time.Duration(min(c.recentFaults(now)+p.view.faults[k], mostFaults) * float64(faultCost))
 	if c.isSuspect(now, max(r.Objective, firstGuess)) {
 		cost += suspectCost
 	}
@@ -193,6 +195,11 @@
 }
 
 const (
+	// faultCost is the wait that a caller would bear rather than go where a request failed lately; a failed request
+	// that may not be repeated is lost.
+	faultCost = 60 * time.Millisecond
+	// mostFaults keeps endpoints that failed often comparable.
+	mostFaults = 20
 	// tieBreak is what a whole endpoint full of running requests weighs against the way to another: its slower steps.
 	tieBreak = 20 * time.Millisecond
 	jitter   = time.Millisecond
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -23,8 +24,10 @@
 	VMTable = "vm"
 	// heartbeat is how often a VM reports when nothing changes: four reports within the silence that peers bear.
 	heartbeat = 300 * time.Millisecond
-	// sendBudget is how many datagrams a second a VM may send.
-	sendBudget = 800
+	// nearBudget and farBudget are how many datagrams a second a VM may send within its region and to other regions,
+	// whose link is narrow and whose endpoints are the second choice.
+	nearBudget = 600
+	farBudget  = 200
 	// urgentGap is the shortest time between urgent reports.
 	urgentGap = 3 * time.Millisecond
 	// Silence is the age of the last report at which a VM counts as lost.
@@ -40,6 +43,7 @@
 	VM          string
 	Incarnation int64
 	Address     netip.AddrPort
+	Region      string
 	// ConfigVersion returns the version of the newest configuration known here.
 	ConfigVersion func() int64
 }
@@ -48,6 +52,7 @@
 type record struct {
 	Address     netip.AddrPort `json:"address"`
 	Incarnation int64          `json:"incarnation"`
+	Region      string         `json:"region"`
 }
 
 // Member is what is known of another VM.
@@ -55,8 +60,10 @@
 	VM          string
 	Address     netip.AddrPort
 	Incarnation int64
-	Config      int64
-	IsLeaving   bool
+	// Region is empty until the VM's row is known.
+	Region    string
+	Config    int64
+	IsLeaving bool
 	// HeardAt is the time of its last report; zero when there was none.
 	HeardAt  time.Time
 	sequence uint64
@@ -77,6 +84,8 @@
 	isLeaving atomic.Bool
 	sequence  uint64
 	started   time.Time
+	// farSentAt is when other regions were last told.
+	farSentAt time.Time
 	// onChange hears that a VM came, left or was lost.
 	onChange func()
 }
@@ -112,7 +121,7 @@
 // Leave tells the peers that this VM stops.
 func (g *Gossiper) Leave() {
 	g.isLeaving.Store(true)
-	g.send()
+	g.send(true, true)
 }
 
 // State says whether a VM's incarnation can be counted on.
@@ -204,13 +213,13 @@
 			g.members[e.Key] = m
 		}
 		if r.Incarnation >= m.Incarnation {
-			m.Address, m.Incarnation, m.listedAt = r.Address, r.Incarnation, now
+			m.Address, m.Incarnation, m.Region, m.listedAt = r.Address, r.Incarnation, r.Region, now
 		}
 	}
 }
 
 func (g *Gossiper) runRegister(ctx context.Context) {
-	value, err := json.Marshal(record{Address: g.cfg.Address, Incarnation: g.cfg.Incarnation})
+	value, err := json.Marshal(record{Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region})
 	if err != nil {
 		g.log.WithError(err).Error("VM's row can't be written")
 		return
@@ -274,18 +283,19 @@
 	beat := time.NewTimer(0)
 	defer beat.Stop()
 	for {
+		isUrgent, isBeat := false, false
 		select {
 		case <-ctx.Done():
 			return
 		case <-beat.C:
+			isBeat = true
 			g.onChange()
 		case <-g.balancer.Changed():
-			if !g.pause(ctx) {
-				return
-			}
+			isUrgent = g.pause(ctx)
 		case <-g.balancer.Urgent():
+			isUrgent = true
 		}
-		g.send()
+		g.send(isUrgent, isBeat)
 		beat.Reset(heartbeat)
 		if !wait(ctx, urgentGap) {
 			return
@@ -293,20 +303,31 @@
 	}
 }
 
-// pause spaces reports so that the budget holds, but not urgent ones.
+// pause spaces reports so that the budget holds, and says whether an urgent one came up.
 func (g *Gossiper) pause(ctx context.Context) bool {
-	g.mu.Lock()
-	gap := time.Duration(len(g.members)) * time.Second / sendBudget
-	g.mu.Unlock()
-	t := time.NewTimer(gap)
+	near, _ := g.gaps()
+	t := time.NewTimer(near)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-t.C:
 	case <-g.balancer.Urgent():
+		return true
+	}
+	return false
+}
+
+// gaps returns the least time between reports within the region and to others.
+func (g *Gossiper) gaps() (near, far time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, m := range g.members {
+		if m.Region == g.cfg.Region {
+			n++
+		}
 	}
-	return true
+	return time.Duration(n) * time.Second / nearBudget, time.Duration(len(g.members)-n) * time.Second / farBudget
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
@@ -320,22 +341,31 @@
 	}
 }
 
-func (g *Gossiper) send() {
+// send tells the VMs of the region, and those of others when it is their turn or their batch has to yield.
+func (g *Gossiper) send(isUrgent, isBeat bool) {
 	report := g.balancer.Report()
+	yielders := g.balancer.TakeYielders()
+	_, far := g.gaps()
 	g.mu.Lock()
 	g.sequence++
 	m := message{
 		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
-		Pending: report.Pending, Config: g.cfg.ConfigVersion(), Loads: loadMessages(report),
+		Pending: report.Pending, Config: g.cfg.ConfigVersion(), Loads: loadMessages(report), Faults: faultMessages(report),
 	}
 	now := time.Now()
+	isFarDue := isBeat || now.Sub(g.farSentAt) >= far
+	if isFarDue {
+		g.farSentAt = now
+	}
 	targets := make([]netip.AddrPort, 0, len(g.members))
 	for name, member := range g.members {
 		if now.Sub(member.HeardAt) > forgetAfter && now.Sub(member.listedAt) > forgetAfter {
 			delete(g.members, name)
 			continue
 		}
-		targets = append(targets, member.Address)
+		if member.Region == g.cfg.Region || isFarDue || (isUrgent && yielders[name]) {
+			targets = append(targets, member.Address)
+		}
 	}
 	g.mu.Unlock()
 	b, err := encode(m)
@@ -349,6 +379,14 @@
 	}
 }
 
+func faultMessages(r placer.Report) []faultMessage {
+	faults := make([]faultMessage, 0, len(r.Faults))
+	for k, f := range r.Faults {
+		faults = append(faults, faultMessage{Key: uint64(k), Tenths: uint16(min(f*faultScale, math.MaxUint16))})
+	}
+	return faults
+}
+
 func loadMessages(r placer.Report) []loadMessage {
 	loads := make([]loadMessage, 0, len(r.Loads))
 	for k, l := range r.Loads {
--- a/pkg/gossiper/message.go
+++ b/pkg/gossiper/message.go
@@ -10,6 +10,8 @@
 // maxDatagram keeps a report within one packet of the links.
 const maxDatagram = 1400
 
+const faultScale = 10
+
 // format guards against datagrams of other programs and of other versions.
 const format = 0xd061
 
@@ -26,6 +28,15 @@
 	// Config is the version of the newest configuration that the sender knows.
 	Config int64
 	Loads  []loadMessage
+	Faults []faultMessage
+}
+
+type faultMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key uint64
+	// Tenths of a failure.
+	Tenths uint16
 }
 
 type loadMessage struct {
@@ -53,7 +64,13 @@
 }
 
 func (m message) report() placer.Report {
-	r := placer.Report{VM: m.VM, Pending: m.Pending, Loads: make(map[placer.Key]placer.Load, len(m.Loads))}
+	r := placer.Report{
+		VM: m.VM, Pending: m.Pending, Loads: make(map[placer.Key]placer.Load, len(m.Loads)),
+		Faults: make(map[placer.Key]float64, len(m.Faults)),
+	}
+	for _, f := range m.Faults {
+		r.Faults[placer.Key(f.Key)] = float64(f.Tenths) / faultScale
+	}
 	for _, l := range m.Loads {
 		r.Loads[placer.Key(l.Key)] = placer.Load{Online: int(l.Online), Batch: int(l.Batch)}
 	}
--- a/pkg/jobkeeper/keeper.go
+++ b/pkg/jobkeeper/keeper.go
@@ -76,6 +76,7 @@
 		news: make(chan struct{}), changed: make(chan struct{}, 1), adopting: map[string]bool{},
 	}
 	k.feed = watcher.NewFeed(store, jobTable, partitionNames(), k.hear, log)
+	k.feed.SetGap(feedGap)
 	return k
 }
 
@@ -223,4 +224,6 @@
 const (
 	// retryPause spaces writes that the store refused or did not answer.
 	retryPause = 150 * time.Millisecond
+	// feedGap gathers the changes of jobs: callers read twice a second, and an end must be known within seconds.
+	feedGap = 250 * time.Millisecond
 )
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -239,6 +239,7 @@
 			gate = e.Version
 		}
 	}
+	k.feed.Poke()
 	limit := time.Now().Add(gateWait)
 	for time.Now().Before(limit) {
 		k.mu.Lock()
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// watchWait is the longest wait of one call; a silent connection is given up soon after it, within the bounds for
-	// configurations and leaving endpoints.
-	watchWait = 1500 * time.Millisecond
+	// watchWait is the longest wait of one call. A connection that went silent is given up soon after it, within the
+	// time after which the platform counts on a VM again.
+	watchWait = 2800 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed call.
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = 400 * time.Millisecond
@@ -39,6 +39,9 @@
 	partitions []string
 	hear       func(Update)
 	log        logrus.FieldLogger
+	// gap spaces the calls of a table that changes often; poked ends it.
+	gap   time.Duration
+	poked chan struct{}
 
 	version  int64
 	isSynced bool
@@ -55,7 +58,18 @@
 ) *Feed {
 	return &Feed{
 		store: store, table: table, partitions: partitions, hear: hear,
-		log: log.WithField("table", table),
+		log: log.WithField("table", table), poked: make(chan struct{}, 1),
+	}
+}
+
+// SetGap spaces the calls of a table whose changes need not be known at once.
+func (f *Feed) SetGap(gap time.Duration) { f.gap = gap }
+
+// Poke ends the gap after the last call.
+func (f *Feed) Poke() {
+	select {
+	case f.poked <- struct{}{}:
+	default:
 	}
 }
 
@@ -77,6 +91,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err == nil {
 			pause = firstRetry
+			f.space(ctx)
 			continue
 		}
 		if !sleep(ctx, pause) {
@@ -89,6 +104,20 @@
 // Run follows the table until ctx ends.
 func (f *Feed) Run(ctx context.Context) { f.run(ctx) }
 
+// space waits for the gap, or until the feed is poked.
+func (f *Feed) space(ctx context.Context) {
+	if f.gap == 0 {
+		return
+	}
+	t := time.NewTimer(f.gap)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-f.poked:
+	}
+}
+
 func (f *Feed) step(ctx context.Context) error {
 	if !f.isSynced {
 		u, err := f.scan(ctx)
