Order batch items by what can be done in time, and VMs by urgency

Change: Moore and Hodgson's order over a VM's items; VMs take free slots by the due time of their most urgent item; a VM whose store is lost refuses jobs at once.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,6 +17,8 @@
 	placer  *placer.Placer
 	nextID  uint64
 	pending int
+	// due is when the most urgent waiting item is due.
+	due time.Time
 	// crowded holds the endpoints at which batch has to yield and peers were not told yet.
 	crowded []placer.Key
 
@@ -70,7 +72,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	e, ok := b.placer.Room(now, b.vm, endpoints)
+	e, ok := b.placer.Room(now, b.vm, b.due.Sub(now), endpoints)
 	if !ok {
 		return e, nil, false
 	}
@@ -103,21 +105,24 @@
 	notify(b.freed)
 }
 
-// SetPending says how many batch items wait here.
-func (b *Balancer) SetPending(n int) {
+// SetPending says how many batch items wait here, and when the most urgent one is due.
+func (b *Balancer) SetPending(n int, due time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if (b.pending == 0) != (n == 0) {
 		notify(b.changed)
 	}
-	b.pending = n
+	b.pending, b.due = n, due
 }
 
 // Report returns what to tell peers.
 func (b *Balancer) Report() placer.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return placer.Report{VM: b.vm, Pending: b.pending, Loads: b.placer.Own(), Faults: b.placer.Faults(time.Now())}
+	now := time.Now()
+	return placer.Report{
+		VM: b.vm, Pending: b.pending, Urgency: b.due.Sub(now), Loads: b.placer.Own(), Faults: b.placer.Faults(now),
+	}
 }
 
 // TakeYielders returns the peers whose batch has to yield since the last call.
--- a/pkg/core/placer/batch.go
+++ b/pkg/core/placer/batch.go
@@ -19,13 +19,17 @@
 	reportDelayEach = 2500 * time.Microsecond
 	// distanceWeight is the share of an endpoint's slots that staying one step nearer is worth to an item.
 	distanceWeight = 0.2
+	// urgencyStep is the difference in due times below which VMs count as equally urgent: clocks differ.
+	urgencyStep = 500 * time.Millisecond
 )
 
 // Room returns the endpoint at which the VM may start a batch item now.
 //
-// VMs with waiting items take free slots by turns, in an order of their own at each endpoint, so that two of them
-// seldom take the same one although they hear of each other's starts late; should they, Excess makes one yield.
-func (p *Placer) Room(now time.Time, vm string, endpoints []registrar.Endpoint) (registrar.Endpoint, bool) {
+// VMs with waiting items take free slots by turns, the one with the most urgent item first, so that two of them seldom
+// take the same one although they hear of each other's starts late; should they, Excess makes one yield.
+func (p *Placer) Room(
+	now time.Time, vm string, urgency time.Duration, endpoints []registrar.Endpoint,
+) (registrar.Endpoint, bool) {
 	best, found := registrar.Endpoint{}, false
 	bestCost := 0.0
 	for _, e := range endpoints {
@@ -37,7 +41,7 @@
 		if e.IsDraining || free <= 0 || now.Sub(c.overfullAt) < refillPause || c.isSuspect(now, holdGuess) {
 			continue
 		}
-		if free <= p.turnsBefore(now, vm, e.ID, c) {
+		if free <= p.turnsBefore(now, vm, urgency, e.ID, c) {
 			continue
 		}
 		cost := float64(load.sum())/float64(e.Slots) + float64(p.topology.To(e.AvailabilityZone))*distanceWeight
@@ -49,21 +53,27 @@
 }
 
 // turnsBefore returns how many of the endpoint's free slots fall to other VMs before this one may take its next.
-func (p *Placer) turnsBefore(now time.Time, vm, endpoint string, c *condition) int {
-	settle := reportDelay + time.Duration(len(p.view.peers))*reportDelayEach
-	return p.rank(now, vm, endpoint) + c.recentStarts(now, settle)*p.view.pending
-}
-
-// rank returns how many other VMs with waiting items come first at the endpoint.
-func (p *Placer) rank(now time.Time, vm, endpoint string) int {
+func (p *Placer) turnsBefore(now time.Time, vm string, urgency time.Duration, endpoint string, c *condition) int {
 	p.view.expire(now)
 	if p.view.pending == 0 {
 		return 0
 	}
+	settle := reportDelay + time.Duration(len(p.view.peers))*reportDelayEach
+	return p.rank(now, vm, urgency, endpoint) + c.recentStarts(now, settle)*p.view.pending
+}
+
+// rank returns how many other VMs with waiting items come first at the endpoint.
+func (p *Placer) rank(now time.Time, vm string, urgency time.Duration, endpoint string) int {
 	own := rankHash(vm, endpoint)
 	n := 0
 	for name, peer := range p.view.peers {
-		if peer.report.Pending > 0 && rankHash(name, endpoint) < own {
+		if peer.report.Pending == 0 {
+			continue
+		}
+		theirs := peer.report.Urgency - now.Sub(peer.at)
+		isFirst := theirs < urgency-urgencyStep
+		isEqual := !isFirst && theirs < urgency+urgencyStep
+		if isFirst || (isEqual && rankHash(name, endpoint) < own) {
 			n++
 		}
 	}
--- a/pkg/core/placer/load.go
+++ b/pkg/core/placer/load.go
@@ -27,6 +27,8 @@
 	VM string
 	// Pending is how many batch items wait for a slot at the VM.
 	Pending int
+	// Urgency is the time until the most urgent of them is due.
+	Urgency time.Duration
 	Loads   map[Key]Load
 	// Faults holds the recent failures at each endpoint, each weighing less the older it is.
 	Faults map[Key]float64
--- a/pkg/gossiper/message.go
+++ b/pkg/gossiper/message.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -25,6 +27,8 @@
 	Sequence    uint64
 	IsLeaving   bool
 	Pending     int
+	// UrgencyMs is the time until the most urgent waiting item is due, in milliseconds.
+	UrgencyMs int64
 	// Config is the version of the newest configuration that the sender knows.
 	Config int64
 	Loads  []loadMessage
@@ -65,7 +69,8 @@
 
 func (m message) report() placer.Report {
 	r := placer.Report{
-		VM: m.VM, Pending: m.Pending, Loads: make(map[placer.Key]placer.Load, len(m.Loads)),
+		VM: m.VM, Pending: m.Pending, Urgency: time.Duration(m.UrgencyMs) * time.Millisecond,
+		Loads:  make(map[placer.Key]placer.Load, len(m.Loads)),
 		Faults: make(map[placer.Key]float64, len(m.Faults)),
 	}
 	for _, f := range m.Faults {
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -130,6 +130,9 @@
 	if _, ok, _ := k.lookUp(job.ID); ok {
 		return http.StatusAccepted, nil
 	}
+	if k.feed.IsLost() {
+		return http.StatusServiceUnavailable, errStoreLost
+	}
 	if !k.fits(job, route) {
 		return http.StatusTooManyRequests, nil
 	}
@@ -178,6 +181,9 @@
 	return err
 }
 
+// errStoreLost says that the store did not answer this VM's last calls.
+var errStoreLost = errors.New("the store does not answer")
+
 // errBehind says that other VMs took jobs in that are not known here yet.
 var errBehind = errors.New("other jobs were taken in meanwhile")
 
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -19,6 +19,8 @@
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = 400 * time.Millisecond
 	scanPage     = 500
+	// lostAfter is how many calls in a row must fail for the store to count as lost; one may be a reset connection.
+	lostAfter = 2
 )
 
 // Update is what a feed hears: all rows of the table, or those that changed.
@@ -48,6 +50,7 @@
 	failed   int
 	lostAt   time.Time
 
+	isLost    atomic.Bool
 	confirmed atomic.Int64
 	known     atomic.Int64
 }
@@ -101,6 +104,9 @@
 	}
 }
 
+// IsLost says whether the store did not answer the feed's last calls.
+func (f *Feed) IsLost() bool { return f.isLost.Load() }
+
 // Run follows the table until ctx ends.
 func (f *Feed) Run(ctx context.Context) { f.run(ctx) }
 
@@ -162,6 +168,7 @@
 	now := time.Now()
 	if err != nil {
 		f.failed++
+		f.isLost.Store(f.failed >= lostAfter)
 		f.lostAt = now
 		if f.failed == 1 {
 			f.log.WithError(err).WithField("version", f.version).Warn("store lost")
@@ -171,6 +178,7 @@
 	if f.failed > 0 {
 		f.log.WithFields(logrus.Fields{"failures": f.failed, "version": u.Version}).Info("store regained")
 		f.failed = 0
+		f.isLost.Store(false)
 	}
 	f.confirmed.Store(now.UnixNano())
 	f.isSynced = true
--- a/pkg/worker/item.go
+++ b/pkg/worker/item.go
@@ -54,6 +54,7 @@
 	isCurrent := t.run == run
 	if isCurrent {
 		t.run = nil
+		t.ran += time.Since(run.started)
 	}
 	outcome := w.takeEnd(t, run, route, err, cause, isCurrent)
 	w.metrics.ItemRun(outcome)
@@ -75,6 +76,7 @@
 	if err == nil {
 		w.balancer.End(run.ticket, placer.EndedWhole)
 		if isCurrent {
+			w.estimator.Completed(t.item.Tokens, t.ran)
 			w.finish(t, jobkeeper.Result{ID: t.item.ID, State: jobber.Succeeded, Output: t.output})
 		}
 		return "whole"
--- a/pkg/worker/worker.go
+++ b/pkg/worker/worker.go
@@ -1,7 +1,6 @@
 package worker
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/scheduler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
@@ -45,6 +45,10 @@
 
 	mu        sync.Mutex
 	jobs      map[string]*work
+	estimator *scheduler.Estimator
+	// plan holds the items in the order in which to run them, as of plannedAt.
+	plan      []*task
+	plannedAt time.Time
 	isLeaving bool
 	ctx       context.Context
 }
@@ -74,6 +78,10 @@
 	failures  int
 	notBefore time.Time
 	run       *itemRun
+	// ran is how long earlier runs took.
+	ran time.Duration
+	// isLate says that the plan puts the item behind those that can be done in time.
+	isLate bool
 	// saved is how much of the output, up to which event, is in checkpoints.
 	saved      int
 	savedEvent int64
@@ -95,6 +103,7 @@
 ) *Worker {
 	return &Worker{
 		headers: h, keeper: k, registry: registry, balancer: b, pool: p, metrics: m, log: log, jobs: map[string]*work{},
+		estimator: scheduler.NewEstimator(),
 	}
 }
 
@@ -118,7 +127,7 @@
 		}
 	}
 	w.mu.Unlock()
-	w.balancer.SetPending(0)
+	w.balancer.SetPending(0, time.Time{})
 	w.keeper.HandOver(w.ctx, running)
 }
 
@@ -264,12 +273,7 @@
 		if n == 0 {
 			continue
 		}
-		slices.SortFunc(tasks, func(a, b *task) int {
-			if c := b.work.due.Compare(a.work.due); c != 0 {
-				return c
-			}
-			return b.run.started.Compare(a.run.started)
-		})
+		slices.SortFunc(tasks, yieldsBefore)
 		for _, t := range tasks[:min(n, len(tasks))] {
 			w.cancel(t, errYield)
 			t.notBefore = now
@@ -277,17 +281,33 @@
 	}
 }
 
+// yieldsBefore orders tasks by which gives up its slot first: late ones, then those due last.
+func yieldsBefore(a, b *task) int {
+	if a.isLate != b.isLate {
+		if a.isLate {
+			return -1
+		}
+		return 1
+	}
+	if c := b.work.due.Compare(a.work.due); c != 0 {
+		return c
+	}
+	return b.run.started.Compare(a.run.started)
+}
+
 // cancel ends the task's run; its slot counts as free at once.
 func (w *Worker) cancel(t *task, cause error) {
 	t.run.cancel(cause)
+	t.ran += time.Since(t.run.started)
 	w.balancer.End(t.run.ticket, placer.EndedHere)
 	t.run = nil
 }
 
-// startItems starts waiting items while there is room, the earliest due first; the lock is held.
+// startItems starts waiting items while there is room, in the order of the plan; the lock is held.
 func (w *Worker) startItems(ctx context.Context, now time.Time) {
+	w.planItems(now)
 	waiting := w.waiting(now)
-	w.balancer.SetPending(len(waiting))
+	w.setPending(waiting)
 	full := map[string]bool{}
 	started := 0
 	for _, t := range waiting {
@@ -312,31 +332,74 @@
 		go w.runItem(runCtx, t, t.run, route)
 	}
 	if started > 0 {
-		w.balancer.SetPending(len(waiting) - started)
+		w.setPending(w.waiting(now))
 	}
 }
 
-func (w *Worker) waiting(now time.Time) []*task {
-	var waiting []*task
+// lateUrgency is the urgency of items that are late whatever is done.
+const lateUrgency = time.Minute
+
+func (w *Worker) setPending(waiting []*task) {
+	if len(waiting) == 0 {
+		w.balancer.SetPending(0, time.Time{})
+		return
+	}
+	due := waiting[0].work.due
+	if waiting[0].isLate {
+		due = time.Now().Add(lateUrgency)
+	}
+	w.balancer.SetPending(len(waiting), due)
+}
+
+// planEvery is how often the order of items is worked out: many times in an item's run.
+const planEvery = 50 * time.Millisecond
+
+// planItems orders all items that are not at their end; the lock is held.
+func (w *Worker) planItems(now time.Time) {
+	if now.Sub(w.plannedAt) < planEvery {
+		return
+	}
+	w.plannedAt = now
+	var items []scheduler.Item
+	tasks := map[string]*task{}
+	running := 0
 	for id, j := range w.jobs {
 		if w.keeper.IsOver(id) {
 			continue
 		}
 		for i, t := range j.tasks {
-			if t.run == nil && !t.isOver && !now.Before(t.notBefore) && !w.keeper.IsFinished(id, i) {
-				waiting = append(waiting, t)
+			if t.isOver || w.keeper.IsFinished(id, i) {
+				continue
 			}
+			ran := t.ran
+			if t.run != nil {
+				running++
+				ran += now.Sub(t.run.started)
+			}
+			key := id + "/" + t.item.ID
+			tasks[key] = t
+			items = append(items, scheduler.Item{
+				ID: key, Due: j.due, Remaining: w.estimator.Remaining(t.item.Tokens, ran),
+			})
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *task) int {
-		if c := a.work.due.Compare(b.work.due); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(len(b.output), len(a.output)); c != 0 {
-			return c
+	w.estimator.Running(now, running)
+	w.plan = w.plan[:0]
+	for _, p := range scheduler.Order(now, items, w.estimator.Slots(running)) {
+		t := tasks[p.ID]
+		t.isLate = p.IsLate
+		w.plan = append(w.plan, t)
+	}
+}
+
+// waiting returns the items of the plan that may be started; the lock is held.
+func (w *Worker) waiting(now time.Time) []*task {
+	var waiting []*task
+	for _, t := range w.plan {
+		if t.run == nil && !t.isOver && !now.Before(t.notBefore) && !w.keeper.IsFinished(t.work.id, t.index) {
+			waiting = append(waiting, t)
 		}
-		return cmp.Compare(a.item.ID, b.item.ID)
-	})
+	}
 	return waiting
 }
 
