--- a/pkg/core/placer/batch.go
+++ b/pkg/core/placer/batch.go
@@ -14,11 +14,14 @@
 	// refillPause keeps batch off an endpoint that online requests have just filled: a start takes an engine some
 	// 50 ms, and is lost if the next request takes the slot back.
 	refillPause = 150 * time.Millisecond
+	// freePause is how long a slot must have been free: a report between regions, in which another VM's online request
+	// may have taken it.
+	freePause = 60 * time.Millisecond
 	// reportDelay is how long peers at most take to hear of a batch start, and reportDelayEach grows with their number.
 	reportDelay     = 60 * time.Millisecond
 	reportDelayEach = 2500 * time.Microsecond
 	// distanceWeight is the share of an endpoint's slots that staying one step nearer is worth to an item.
-	distanceWeight = 0.2
+	distanceWeight = 0.05
 	// urgencyStep is the difference in due times below which VMs count as equally urgent: clocks differ.
 	urgencyStep = 500 * time.Millisecond
 )
@@ -38,7 +41,10 @@
 		c.slots = e.Slots
 		load := p.view.at(now, k)
 		free := e.Slots - load.sum()
-		if e.IsDraining || free <= 0 || now.Sub(c.overfullAt) < refillPause || c.isSuspect(now, holdGuess) {
+		if e.IsDraining || free <= 0 || c.isSuspect(now, holdGuess) {
+			continue
+		}
+		if now.Sub(c.overfullAt) < refillPause || now.Sub(c.fullAt) < freePause {
 			continue
 		}
 		if free <= p.turnsBefore(now, vm, urgency, e.ID, c) {
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -35,13 +35,21 @@
 	if class == Batch {
 		c.starts = append(c.starts, now)
 	}
-	p.noteOverfull(now, t.key)
+	p.noteFull(now, t.key)
 	return t
 }
 
-// noteOverfull remembers that an endpoint has more requests than slots.
-func (p *Placer) noteOverfull(now time.Time, k Key) {
-	if c, ok := p.conditions[k]; ok && c.slots > 0 && p.view.at(now, k).sum() > c.slots {
+// noteFull remembers that all slots of an endpoint are taken.
+func (p *Placer) noteFull(now time.Time, k Key) {
+	c, ok := p.conditions[k]
+	if !ok || c.slots == 0 {
+		return
+	}
+	sum := p.view.at(now, k).sum()
+	if sum >= c.slots {
+		c.fullAt = now
+	}
+	if sum > c.slots {
 		c.overfullAt = now
 	}
 }
@@ -81,6 +89,7 @@
 		return
 	}
 	t.isOver = true
+	p.noteFull(now, t.key)
 	l := p.view.ownAt(t.key)
 	if t.class == Online {
 		l.Online--
@@ -105,9 +114,14 @@
 
 // Hear takes in a peer's report.
 func (p *Placer) Hear(now time.Time, r Report) {
+	if old, ok := p.view.peers[r.VM]; ok {
+		for k := range old.report.Loads {
+			p.noteFull(now, k)
+		}
+	}
 	p.view.hear(now, r)
 	for k := range r.Loads {
-		p.noteOverfull(now, k)
+		p.noteFull(now, k)
 	}
 }
 
--- a/pkg/core/placer/health.go
+++ b/pkg/core/placer/health.go
@@ -38,8 +38,8 @@
 	faultsAt time.Time
 	// slots is the endpoint's number of slots, as last told; 0 before.
 	slots int
-	// overfullAt is when more requests than slots were last seen there.
-	overfullAt time.Time
+	// fullAt is when all slots were last seen taken, overfullAt when there were more requests than slots.
+	fullAt, overfullAt time.Time
 	// starts holds the times of this VM's latest batch starts there.
 	starts []time.Time
 }
