--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -64,7 +64,7 @@
 	} else {
 		go x.runWrite(r)
 	}
-	res, err := c.readResponse(r)
+	res, err := c.readResponse(r) //nolint:bodyclose // Close ends the exchange with its connection.
 	if err != nil {
 		return fail("read answer", err)
 	}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -350,7 +350,8 @@
 	g.sequence++
 	m := message{
 		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
-		Pending: report.Pending, UrgencyMs: report.Urgency.Milliseconds(), Config: g.cfg.ConfigVersion(), Loads: loadMessages(report), Faults: faultMessages(report),
+		Pending: report.Pending, UrgencyMs: report.Urgency.Milliseconds(), Config: g.cfg.ConfigVersion(),
+		Loads: loadMessages(report), Faults: faultMessages(report),
 	}
 	now := time.Now()
 	isFarDue := isBeat || now.Sub(g.farSentAt) >= far
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -65,6 +65,7 @@
 		Handler: http.HandlerFunc(l.serveCaller), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 	}
+	listen := net.ListenConfig{}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+l.cfg.ReadyPath, l.serveReady)
 	metrics := http.NewServeMux()
@@ -77,7 +78,7 @@
 		{&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, l.cfg.Ready},
 		{&http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}, l.cfg.Metrics},
 	} {
-		socket, err := net.Listen("tcp4", s.addr.String())
+		socket, err := listen.Listen(context.Background(), "tcp4", s.addr.String())
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.addr)
 		}
