Pass configuration and endpoints on to VMs that lost the store

Cause: a VM refused by the store kept old routes and endpoints for as long as that lasts. Test: TestVMWithoutStoreHearsOfItsPeers (failed without the informer: the route was unknown).

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/informer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/listener"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
@@ -61,6 +62,7 @@
 	Watcher   *watcher.Watcher
 	Balancer  *balancer.Balancer
 	Gossiper  *gossiper.Gossiper
+	Informer  *informer.Informer
 	Pool      *dialer.Pool
 	JobKeeper *jobkeeper.Keeper
 	Worker    *worker.Worker
@@ -79,7 +81,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newRing, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPool, newRelayer, newJobKeeper, newWorker, newListener,
+			newBalancer, newGossiper, newInformer, newPool, newRelayer, newJobKeeper, newWorker, newListener,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -99,7 +101,7 @@
 	return tracer.New(loader.Settings{VM: s.VM})
 }
 
-func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store) }
+func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store, s.VM.ID) }
 
 func newTable(s *platform.Store) storer.Table { return s }
 
@@ -130,6 +132,12 @@
 	}, t, b, log)
 }
 
+func newInformer(
+	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, log logrus.FieldLogger,
+) *informer.Informer {
+	return informer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log)
+}
+
 func newPool() *dialer.Pool { return dialer.NewPool(idleConnections) }
 
 func newRelayer(
@@ -181,6 +189,9 @@
 	if err := g.Gossiper.Start(g.ctx); err != nil {
 		return err
 	}
+	if err := g.Informer.Start(g.ctx); err != nil {
+		return err
+	}
 	g.JobKeeper.Start(g.ctx)
 	g.Worker.Start(g.ctx)
 	go g.runSweep()
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -155,3 +155,30 @@
 		}
 	}
 }
+
+// TestVMWithoutStoreHearsOfItsPeers keeps the store from one of two VMs while the configuration changes.
+func TestVMWithoutStoreHearsOfItsPeers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	cutOff := "dogwoodledge/" + f.vms[1].name
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if r.UserAgent() == cutOff {
+			return standin.Busy
+		}
+		return standin.NoFault
+	})
+	f.server.CloseClientConnections()
+	time.Sleep(time.Second)
+	f.routes = append(f.routes, route("safe", "/new/", "app", nil))
+	f.configure()
+	drained := f.endpoint("i-app-1")
+	f.store.Put("servers", "", drained.ID, drained.Entry("draining"))
+	require.Eventually(t, func() bool {
+		return f.call(t.Context(), f.vms[1], http.MethodPost, "/new/1", newID("n"), "").status == http.StatusOK
+	}, patience, 50*time.Millisecond, "the VM without the store does not learn of the route")
+	before := len(drained.Runs())
+	for range 10 {
+		assert.Equal(t, 200, f.call(t.Context(), f.vms[1], http.MethodPost, "/status/1", newID("n"), "").status)
+	}
+	assert.Len(t, drained.Runs(), before)
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -190,6 +191,30 @@
 	return vms
 }
 
+// AnyPeer returns the address of a live VM, one of the own region first.
+func (g *Gossiper) AnyPeer() (netip.AddrPort, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	var near, far []netip.AddrPort
+	for _, m := range g.members {
+		switch {
+		case now.Sub(m.HeardAt) >= Silence:
+		case m.Region == g.cfg.Region:
+			near = append(near, m.Address)
+		default:
+			far = append(far, m.Address)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
 func (g *Gossiper) hearTable(u watcher.Update) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/pkg/informer/service.go
@@ -0,0 +1,77 @@
+package informer
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/emptypb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+)
+
+const (
+	serviceName = "dogwoodledge.Informer"
+	rowsMethod  = "Rows"
+)
+
+// rowMessage is a row on the wire between VMs.
+type rowMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Table, Key string
+	Value      []byte
+	Version    int64
+	IsRemoved  bool
+}
+
+// Server answers other VMs from what the watcher knows.
+type Server struct {
+	watcher *watcher.Watcher
+}
+
+// describe returns the service, whose one message is opaque bytes, so that it needs no generated code.
+func describe() *grpc.ServiceDesc {
+	return &grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{{
+			MethodName: rowsMethod,
+			Handler: func(srv any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+				if err := decode(&emptypb.Empty{}); err != nil {
+					return nil, err
+				}
+				return srv.(*Server).rows()
+			},
+		}},
+	}
+}
+
+func (s *Server) rows() (*wrapperspb.BytesValue, error) {
+	entries := s.watcher.Rows()
+	rows := make([]rowMessage, 0, len(entries))
+	for _, e := range entries {
+		rows = append(rows, rowMessage{
+			Table: e.Table, Key: e.Key, Value: e.Value, Version: e.Version, IsRemoved: e.IsRemoved,
+		})
+	}
+	b, err := cbor.Marshal(rows)
+	return wrapperspb.Bytes(b), errors.Wrap(err, "encode rows")
+}
+
+func decodeRows(b []byte) ([]storer.Entry, error) {
+	var rows []rowMessage
+	if err := cbor.Unmarshal(b, &rows); err != nil {
+		return nil, errors.Wrap(err, "decode rows")
+	}
+	entries := make([]storer.Entry, 0, len(rows))
+	for _, r := range rows {
+		entries = append(entries, storer.Entry{
+			Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version, IsRemoved: r.IsRemoved,
+		})
+	}
+	return entries, nil
+}
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -76,6 +76,43 @@
 	return max(w.config.Age(now), w.endpoints.Age(now))
 }
 
+// IsLost says whether the store did not answer the last calls of either table.
+func (w *Watcher) IsLost() bool { return w.config.IsLost() || w.endpoints.IsLost() }
+
+// Rows returns the newest rows heard of both tables, removed ones included.
+func (w *Watcher) Rows() []storer.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	entries := make([]storer.Entry, 0, len(w.rows)+1)
+	if w.configRow.Version > 0 {
+		entries = append(entries, w.configRow)
+	}
+	for id, row := range w.rows {
+		e := row.entry
+		e.Table, e.Key = w.decoder.EndpointTable, id
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// HearPeer takes over rows of another VM that are newer than those known here.
+func (w *Watcher) HearPeer(entries []storer.Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for _, e := range entries {
+		switch e.Table {
+		case w.decoder.ConfigTable:
+			if e.Key == w.decoder.ConfigKey {
+				w.takeConfig(e)
+			}
+		case w.decoder.EndpointTable:
+			w.takeEndpoint(e, now, false)
+		}
+	}
+	w.publish()
+}
+
 func (w *Watcher) hearConfig(u Update) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
