Ask engines for their load while a VM is silent

Change: one VM an engine asks for its report, two to three times a second, only while some VM is silent; what nobody told of counts as online.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/informer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/inspector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/listener"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
@@ -63,6 +64,7 @@
 	Balancer  *balancer.Balancer
 	Gossiper  *gossiper.Gossiper
 	Informer  *informer.Informer
+	Inspector *inspector.Inspector
 	Pool      *dialer.Pool
 	JobKeeper *jobkeeper.Keeper
 	Worker    *worker.Worker
@@ -81,7 +83,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newRing, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newInformer, newPool, newRelayer, newJobKeeper, newWorker, newListener,
+			newBalancer, newGossiper, newInformer, newInspector, newPool, newRelayer, newJobKeeper, newWorker, newListener,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -138,6 +140,13 @@
 	return informer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log)
 }
 
+func newInspector(
+	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
+	log logrus.FieldLogger,
+) *inspector.Inspector {
+	return inspector.New(s.VM.ID, platform.ReportProtocol(), w.Current, g, b, p, log)
+}
+
 func newPool() *dialer.Pool { return dialer.NewPool(idleConnections) }
 
 func newRelayer(
@@ -192,6 +201,7 @@
 	if err := g.Informer.Start(g.ctx); err != nil {
 		return err
 	}
+	g.Inspector.Start(g.ctx)
 	g.JobKeeper.Start(g.ctx)
 	g.Worker.Start(g.ctx)
 	go g.runSweep()
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -122,6 +122,7 @@
 	now := time.Now()
 	return placer.Report{
 		VM: b.vm, Pending: b.pending, Urgency: b.due.Sub(now), Loads: b.placer.Own(), Faults: b.placer.Faults(now),
+		Hidden: b.placer.Hidden(now),
 	}
 }
 
@@ -147,6 +148,15 @@
 	notify(b.freed)
 }
 
+// HearEngine takes in how many requests an engine has in all.
+func (b *Balancer) HearEngine(k placer.Key, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.placer.HearEngine(time.Now(), k, requests)
+	notify(b.changed)
+	notify(b.freed)
+}
+
 // Retain drops what is known of endpoints that are gone.
 func (b *Balancer) Retain(r *registrar.Registry) {
 	known := make(map[placer.Key]bool, len(r.Endpoints))
--- a/pkg/core/placer/batch.go
+++ b/pkg/core/placer/batch.go
@@ -39,7 +39,7 @@
 		k := KeyOf(e.ID)
 		c := p.conditionOf(k)
 		c.slots = e.Slots
-		load := p.view.at(now, k)
+		load := p.loadAt(now, k)
 		free := e.Slots - load.sum()
 		if e.IsDraining || free <= 0 || c.isSuspect(now, holdGuess) {
 			continue
@@ -93,7 +93,7 @@
 // All VMs work it out alike: those with the most batch items there give up theirs first.
 func (p *Placer) Excess(now time.Time, vm string, e registrar.Endpoint) int {
 	k := KeyOf(e.ID)
-	load := p.view.at(now, k)
+	load := p.loadAt(now, k)
 	over := min(load.sum()-e.Slots, load.Batch)
 	own := p.view.own[k]
 	if over <= 0 || own == nil || own.Batch == 0 {
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -45,7 +45,7 @@
 	if !ok || c.slots == 0 {
 		return
 	}
-	sum := p.view.at(now, k).sum()
+	sum := p.loadAt(now, k).sum()
 	if sum >= c.slots {
 		c.fullAt = now
 	}
@@ -120,11 +120,42 @@
 		}
 	}
 	p.view.hear(now, r)
+	for k, n := range r.Hidden {
+		c := p.conditionOf(k)
+		c.hidden, c.hiddenAt, c.isInspector = n, now, false
+	}
 	for k := range r.Loads {
 		p.noteFull(now, k)
 	}
 }
 
+// loadAt returns the counts of all VMs at the endpoint, and as online those that only the engine knows of.
+func (p *Placer) loadAt(now time.Time, k Key) Load {
+	load := p.view.at(now, k)
+	if c, ok := p.conditions[k]; ok && now.Sub(c.hiddenAt) < hiddenFor {
+		load.Online += c.hidden
+	}
+	return load
+}
+
+// HearEngine takes in how many requests an engine has in all.
+func (p *Placer) HearEngine(now time.Time, k Key, requests int) {
+	c := p.conditionOf(k)
+	c.hidden, c.hiddenAt = max(requests-p.view.at(now, k).sum()-hiddenSlack, 0), now
+	c.isInspector = true
+}
+
+// Hidden returns the hidden requests that this VM found.
+func (p *Placer) Hidden(now time.Time) map[Key]int {
+	hidden := map[Key]int{}
+	for k, c := range p.conditions {
+		if c.isInspector && c.hidden > 0 && now.Sub(c.hiddenAt) < hiddenFor {
+			hidden[k] = c.hidden
+		}
+	}
+	return hidden
+}
+
 // Faults returns the recent failures that this VM saw, by endpoint.
 func (p *Placer) Faults(now time.Time) map[Key]float64 {
 	faults := map[Key]float64{}
--- a/pkg/core/placer/health.go
+++ b/pkg/core/placer/health.go
@@ -19,6 +19,10 @@
 )
 
 const (
+	// hiddenFor is how long a count of hidden requests holds: two reports of the engine.
+	hiddenFor = 900 * time.Millisecond
+	// hiddenSlack is taken off it, since an engine's report lags behind the VMs' counts.
+	hiddenSlack = 1
 	// faultHalfLife is the time within which an endpoint that is gone loses its registration.
 	faultHalfLife = 4 * time.Second
 	// leastFault is the weight below which a failure is forgotten.
@@ -40,6 +44,11 @@
 	slots int
 	// fullAt is when all slots were last seen taken, overfullAt when there were more requests than slots.
 	fullAt, overfullAt time.Time
+	// hidden is how many requests an engine had, as of hiddenAt, that no VM told of.
+	hidden   int
+	hiddenAt time.Time
+	// isInspector says that this VM asked the engine.
+	isInspector bool
 	// starts holds the times of this VM's latest batch starts there.
 	starts []time.Time
 }
--- a/pkg/core/placer/load.go
+++ b/pkg/core/placer/load.go
@@ -30,6 +30,8 @@
 	// Urgency is the time until the most urgent of them is due.
 	Urgency time.Duration
 	Loads   map[Key]Load
+	// Hidden holds how many requests engines have that no VM told of.
+	Hidden map[Key]int
 	// Faults holds the recent failures at each endpoint, each weighing less the older it is.
 	Faults map[Key]float64
 }
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -170,7 +170,7 @@
 	k := KeyOf(e.ID)
 	c := p.conditionOf(k)
 	c.slots = e.Slots
-	load := p.view.at(now, k)
+	load := p.loadAt(now, k)
 	s := Send{Endpoint: e, Load: load, Estimate: c.first + roundTrips[p.topology.To(e.AvailabilityZone)]}
 	cost := s.Estimate
 	switch {
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -33,6 +34,8 @@
 	urgentGap = 3 * time.Millisecond
 	// Silence is the age of the last report at which a VM counts as lost.
 	Silence = 1500 * time.Millisecond
+	// partialFor is how long a VM that fell silent is taken to be cut off rather than gone.
+	partialFor = 30 * time.Second
 	// registerRetry is the pause after a failed registration.
 	registerRetry = 200 * time.Millisecond
 	// forgetAfter is how long a silent VM's row is kept: longer than any outage that VMs come back from.
@@ -191,6 +194,35 @@
 	return vms
 }
 
+// IsPartial says whether a VM is silent that may still send requests to endpoints.
+func (g *Gossiper) IsPartial() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for _, m := range g.members {
+		seen := m.HeardAt
+		if m.listedAt.After(seen) {
+			seen = m.listedAt
+		}
+		if age := now.Sub(m.HeardAt); age >= Silence && now.Sub(seen) >= Silence && now.Sub(seen) < partialFor {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose returns the VM that a matter falls to, by the highest hash, so that all VMs name the same one.
+func Choose(matter string, live []VM) (VM, bool) {
+	best, found := VM{}, false
+	high := uint64(0)
+	for _, vm := range live {
+		if h := xxhash.Sum64String(matter + "\x00" + vm.Name); !found || h > high {
+			best, high, found = vm, h, true
+		}
+	}
+	return best, found
+}
+
 // AnyPeer returns the address of a live VM, one of the own region first.
 func (g *Gossiper) AnyPeer() (netip.AddrPort, bool) {
 	g.mu.Lock()
@@ -376,7 +408,7 @@
 	m := message{
 		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
 		Pending: report.Pending, UrgencyMs: report.Urgency.Milliseconds(), Config: g.cfg.ConfigVersion(),
-		Loads: loadMessages(report), Faults: faultMessages(report),
+		Loads: loadMessages(report), Faults: faultMessages(report), Hidden: hiddenMessages(report),
 	}
 	now := time.Now()
 	isFarDue := isBeat || now.Sub(g.farSentAt) >= far
@@ -405,6 +437,14 @@
 	}
 }
 
+func hiddenMessages(r placer.Report) []hiddenMessage {
+	hidden := make([]hiddenMessage, 0, len(r.Hidden))
+	for k, n := range r.Hidden {
+		hidden = append(hidden, hiddenMessage{Key: uint64(k), Requests: uint16(min(n, math.MaxUint16))})
+	}
+	return hidden
+}
+
 func faultMessages(r placer.Report) []faultMessage {
 	faults := make([]faultMessage, 0, len(r.Faults))
 	for k, f := range r.Faults {
--- a/pkg/gossiper/message.go
+++ b/pkg/gossiper/message.go
@@ -33,6 +33,14 @@
 	Config int64
 	Loads  []loadMessage
 	Faults []faultMessage
+	Hidden []hiddenMessage
+}
+
+type hiddenMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key      uint64
+	Requests uint16
 }
 
 type faultMessage struct {
@@ -71,7 +79,10 @@
 	r := placer.Report{
 		VM: m.VM, Pending: m.Pending, Urgency: time.Duration(m.UrgencyMs) * time.Millisecond,
 		Loads:  make(map[placer.Key]placer.Load, len(m.Loads)),
-		Faults: make(map[placer.Key]float64, len(m.Faults)),
+		Faults: make(map[placer.Key]float64, len(m.Faults)), Hidden: make(map[placer.Key]int, len(m.Hidden)),
+	}
+	for _, h := range m.Hidden {
+		r.Hidden[placer.Key(h.Key)] = int(h.Requests)
 	}
 	for _, f := range m.Faults {
 		r.Faults[placer.Key(f.Key)] = float64(f.Tenths) / faultScale
--- a/pkg/jobkeeper/adopt.go
+++ b/pkg/jobkeeper/adopt.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
@@ -87,7 +86,7 @@
 		if k.members.StateOf(j.Holder.VM, j.Holder.Incarnation) != gossiper.Lost {
 			continue
 		}
-		if heir, ok := choose(j.ID, live); !ok || heir.Name != k.cfg.VM {
+		if heir, ok := gossiper.Choose(j.ID, live); !ok || heir.Name != k.cfg.VM {
 			continue
 		}
 		k.mu.Lock()
@@ -113,18 +112,6 @@
 	log.Info("job taken over")
 }
 
-// choose returns the VM that a job falls to, by the highest hash, so that all VMs name the same one.
-func choose(job string, live []gossiper.VM) (gossiper.VM, bool) {
-	best, found := gossiper.VM{}, false
-	high := uint64(0)
-	for _, vm := range live {
-		if h := xxhash.Sum64String(job + "\x00" + vm.Name); !found || h > high {
-			best, high, found = vm, h, true
-		}
-	}
-	return best, found
-}
-
 // HandOver gives this VM's jobs to others; running lists the items of each that it still finishes.
 func (k *Keeper) HandOver(ctx context.Context, running map[string][]int) {
 	k.mu.Lock()
@@ -138,7 +125,7 @@
 	k.mu.Unlock()
 	live := k.members.LiveVMs()
 	for _, j := range held {
-		heir, ok := choose(j.ID, live)
+		heir, ok := gossiper.Choose(j.ID, live)
 		if !ok {
 			k.log.WithField("job", j.ID).Warn("no VM to hand the job over to")
 			continue
