Count quota by a running sum; take turns by hash; open idle slots up

Change: the row holds the tokens ever taken in, which the refusal itself returns; turns go by hash among VMs whose items are due within 6 s of each other; a slot that stays free opens up.

--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -54,7 +54,8 @@
 		{"answers lost for good leave doubt", "/rows-tx", standin.LoseAnswer, 0, []int{202, 504}},
 		{"a busy store refuses", "/rows-tx", standin.Busy, 0, []int{503}},
 		{"a limited store refuses", "/rows-tx", standin.Limited, 0, []int{503}},
-		{"items that can't be written refuse", "/blob-put/", standin.Reset, 0, []int{503}},
+		{"a large job whose items can't be written is refused", "/blob-put/", standin.Reset, 0, []int{503}},
+		{"a large job whose items' answer is lost", "/blob-put/", standin.LoseAnswer, 1, []int{503, 202}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -68,6 +69,9 @@
 				return standin.NoFault
 			})
 			items := newItems(2)
+			if c.path == "/blob-put/" {
+				items[0].Body = bytes.Repeat([]byte("large "), 100_000)
+			}
 			job := newID("job")
 			a := f.submit(f.vms[0], job, items)
 			assert.Contains(t, c.statuses, a.status)
--- a/pkg/core/jobber/job.go
+++ b/pkg/core/jobber/job.go
@@ -30,6 +30,8 @@
 	Config int64 `json:"config"`
 	// Tokens has one entry for each item.
 	Tokens []int64 `json:"tokens"`
+	// ItemRows is how many rows hold the items; 0 means that an object does.
+	ItemRows int `json:"itemRows,omitempty"`
 	// Due and AbandonAt are Unix milliseconds.
 	Due       int64 `json:"due"`
 	AbandonAt int64 `json:"abandonAt"`
@@ -55,15 +57,21 @@
 // IsDone says whether the item has its result.
 func (j Job) IsDone(item int) bool { return slices.Contains(j.Order, item) }
 
+// AllTokens returns the tokens of all items.
+func (j Job) AllTokens() int64 {
+	sum := int64(0)
+	for _, t := range j.Tokens {
+		sum += t
+	}
+	return sum
+}
+
 // WaitingTokens returns the tokens of items that are not at their end; none of an ended job.
 func (j Job) WaitingTokens() int64 {
 	if j.IsEnded {
 		return 0
 	}
-	sum := int64(0)
-	for _, t := range j.Tokens {
-		sum += t
-	}
+	sum := j.AllTokens()
 	for _, i := range j.Order {
 		sum -= j.Tokens[i]
 	}
--- a/pkg/core/placer/batch.go
+++ b/pkg/core/placer/batch.go
@@ -19,11 +19,11 @@
 	freePause = 60 * time.Millisecond
 	// reportDelay is how long peers at most take to hear of a batch start, and reportDelayEach grows with their number.
 	reportDelay     = 60 * time.Millisecond
-	reportDelayEach = 2500 * time.Microsecond
+	reportDelayEach = 1500 * time.Microsecond
 	// distanceWeight is the share of an endpoint's slots that staying one step nearer is worth to an item.
 	distanceWeight = 0.05
-	// urgencyStep is the difference in due times below which VMs count as equally urgent: clocks differ.
-	urgencyStep = 500 * time.Millisecond
+	// urgencyStep is the difference in due times below which VMs count as equally urgent: an item's run.
+	urgencyStep = 6 * time.Second
 )
 
 // Room returns the endpoint at which the VM may start a batch item now.
@@ -65,7 +65,9 @@
 		return 0
 	}
 	settle := reportDelay + time.Duration(len(p.view.peers))*reportDelayEach
-	return p.rank(now, vm, urgency, endpoint) + c.recentStarts(now, settle)*p.view.pending
+	turns := p.rank(now, vm, urgency, endpoint) + c.recentStarts(now, settle)*p.view.pending
+	// A slot that stays free was not wanted by those whose turn it was.
+	return turns - int(now.Sub(c.fullAt)/settle)
 }
 
 // rank returns how many other VMs with waiting items come first at the endpoint.
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -68,6 +68,7 @@
 	Region    string
 	Config    int64
 	IsLeaving bool
+	HasStore  bool
 	// HeardAt is the time of its last report; zero when there was none.
 	HeardAt  time.Time
 	sequence uint64
@@ -223,6 +224,19 @@
 	return best, found
 }
 
+// HasStoreElsewhere says whether another live VM reaches the store.
+func (g *Gossiper) HasStoreElsewhere() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for _, m := range g.members {
+		if m.HasStore && !m.IsLeaving && now.Sub(m.HeardAt) < Silence {
+			return true
+		}
+	}
+	return false
+}
+
 // AnyPeer returns the address of a live VM, one of the own region first.
 func (g *Gossiper) AnyPeer() (netip.AddrPort, bool) {
 	g.mu.Lock()
@@ -328,7 +342,7 @@
 	now := time.Now()
 	isNews := now.Sub(known.HeardAt) >= Silence || known.IsLeaving != m.IsLeaving || m.Incarnation != known.Incarnation
 	known.Incarnation, known.sequence, known.Config = m.Incarnation, m.Sequence, m.Config
-	known.IsLeaving, known.HeardAt = m.IsLeaving, now
+	known.IsLeaving, known.HasStore, known.HeardAt = m.IsLeaving, m.HasStore, now
 	g.mu.Unlock()
 	g.balancer.Hear(m.report())
 	if isNews {
@@ -407,7 +421,8 @@
 	g.sequence++
 	m := message{
 		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
-		Pending: report.Pending, UrgencyMs: report.Urgency.Milliseconds(), Config: g.cfg.ConfigVersion(),
+		HasStore: !g.feed.IsLost(),
+		Pending:  report.Pending, UrgencyMs: report.Urgency.Milliseconds(), Config: g.cfg.ConfigVersion(),
 		Loads: loadMessages(report), Faults: faultMessages(report), Hidden: hiddenMessages(report),
 	}
 	now := time.Now()
--- a/pkg/gossiper/message.go
+++ b/pkg/gossiper/message.go
@@ -26,7 +26,9 @@
 	Incarnation int64
 	Sequence    uint64
 	IsLeaving   bool
-	Pending     int
+	// HasStore says that the store answers the sender.
+	HasStore bool
+	Pending  int
 	// UrgencyMs is the time until the most urgent waiting item is due, in milliseconds.
 	UrgencyMs int64
 	// Config is the version of the newest configuration that the sender knows.
--- a/pkg/jobkeeper/keeper.go
+++ b/pkg/jobkeeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 type Members interface {
 	StateOf(vm string, incarnation int64) gossiper.State
 	LiveVMs() []gossiper.VM
+	// HasStoreElsewhere says whether another VM reaches the store.
+	HasStoreElsewhere() bool
 }
 
 // Keeper holds what this VM knows of all jobs.
@@ -40,8 +43,8 @@
 
 	mu   sync.Mutex
 	jobs map[string]*record
-	// gates holds the version of each route's row that orders acceptances.
-	gates map[string]int64
+	// gates holds each route's row that orders acceptances.
+	gates map[string]gate
 	// news is closed and replaced at each change.
 	news chan struct{}
 	// changed tells the worker of changes.
@@ -72,7 +75,7 @@
 ) *Keeper {
 	k := &Keeper{
 		cfg: cfg, store: store, codec: codec, registry: registry, members: m, log: log,
-		payloads: newPayloadCache(), jobs: map[string]*record{}, gates: map[string]int64{},
+		payloads: newPayloadCache(), jobs: map[string]*record{}, gates: map[string]gate{},
 		news: make(chan struct{}), changed: make(chan struct{}, 1), adopting: map[string]bool{},
 	}
 	k.feed = watcher.NewFeed(store, jobTable, partitionNames(), k.hear, log)
@@ -105,7 +108,7 @@
 // take takes over a row unless a newer one is known; the lock is held.
 func (k *Keeper) take(e storer.Entry) {
 	if len(e.Key) > len(gatePrefix) && e.Key[:len(gatePrefix)] == gatePrefix {
-		k.gates[e.Key] = max(k.gates[e.Key], e.Version)
+		k.takeGate(e)
 		return
 	}
 	old, ok := k.jobs[e.Key]
@@ -132,6 +135,30 @@
 	}
 }
 
+// gate is a route's row that orders acceptances.
+type gate struct {
+	version int64
+	// accepted is the sum of the tokens of all jobs ever taken in on the route.
+	accepted int64
+}
+
+type gateRow struct {
+	Accepted int64 `json:"accepted"`
+}
+
+// takeGate takes over a route's row unless a newer one is known; the lock is held.
+func (k *Keeper) takeGate(e storer.Entry) {
+	if e.Version <= k.gates[e.Key].version {
+		return
+	}
+	row := gateRow{}
+	if err := json.Unmarshal(e.Value, &row); err != nil {
+		k.log.WithError(err).WithField("row", e.Key).Error("route's row can't be read")
+		return
+	}
+	k.gates[e.Key] = gate{version: e.Version, accepted: row.Accepted}
+}
+
 // announce wakes all who wait for a change; the lock is held.
 func (k *Keeper) announce() {
 	close(k.news)
--- a/pkg/jobkeeper/payload.go
+++ b/pkg/jobkeeper/payload.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
 // cacheBytes bounds the decoded jobs that are kept for calls; those that are being run stay besides.
@@ -95,7 +97,7 @@
 	if items, ok := k.payloads.get(job, pin); ok {
 		return items, nil
 	}
-	body, err := k.store.GetBlob(ctx, blobName(job))
+	body, err := k.readItems(ctx, job)
 	if err != nil {
 		return nil, err
 	}
@@ -109,3 +111,33 @@
 	}
 	return items, nil
 }
+
+// readItems reads a submitted job's body from its rows or its object.
+func (k *Keeper) readItems(ctx context.Context, id string) ([]byte, error) {
+	job, _, _ := k.lookUp(id)
+	if job.ItemRows == 0 {
+		return k.store.GetBlob(ctx, blobName(id))
+	}
+	var body []byte
+	rows, from := 0, id+"/"
+	for {
+		page, err := k.store.Scan(ctx, storer.Range{
+			Table: itemTable, Partition: partitionOf(id), From: from, To: id + "0", Limit: scanLimit,
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range page.Entries {
+			body = append(body, e.Value...)
+			rows++
+			from = e.Key + "\x00"
+		}
+		if !page.HasMore || len(page.Entries) == 0 {
+			break
+		}
+	}
+	if rows != job.ItemRows {
+		return nil, errors.Errorf("job %s has %d rows of items, not %d", id, rows, job.ItemRows)
+	}
+	return body, nil
+}
--- a/pkg/jobkeeper/rows.go
+++ b/pkg/jobkeeper/rows.go
@@ -22,11 +22,16 @@
 	jobTable        = "job"
 	resultTable     = "result"
 	checkpointTable = "checkpoint"
-	gatePrefix      = "gate/"
+	// itemTable holds the items of jobs that fit a transaction.
+	itemTable  = "item"
+	gatePrefix = "gate/"
 	// partitions spreads the jobs; a partition handles its transactions one after another.
 	partitions = 8
 	// encodedShare of a row's bytes is used, since the limit may be meant after encoding to base64.
 	encodedShare = 0.7
+	// inlineBytes is the largest job that is written in one transaction with its row, encoded under the store's 1 MB;
+	// that takes a tenth of the time of an object.
+	inlineBytes = 600 << 10
 )
 
 func partitionNames() []string {
@@ -59,6 +64,20 @@
 	return j, errors.Wrap(json.Unmarshal(e.Value, &j), "job "+e.Key)
 }
 
+// encodeItems returns the rows of a submitted job's body; none when it is too large for rows.
+func encodeItems(job string, body []byte, rowBytes int) []storer.Entry {
+	if len(body) > inlineBytes {
+		return nil
+	}
+	var rows []storer.Entry
+	for chunk := range slices.Chunk(body, int(float64(rowBytes)*encodedShare)) {
+		rows = append(rows, storer.Entry{
+			Table: itemTable, Partition: partitionOf(job), Key: fmt.Sprintf("%s/%03d", job, len(rows)), Value: chunk,
+		})
+	}
+	return rows
+}
+
 // resultHead opens the first row of a result.
 type resultHead struct {
 	ID    string       `json:"id"`
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -19,11 +20,13 @@
 
 const (
 	// submitTimeout leaves the caller time to try another VM.
-	submitTimeout = 3 * time.Second
-	// gateWait is how long a VM waits to hear of the jobs that others took in.
-	gateWait = 500 * time.Millisecond
-	maxItems = 200
-	maxID    = 100
+	submitTimeout = 1200 * time.Millisecond
+	// conflictPause lets another VM's acceptance go first.
+	conflictPause = 3 * time.Millisecond
+	maxItems      = 200
+	maxID         = 100
+	// outageRetry is under a third of the time that callers of jobs have, within which they come back.
+	outageRetry = 1250 * time.Millisecond
 	// quotaRetry is when waiting items may have finished: an item's run.
 	quotaRetry = time.Second
 )
@@ -84,12 +87,21 @@
 	case http.StatusTooManyRequests:
 		relayer.WriteRetry(w, status, quotaRetry, "too many tokens wait on this route")
 	case http.StatusServiceUnavailable:
-		relayer.WriteRetry(w, status, retryPause, "the store can't be reached")
+		relayer.WriteRetry(w, status, k.returnTime(), "the store can't be reached")
 	default:
 		relayer.WriteProblem(w, status, "nobody knows yet whether the job was taken in: send it again")
 	}
 }
 
+// returnTime is when a refused caller should come back: soon if another VM has the store, else after a part of an
+// outage, which lasts seconds; callers return only once.
+func (k *Keeper) returnTime() time.Duration {
+	if k.members.HasStoreElsewhere() {
+		return retryPause
+	}
+	return outageRetry
+}
+
 func checkJob(id string, items []Item) error {
 	switch {
 	case id == "" || len(id) > maxID:
@@ -136,12 +148,16 @@
 	if !k.fits(job, route) {
 		return http.StatusTooManyRequests, nil
 	}
-	if err := k.putItems(ctx, job.ID, body); err != nil {
-		return http.StatusServiceUnavailable, err
+	rows := encodeItems(job.ID, body, k.cfg.RowBytes)
+	job.ItemRows = len(rows)
+	if len(rows) == 0 {
+		if err := k.putItems(ctx, job.ID, body); err != nil {
+			return http.StatusServiceUnavailable, err
+		}
 	}
 	isInDoubt := false
 	for {
-		status, err := k.acceptOnce(ctx, job, route)
+		status, err := k.acceptOnce(ctx, job, rows, route)
 		switch {
 		case status == http.StatusAccepted:
 			k.payloads.put(job.ID, items)
@@ -158,7 +174,11 @@
 		if !isInDoubt && ctx.Err() == nil && isRefusedByStore(err) {
 			return http.StatusServiceUnavailable, err
 		}
-		if !pause(ctx, retryPause) {
+		wait := retryPause
+		if errors.Is(err, errBehind) {
+			wait = conflictPause
+		}
+		if !pause(ctx, wait) {
 			if isInDoubt {
 				return http.StatusGatewayTimeout, err
 			}
@@ -188,7 +208,9 @@
 var errBehind = errors.New("other jobs were taken in meanwhile")
 
 // acceptOnce tries to write the job's row; a nil error goes with a final status.
-func (k *Keeper) acceptOnce(ctx context.Context, job jobber.Job, route registrar.Route) (int, error) {
+func (k *Keeper) acceptOnce(
+	ctx context.Context, job jobber.Job, items []storer.Entry, route registrar.Route,
+) (int, error) {
 	if _, ok, _ := k.lookUp(job.ID); ok {
 		return http.StatusAccepted, nil
 	}
@@ -201,83 +223,56 @@
 	}
 	absent := row
 	absent.Value = nil
-	c := storer.Change{Expect: []storer.Entry{absent}, Puts: []storer.Entry{row}}
-	key := gateKey(route.Host, route.PathPrefix)
-	if route.WaitingTokens > 0 {
-		k.mu.Lock()
-		gate := storer.Entry{Table: jobTable, Partition: partitionOf(key), Key: key, Version: k.gates[key]}
-		k.mu.Unlock()
-		c.Expect = append(c.Expect, gate)
-		gate.Value = []byte(job.ID)
-		c.Puts = append(c.Puts, gate)
-		c.IsAcross = gate.Partition != row.Partition
+	gate, err := k.nextGate(job, route)
+	if err != nil {
+		return 0, err
 	}
-	ver, err := k.store.Apply(ctx, c)
+	gateAsKnown := gate
+	gateAsKnown.Value = nil
+	ver, err := k.store.Apply(ctx, storer.Change{
+		Expect:   []storer.Entry{absent, gateAsKnown},
+		Puts:     append([]storer.Entry{row, gate}, items...),
+		IsAcross: gate.Partition != row.Partition,
+	})
 	if stale := asStale(err); stale != nil {
-		return k.acceptAfterStale(ctx, job, stale, key)
+		k.hear(watcher.Update{Entries: stale.Current})
+		return 0, errBehind
 	}
 	if err != nil {
 		return 0, err
 	}
-	row.Version = ver
-	entries := []storer.Entry{row}
-	if len(c.Puts) > 1 {
-		c.Puts[1].Version = ver
-		entries = append(entries, c.Puts[1])
-	}
-	k.hear(watcher.Update{Entries: entries})
+	row.Version, gate.Version = ver, ver
+	k.hear(watcher.Update{Entries: []storer.Entry{row, gate}})
 	return http.StatusAccepted, nil
 }
 
-// acceptAfterStale waits for the feed to tell of the jobs that moved the gate on.
-func (k *Keeper) acceptAfterStale(
-	ctx context.Context, job jobber.Job, stale *storer.StaleError, key string,
-) (int, error) {
-	gate := int64(0)
-	for _, e := range stale.Current {
-		switch e.Key {
-		case job.ID:
-			if e.Version > 0 && !e.IsRemoved {
-				k.hear(watcher.Update{Entries: []storer.Entry{e}})
-				return http.StatusAccepted, nil
-			}
-		case key:
-			gate = e.Version
-		}
-	}
-	k.feed.Poke()
-	limit := time.Now().Add(gateWait)
-	for time.Now().Before(limit) {
-		k.mu.Lock()
-		isKnown, news := k.gates[key] >= gate, k.news
-		k.mu.Unlock()
-		if isKnown {
-			break
-		}
-		select {
-		case <-news:
-		case <-time.After(time.Until(limit)):
-		case <-ctx.Done():
-			return 0, ctx.Err()
-		}
-	}
-	return 0, errBehind
+// nextGate returns the route's row with the job's tokens added, at the version that it must have.
+func (k *Keeper) nextGate(job jobber.Job, route registrar.Route) (storer.Entry, error) {
+	key := gateKey(route.Host, route.PathPrefix)
+	k.mu.Lock()
+	known := k.gates[key]
+	k.mu.Unlock()
+	value, err := json.Marshal(gateRow{Accepted: known.accepted + job.AllTokens()})
+	return storer.Entry{
+		Table: jobTable, Partition: partitionOf(key), Key: key, Version: known.version, Value: value,
+	}, errors.Wrap(err, "encode route's row")
 }
 
-// fits says whether the job's tokens may wait besides those of the jobs known here.
+// fits says whether the job's tokens may wait besides those that wait already: all that were ever taken in, less those
+// that are known to be finished.
 func (k *Keeper) fits(job jobber.Job, route registrar.Route) bool {
 	if route.WaitingTokens <= 0 {
 		return true
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	sum := job.WaitingTokens()
+	waiting := k.gates[gateKey(route.Host, route.PathPrefix)].accepted + job.AllTokens()
 	for _, r := range k.jobs {
 		if r.job.Host == route.Host && r.job.PathPrefix == route.PathPrefix {
-			sum += r.job.WaitingTokens()
+			waiting -= r.job.AllTokens() - r.job.WaitingTokens()
 		}
 	}
-	return sum <= route.WaitingTokens
+	return waiting <= route.WaitingTokens
 }
 
 func asStale(err error) *storer.StaleError {
