Draw a few endpoints at random where counts are old

Ruled out: lost reports (most counts were exact), batch (few there). Change: the wait feared grows with the square of the share taken; beyond 8 peers a VM compares a few endpoints drawn at random.

--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -147,26 +147,74 @@
 	return time.Duration(share * float64(a.Left))
 }
 
+// option is an endpoint with what choosing it would mean.
+type option struct {
+	send Send
+	cost time.Duration
+	// isNearAndFree says that the endpoint is in the VM's region, sound and has a free slot.
+	isNearAndFree bool
+}
+
+// best returns the endpoint with the least cost: of a few near ones with free slots that are drawn at random, and of all
+// when none of those has one.
+//
+// The draw is the power of two choices (Mitzenmacher, "How Useful Is Old Information?", 2000): when many VMs go by the
+// same counts of some reports ago, the one that is best for all of them is soon the worst.
 func (p *Placer) best(now time.Time, a Ask) (Send, bool) {
-	best, found := Send{}, false
-	bestCost := time.Duration(0)
+	options := make([]option, 0, len(a.Candidates))
+	free := 0
 	for _, e := range a.Candidates {
 		if a.Tried[e.ID] {
 			continue
 		}
-		s, cost := p.estimate(now, a.Route, e)
-		if !found || cost < bestCost {
-			best, bestCost, found = s, cost, true
+		o := p.estimate(now, a.Route, e)
+		options = append(options, o)
+		if o.isNearAndFree {
+			// The free ones are kept in front.
+			last := len(options) - 1
+			options[free], options[last] = options[last], options[free]
+			free++
+		}
+	}
+	if len(options) == 0 {
+		return Send{}, false
+	}
+	if n := p.sampleSize(free); free > 0 {
+		for i := range n {
+			j := i + p.random.IntN(free-i)
+			options[i], options[j] = options[j], options[i]
+		}
+		options = options[:n]
+	}
+	best := options[0]
+	for _, o := range options[1:] {
+		if o.cost < best.cost {
+			best = o
 		}
 	}
-	return best, found
+	return best.send, true
+}
+
+// sampleSize returns how many of n endpoints to compare: all while few VMs decide at once, fewer with every VM.
+func (p *Placer) sampleSize(n int) int {
+	peers := len(p.view.peers)
+	if peers <= freshPeers {
+		return n
+	}
+	return min(max(n*freshPeers/peers, leastSample), n)
 }
 
+const (
+	// freshPeers is the number of peers whose reports come so often that their counts are as good as new.
+	freshPeers  = 8
+	leastSample = 2
+)
+
 // suspectCost puts suspect endpoints behind all others that can still serve.
 const suspectCost = 10 * time.Second
 
 // estimate returns the expected time to the first byte at the endpoint and the cost to compare endpoints by.
-func (p *Placer) estimate(now time.Time, r registrar.Route, e registrar.Endpoint) (Send, time.Duration) {
+func (p *Placer) estimate(now time.Time, r registrar.Route, e registrar.Endpoint) option {
 	k := KeyOf(e.ID)
 	c := p.conditionOf(k)
 	c.slots = e.Slots
@@ -175,12 +223,11 @@
 	cost := s.Estimate
 	switch {
 	case load.sum() < e.Slots:
-		// Ties go to the endpoint with the most room, as a share of its slots.
-		cost += time.Duration(load.sum()) * tieBreak / time.Duration(e.Slots)
+		cost += crowding(load.sum(), e.Slots)
 	case load.Online < e.Slots:
 		s.NeedsYield = true
 		s.Estimate += yieldTime
-		cost = s.Estimate + yieldTime + time.Duration(load.Online)*tieBreak/time.Duration(e.Slots)
+		cost = s.Estimate + yieldTime + crowding(load.Online, e.Slots)
 	default:
 		ahead := load.Online - e.Slots + 1
 		wait := c.hold * time.Duration(ahead) / time.Duration(e.Slots)
@@ -188,10 +235,14 @@
 		cost = s.Estimate + yieldTime
 	}
 	cost += time.Duration(min(c.recentFaults(now)+p.view.faults[k], mostFaults) * float64(faultCost))
-	if c.isSuspect(now, max(r.Objective, firstGuess)) {
+	isSuspect := c.isSuspect(now, max(r.Objective, firstGuess))
+	if isSuspect {
 		cost += suspectCost
 	}
-	return s, cost + time.Duration(p.random.Int64N(int64(jitter)))
+	return option{
+		send: s, cost: cost + time.Duration(p.random.Int64N(int64(jitter))),
+		isNearAndFree: !isSuspect && load.sum() < e.Slots && p.topology.To(e.AvailabilityZone) != OtherRegion,
+	}
 }
 
 const (
@@ -200,7 +251,16 @@
 	faultCost = 60 * time.Millisecond
 	// mostFaults keeps endpoints that failed often comparable.
 	mostFaults = 20
-	// tieBreak is what a whole endpoint full of running requests weighs against the way to another: its slower steps.
-	tieBreak = 20 * time.Millisecond
-	jitter   = time.Millisecond
+	// fullCost is the wait that is feared at an endpoint whose last free slot another VM may have taken meanwhile: about
+	// what a slot takes to come free there.
+	fullCost = 60 * time.Millisecond
+	// jitter spreads VMs that know the same over endpoints that are about as good, or they would all take one.
+	jitter = 15 * time.Millisecond
 )
+
+// crowding returns the wait to fear at an endpoint with free slots; it grows fast as they run out, because counts are
+// some reports old.
+func crowding(taken, slots int) time.Duration {
+	share := float64(taken) / float64(slots)
+	return time.Duration(share * share * float64(fullCost))
+}
