--- a/pkg/granter/reserver.go
+++ b/pkg/granter/reserver.go
@@ -176,11 +176,11 @@
 	if err != nil {
 		return keeper.Load{}, &unreachableError{vm: vm, cause: err}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	askCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	late := time.AfterFunc(keeperAnswersIn, func() { cancel(errors.New("no answer")) })
 	defer late.Stop()
-	stream, err := client.Reserve(ctx, reserveToWire(req, time.Now()))
+	stream, err := client.Reserve(askCtx, reserveToWire(req, time.Now()))
 	if err != nil {
 		return keeper.Load{}, &unreachableError{vm: vm, cause: err}
 	}
@@ -203,7 +203,9 @@
 	}
 }
 
-// lostKeeper tells the caller's own leaving from a keeper that went away while the request queued.
+// lostKeeper tells the caller's own leaving, which ends ctx, from a keeper that went away while the request queued.
+//
+// ctx is the caller's: that of the call also ends when the first reply comes just as its time is over.
 func (r *Reserver) lostKeeper(ctx context.Context, vm string, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
