Send where slots are free however slow the endpoint was; read why an item's run ended

An item's run that was ended from here said 'use of closed connection', and one that was not sent counted as the endpoint's failure.

--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -114,7 +114,9 @@
 	if !isFirst {
 		limit = min(a.Left/2, lateLimit)
 	}
-	if a.Route.Objective > 0 && best.Estimate > limit {
+	// An endpoint with free slots gets the request also when it was slow of late: only requests show that it recovered.
+	isQueued := best.Load.Online >= best.Endpoint.Slots
+	if a.Route.Objective > 0 && isQueued && best.Estimate > limit {
 		return Refuse{Reason: "no endpoint answers in time", RetryAfter: p.returnTime(a), Estimate: best.Estimate}
 	}
 	return best
--- a/pkg/core/placer/placer_test.go
+++ b/pkg/core/placer/placer_test.go
@@ -32,6 +32,7 @@
 	Engines   map[string]int                `yaml:"engines"`
 	Own       map[string]int                `yaml:"own"`
 	Failed    []string                      `yaml:"failed"`
+	Slow      map[string]time.Duration      `yaml:"slow"`
 	Tried     []string                      `yaml:"tried"`
 	Wait      time.Duration                 `yaml:"wait"`
 	Before    *askScript                    `yaml:"before"`
@@ -101,6 +102,13 @@
 	for _, name := range s.Failed {
 		p.End(now, p.Start(now, name, Online, 99), EndedBroken)
 	}
+	for name, first := range s.Slow {
+		for range 20 {
+			ticket := p.Start(now.Add(-first), name, Online, 98)
+			p.FirstByte(now, ticket, false)
+			p.End(now, ticket, EndedWhole)
+		}
+	}
 	for name, n := range s.Engines {
 		p.HearEngine(now, KeyOf(name), n)
 	}
--- a/pkg/worker/item.go
+++ b/pkg/worker/item.go
@@ -81,7 +81,7 @@
 		}
 		return "whole"
 	}
-	if !isCurrent || errors.Is(cause, errYield) || errors.Is(cause, errNeedless) {
+	if !isCurrent || errors.Is(cause, errYield) || errors.Is(cause, errNeedless) || errors.Is(err, errNeedless) {
 		w.balancer.End(run.ticket, placer.EndedHere)
 		return "stopped"
 	}
@@ -135,6 +135,9 @@
 			return nil
 		}
 		if err != nil {
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
 			return err
 		}
 		stall.Reset(stallTimeout)
