Drop old jobs; a span for each hop

Cause: job rows, results and items were kept for ever. Change: a minute after the time for which the platform lets callers read them, the VM that a job falls to drops its rows, its own last, and takes its tokens off the route's sum. Test: TestOldJobsAreDropped.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -159,6 +159,7 @@
 ) *jobkeeper.Keeper {
 	return jobkeeper.New(jobkeeper.Config{
 		VM: s.VM.ID, Incarnation: g.Incarnation(), RowBytes: s.RowBytes,
+		KeepFor: s.JobStatus + jobkeeper.ClockMargin,
 	}, t, platform.JobCodec{}, w.Current, g, log)
 }
 
--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -41,6 +41,7 @@
 	vms       []*testVM
 	routes    []map[string]any
 	version   int64
+	jobStatus time.Duration
 }
 
 type testVM struct {
@@ -74,7 +75,7 @@
 // newFleet starts a store with a configuration, three endpoints and n VMs that are ready.
 func newFleet(t *testing.T, n int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: standin.NewStore(), routes: defaultRoutes()}
+	f := &testFleet{t: t, store: standin.NewStore(), routes: defaultRoutes(), jobStatus: 2 * time.Minute}
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		f.server.CloseClientConnections()
@@ -130,7 +131,8 @@
 		Callers: netip.AddrPortFrom(ip, 18144), Ready: netip.AddrPortFrom(ip, 18140), FirstPort: 17660, LastPort: 17670,
 		Store: netip.MustParseAddrPort(f.server.Listener.Addr().String()), RowBytes: 65536,
 		Regions: map[string]string{"syd-a": "syd"}, EndpointHeartbeat: time.Second, Drain: 2500 * time.Millisecond,
-		Grace: 8 * time.Second, ConfigApply: 2500 * time.Millisecond, MemoryBytes: 4 << 30, FileDescriptors: 8000,
+		Grace: 8 * time.Second, ConfigApply: 2500 * time.Millisecond, JobStatus: f.jobStatus,
+		MemoryBytes: 4 << 30, FileDescriptors: 8000,
 	}
 }
 
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
@@ -186,3 +187,22 @@
 	}
 	assert.Len(t, drained.Runs(), before)
 }
+
+func TestOldJobsAreDropped(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.jobStatus = time.Second - jobkeeper.ClockMargin
+	f.routes[4]["cap"] = 5 * 940
+	f.configure()
+	f.addVM()
+	f.addVM()
+	first, second := newID("job"), newID("job")
+	items := newItems(4)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], first, items).status)
+	f.await(f.vms[0], first, len(items))
+	require.Eventually(t, func() bool {
+		_, a := f.read(f.vms[1], first, 0)
+		return a.status == http.StatusNotFound
+	}, patience, 100*time.Millisecond, "the job is still there")
+	assert.Equal(t, http.StatusAccepted, f.submit(f.vms[1], second, newItems(4)).status, "its tokens no longer count")
+}
--- a/pkg/jobkeeper/keeper.go
+++ b/pkg/jobkeeper/keeper.go
@@ -20,6 +20,8 @@
 	VM          string
 	Incarnation int64
 	RowBytes    int
+	// KeepFor is how long after its submission a job that is over can be read.
+	KeepFor time.Duration
 }
 
 // Members tells which VMs can be counted on.
@@ -87,6 +89,7 @@
 func (k *Keeper) Start(ctx context.Context) {
 	go k.feed.Run(ctx)
 	go k.runAdopt(ctx)
+	go k.runExpire(ctx)
 }
 
 // Changed signals that some job changed.
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -127,7 +127,8 @@
 func newJob(id string, items []Item, route registrar.Route, config int64, now time.Time) jobber.Job {
 	j := jobber.Job{
 		ID: id, Host: route.Host, PathPrefix: route.PathPrefix, Config: config,
-		Due: now.Add(route.Due).UnixMilli(), AbandonAt: now.Add(route.AbandonAfter).UnixMilli(),
+		Submitted: now.UnixMilli(),
+		Due:       now.Add(route.Due).UnixMilli(), AbandonAt: now.Add(route.AbandonAfter).UnixMilli(),
 	}
 	for _, i := range items {
 		j.Tokens = append(j.Tokens, i.Tokens)
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
@@ -65,6 +66,9 @@
 	l.active.Add(1)
 	defer l.active.Add(-1)
 	start := time.Now()
+	spanCtx, span := otel.Tracer("relayer").Start(r.Context(), "request "+route.Name)
+	defer span.End()
+	r = r.WithContext(spanCtx)
 	body, err := ReadBody(w, r, l.registry().Config.Limits.BodyBytes)
 	if err != nil {
 		WriteProblem(w, bodyStatus(err), err.Error())
@@ -218,6 +222,8 @@
 
 // attempt sends the request to one endpoint and says whether it has its final answer.
 func (q *request) attempt(s placer.Send, ticket *placer.Ticket) bool {
+	_, span := otel.Tracer("relayer").Start(q.ctx, "endpoint "+s.Endpoint.ID)
+	defer span.End()
 	ending := placer.EndedBroken
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
--- a/pkg/storer/table.go
+++ b/pkg/storer/table.go
@@ -52,6 +52,8 @@
 	Apply(ctx context.Context, c Change) (int64, error)
 	PutBlob(ctx context.Context, name string, body []byte) error
 	GetBlob(ctx context.Context, name string) ([]byte, error)
+	// DropBlob drops an object; one that is absent is no error.
+	DropBlob(ctx context.Context, name string) error
 }
 
 // StaleError says that a row had another version than a change expected; Current holds the rows as they are.
--- a/pkg/worker/item.go
+++ b/pkg/worker/item.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
@@ -45,7 +46,9 @@
 
 // runItem runs the item at an endpoint and takes in how the run ended.
 func (w *Worker) runItem(ctx context.Context, t *task, run *itemRun, route registrar.Route) {
-	err := w.exchange(ctx, t, run)
+	spanCtx, span := otel.Tracer("worker").Start(ctx, "item run "+run.endpoint.ID)
+	err := w.exchange(spanCtx, t, run)
+	span.End()
 	// The cause must be read before the context is released, which sets one.
 	cause := context.Cause(ctx)
 	run.cancel(nil)
