Ask another endpoint when one keeps silent for twice the objective, if the request may run again

Cause: safe requests and resumable streams waited for dark endpoints until their callers left. Tests: two cases of TestEndpointFaults failed before. A report that is too long leaves the least busy endpoints out rather than not going out.

--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -78,6 +78,9 @@
 		{"a failure is passed on", "/book/1", standin.Fail, true, []int{500}, 1, false},
 		{"a broken stream that can't be resumed is cut", "/draft/1", standin.BreakOff, false, []int{200}, 1, true},
 		{"a lost stream that can't be resumed isn't repeated", "/draft/1", standin.LoseAll, true, []int{502}, 1, false},
+		{"a safe request goes elsewhere when its endpoint is mute", "/status/1", standin.Mute, false, []int{200}, 2, false},
+		{"a stream goes elsewhere when its endpoint is mute", "/note/1", standin.Mute, false, []int{200}, 2, false},
+		{"a booking waits for its mute endpoint", "/book/1", standin.Mute, false, []int{504}, 1, false},
 		{"a broken stream is resumed elsewhere", "/note/1", standin.BreakOff, false, []int{200}, 2, false},
 	}
 	for _, c := range cases {
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -441,9 +441,9 @@
 		}
 	}
 	g.mu.Unlock()
-	b, err := encode(m)
-	if err != nil || len(b) > maxDatagram {
-		g.log.WithError(err).WithField("bytes", len(b)).Error("report not sent")
+	b, err := encodeWithin(m, maxDatagram)
+	if err != nil {
+		g.log.WithError(err).Error("report not sent")
 		return
 	}
 	for _, to := range targets {
--- a/pkg/gossiper/message.go
+++ b/pkg/gossiper/message.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -66,6 +68,30 @@
 	return cbor.Marshal(m)
 }
 
+// encodeWithin leaves out what is least needed until the message has at most so many bytes: hidden requests, faults, and
+// then the endpoints with the fewest requests.
+func encodeWithin(m message, limit int) ([]byte, error) {
+	slices.SortFunc(m.Loads, func(a, b loadMessage) int {
+		return cmp.Compare(b.Online+b.Batch, a.Online+a.Batch)
+	})
+	for {
+		b, err := encode(m)
+		if err != nil || len(b) <= limit {
+			return b, err
+		}
+		switch {
+		case len(m.Hidden) > 0:
+			m.Hidden = nil
+		case len(m.Faults) > 0:
+			m.Faults = nil
+		case len(m.Loads) > 0:
+			m.Loads = m.Loads[:len(m.Loads)*9/10]
+		default:
+			return nil, errors.Errorf("report of %d bytes", len(b))
+		}
+	}
+}
+
 func decode(b []byte) (message, error) {
 	m := message{}
 	if err := cbor.Unmarshal(b, &m); err != nil {
--- a/pkg/gossiper/message_test.go
+++ b/pkg/gossiper/message_test.go
@@ -43,6 +43,22 @@
 	assert.LessOrEqual(t, len(b), maxDatagram)
 }
 
+// TestReportOfManyEndpointsKeepsTheBusiest takes 600 endpoints, as at the size to come.
+func TestReportOfManyEndpointsKeepsTheBusiest(t *testing.T) {
+	m := sample()
+	for i := range 600 {
+		m.Loads = append(m.Loads, loadMessage{Key: 1<<63 + uint64(i), Online: uint16(i)})
+	}
+	b, err := encodeWithin(m, maxDatagram)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(b), maxDatagram)
+	got, err := decode(b)
+	require.NoError(t, err)
+	assert.Equal(t, m.Pending, got.Pending)
+	require.NotEmpty(t, got.Loads)
+	assert.Equal(t, uint16(599), got.Loads[0].Online)
+}
+
 func FuzzDecode(f *testing.F) {
 	b, err := encode(sample())
 	require.NoError(f, err)
--- a/pkg/relayer/pass.go
+++ b/pkg/relayer/pass.go
@@ -73,6 +73,7 @@
 }
 
 func (q *request) noteFirst() {
+	q.stopPatience()
 	if q.first == 0 {
 		q.first = time.Since(q.start)
 		q.metrics.FirstByte(q.route.Name, q.first)
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -155,6 +155,9 @@
 	events    int
 	mustAbort bool
 
+	// patience ends an attempt that another endpoint may take over, unless a byte of its answer has come.
+	patience *time.Timer
+
 	// Kept for the log line.
 	endpoint string
 	decision string
@@ -243,7 +246,9 @@
 		return true
 	}
 	q.runs++
-	x, err := q.pool.Do(q.ctx, conn, q.outgoing(s.Endpoint, left))
+	ctx, cancel := q.limitPatience()
+	defer cancel()
+	x, err := q.pool.Do(ctx, conn, q.outgoing(s.Endpoint, left))
 	if err != nil {
 		q.cause = err
 		if q.ctx.Err() != nil {
@@ -257,6 +262,30 @@
 	return isOver
 }
 
+// patienceFactor times the objective is how long an endpoint may keep silent before another one is asked.
+const patienceFactor = 2
+
+// errSilent is the cause of an attempt that was ended because nothing came.
+var errSilent = errors.New("the endpoint sent nothing in time")
+
+// limitPatience returns the context of an attempt, which ends early when the request may still go elsewhere.
+func (q *request) limitPatience() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(q.ctx)
+	if q.route.IsIdempotent() && q.runs < q.route.MaxAttempts && q.route.Objective > 0 && !q.hasAnswer {
+		q.patience = time.AfterFunc(patienceFactor*q.route.Objective, func() { cancel(errSilent) })
+	}
+	return ctx, func() {
+		q.stopPatience()
+		cancel(nil)
+	}
+}
+
+func (q *request) stopPatience() {
+	if q.patience != nil {
+		q.patience.Stop()
+	}
+}
+
 func (q *request) outgoing(e registrar.Endpoint, left time.Duration) dialer.Request {
 	h := ForwardHeader(q.r.Header)
 	h[q.headers.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
