--- a/pkg/jobkeeper/keeper.go
+++ b/pkg/jobkeeper/keeper.go
@@ -255,5 +255,5 @@
 	// retryPause spaces writes that the store refused or did not answer.
 	retryPause = 150 * time.Millisecond
 	// feedGap gathers the changes of jobs: callers read twice a second, and an end must be known within seconds.
-	feedGap = 250 * time.Millisecond
+	feedGap = 500 * time.Millisecond
 )
