Join a checkpoint only to its own work or where its run went on

Ruled out: results (conditional), gaps (refused before). Change: a checkpoint names its writer and whether it is the writer's first. Test: TestCheckpointsOfARunThatWasNotAskedDoNotJoin.

--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -268,14 +268,16 @@
 	require.NoError(t, err)
 	_ = res.Body.Close()
 	part := partitionFor(job)
-	save := func(after, last int64, output string) {
-		head := mustJSON(t, map[string]any{"item": 0, "after": after, "lastEvent": last})
+	save := func(writer string, after, last int64, output string) {
+		head := mustJSON(t, map[string]any{
+			"item": 0, "after": after, "lastEvent": last, "writer": writer, "isFirst": after < 1,
+		})
 		f.store.Put("checkpoint", part, checkpointName(job, 0, after), append(append(head, '\n'), output...))
 	}
-	save(-1, 1, standin.EventData(items[0].ID, 0)+"\n"+standin.EventData(items[0].ID, 1))
+	save("a", -1, 1, standin.EventData(items[0].ID, 0)+"\n"+standin.EventData(items[0].ID, 1))
 	// Another VM ran the item too: its rows overlap and must not be joined.
-	save(0, 2, "\n"+standin.EventData(items[0].ID, 1)+"\n"+standin.EventData(items[0].ID, 2))
-	save(1, 2, "\n"+standin.EventData(items[0].ID, 2))
+	save("b", 0, 2, "\n"+standin.EventData(items[0].ID, 1)+"\n"+standin.EventData(items[0].ID, 2))
+	save("a", 1, 2, "\n"+standin.EventData(items[0].ID, 2))
 	f.store.Put("job", part, job, map[string]any{
 		"id": job, "host": testHost, "routePrefix": "/batch/", "config": 3, "tokens": []int{940, 940},
 		"due": time.Now().Add(18 * time.Second).UnixMilli(), "abandonAt": time.Now().Add(time.Minute).UnixMilli(),
--- a/pkg/jobkeeper/checkpoint.go
+++ b/pkg/jobkeeper/checkpoint.go
@@ -14,10 +14,14 @@
 
 // Checkpoint is output of an item that is not at its end: the events behind After up to LastEvent.
 type Checkpoint struct {
-	Item      int    `json:"item"`
-	After     int64  `json:"after"`
-	LastEvent int64  `json:"lastEvent"`
-	Output    []byte `json:"-"`
+	Item      int   `json:"item"`
+	After     int64 `json:"after"`
+	LastEvent int64 `json:"lastEvent"`
+	// Writer names one holder's work on the job; IsFirst says that its first run went on behind After, so that the output
+	// follows what others saved up to there.
+	Writer  string `json:"writer"`
+	IsFirst bool   `json:"isFirst,omitempty"`
+	Output  []byte `json:"-"`
 }
 
 // checkpointKey orders an item's checkpoints by their events; writers that don't know of each other can't break the order.
@@ -111,17 +115,18 @@
 	}
 }
 
-// joinCheckpoint appends a checkpoint to the item's output when it begins where that ends.
+// joinCheckpoint appends a checkpoint to the item's output when it begins where that ends, and in the same work or a new one:
+// an event must not follow one of another run unless its run was asked to go on there.
 func joinCheckpoint(saved map[int]Checkpoint, c Checkpoint) {
 	old, ok := saved[c.Item]
 	if !ok {
 		old = Checkpoint{Item: c.Item, After: noEvent, LastEvent: noEvent}
 	}
-	if c.After != old.LastEvent {
+	if c.After != old.LastEvent || (c.Writer != old.Writer && !c.IsFirst) {
 		return
 	}
 	old.Output = append(old.Output, c.Output...)
-	old.LastEvent = c.LastEvent
+	old.LastEvent, old.Writer = c.LastEvent, c.Writer
 	saved[c.Item] = old
 }
 
--- a/pkg/jobkeeper/rows_test.go
+++ b/pkg/jobkeeper/rows_test.go
@@ -46,13 +46,27 @@
 func TestCheckpointsOfTwoWritersJoinWithoutOverlap(t *testing.T) {
 	saved := map[int]Checkpoint{}
 	for _, c := range []Checkpoint{
-		{After: -1, LastEvent: 4, Output: []byte("0-4")},
-		{After: 2, LastEvent: 6, Output: []byte("3-6")},
-		{After: 4, LastEvent: 7, Output: []byte(",5-7")},
-		{After: 9, LastEvent: 12, Output: []byte("10-12")},
+		{After: -1, LastEvent: 4, Writer: "a", IsFirst: true, Output: []byte("0-4")},
+		{After: 2, LastEvent: 6, Writer: "b", IsFirst: true, Output: []byte("3-6")},
+		{After: 4, LastEvent: 7, Writer: "b", IsFirst: true, Output: []byte(",5-7")},
+		{After: 9, LastEvent: 12, Writer: "b", Output: []byte("10-12")},
 	} {
 		joinCheckpoint(saved, c)
 	}
 	assert.Equal(t, "0-4,5-7", string(saved[0].Output))
 	assert.Equal(t, int64(7), saved[0].LastEvent)
 }
+
+// TestCheckpointsOfARunThatWasNotAskedDoNotJoin has two VMs save up to the same event by chance: what the first saved next
+// comes from a run that went on behind its own event, not behind the second's.
+func TestCheckpointsOfARunThatWasNotAskedDoNotJoin(t *testing.T) {
+	saved := map[int]Checkpoint{}
+	for _, c := range []Checkpoint{
+		{After: -1, LastEvent: 4, Writer: "a", IsFirst: true, Output: []byte("0-4")},
+		{After: 4, LastEvent: 7, Writer: "b", IsFirst: true, Output: []byte(",5-7")},
+		{After: 7, LastEvent: 9, Writer: "a", Output: []byte(",8-9")},
+	} {
+		joinCheckpoint(saved, c)
+	}
+	assert.Equal(t, "0-4,5-7", string(saved[0].Output))
+}
--- a/pkg/worker/checkpoint.go
+++ b/pkg/worker/checkpoint.go
@@ -37,7 +37,8 @@
 				continue
 			}
 			byJob[id] = append(byJob[id], jobkeeper.Checkpoint{
-				Item: i, After: t.savedEvent, LastEvent: t.lastEvent, Output: append([]byte(nil), t.output[t.saved:]...),
+				Item: i, After: t.savedEvent, LastEvent: t.lastEvent, Writer: j.writer, IsFirst: !t.hasSaved,
+				Output: append([]byte(nil), t.output[t.saved:]...),
 			})
 		}
 	}
@@ -62,6 +63,7 @@
 		if t, ok := j.tasks[c.Item]; ok {
 			t.saved += len(c.Output)
 			t.savedEvent = c.LastEvent
+			t.hasSaved = true
 		}
 	}
 }
--- a/pkg/worker/worker.go
+++ b/pkg/worker/worker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
@@ -55,11 +56,13 @@
 
 // work is a job that this VM runs.
 type work struct {
-	id        string
-	due       time.Time
-	host      string
-	items     []jobkeeper.Item
-	tasks     map[int]*task
+	id    string
+	due   time.Time
+	host  string
+	items []jobkeeper.Item
+	tasks map[int]*task
+	// writer names this VM's work on the job in checkpoints.
+	writer    string
 	isLoading bool
 	retryLoad time.Time
 }
@@ -85,7 +88,9 @@
 	// saved is how much of the output, up to which event, is in checkpoints.
 	saved      int
 	savedEvent int64
-	isOver     bool
+	// hasSaved says that this VM saved a checkpoint of the item.
+	hasSaved bool
+	isOver   bool
 }
 
 // itemRun is one run of an item at an endpoint.
@@ -225,6 +230,7 @@
 		return
 	}
 	j.items = items
+	j.writer = uuid.NewString()
 	for i, c := range saved {
 		if i < len(items) {
 			j.tasks[i] = &task{
