--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -171,12 +171,13 @@
 }
 
 func newListener(
-	s platform.Settings, w *watcher.Watcher, rl *relayer.Relayer, k *jobkeeper.Keeper, t *tracer.Tracer,
-	log logrus.FieldLogger,
+	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, rl *relayer.Relayer, k *jobkeeper.Keeper,
+	t *tracer.Tracer, log logrus.FieldLogger,
 ) *listener.Listener {
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
+		HasPeers: g.IsListed,
 	}, w.Current, rl, k, t.Handler(), log)
 }
 
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -206,3 +206,22 @@
 	}, patience, 100*time.Millisecond, "the job is still there")
 	assert.Equal(t, http.StatusAccepted, f.submit(f.vms[1], second, newItems(4)).status, "its tokens no longer count")
 }
+
+// TestVMThatKnowsNoPeersIsNotReady keeps the list of VMs from a VM that starts: should it lose the store as well, it could
+// ask nobody.
+func TestVMThatKnowsNoPeersIsNotReady(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if r.UserAgent() == "dogwoodledge/front-2" && r.URL.Query().Get("table") == "vm" {
+			return standin.Busy
+		}
+		return standin.NoFault
+	})
+	time.AfterFunc(time.Second, func() {
+		f.store.SetFault(func(*http.Request) standin.Fault { return standin.NoFault })
+	})
+	start := time.Now()
+	f.addVM()
+	assert.Greater(t, time.Since(start), 900*time.Millisecond)
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -237,6 +237,9 @@
 	return false
 }
 
+// IsListed says whether the list of VMs was read once, so that reports reach peers and come from them.
+func (g *Gossiper) IsListed() bool { return g.feed.Version() > 0 }
+
 // AnyPeer returns the address of a live VM, one of the own region first.
 func (g *Gossiper) AnyPeer() (netip.AddrPort, bool) {
 	g.mu.Lock()
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -35,6 +35,9 @@
 	Callers, Ready, Metrics netip.AddrPort
 	// ReadyPath and MetricsPath are where the balancer and a scraper ask.
 	ReadyPath, MetricsPath string
+	// HasPeers says whether the VM knows its peers: one that doesn't fills slots that others use, and learns of nothing
+	// when it loses the store.
+	HasPeers func() bool
 }
 
 // Listener owns the servers of the VM.
@@ -112,7 +115,7 @@
 }
 
 func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if l.isLeaving.Load() || !l.registry().IsReady() {
+	if l.isLeaving.Load() || !l.registry().IsReady() || !l.cfg.HasPeers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
