--- a/pkg/assembler/lifecycle.go
+++ b/pkg/assembler/lifecycle.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 // leaveNotice is how long a leaving VM still takes requests, until the balancer and the other VMs know.
@@ -61,7 +62,7 @@
 	p.Server.Leave()
 	p.Membership.Tell(detector.LeaveOrdered{})
 	p.Runner.Stop(ctx)
-	waitFor(ctx, leaveNotice)
+	pauser.Pause(ctx, leaveNotice)
 	drainCtx, cancel := context.WithTimeout(ctx, p.Settings.DrainLimit)
 	defer cancel()
 	err := p.Server.Drain(drainCtx)
@@ -79,12 +80,3 @@
 	}
 	return err
 }
-
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -19,6 +19,8 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -304,7 +306,7 @@
 			g.log.WithField("incarnation", g.cfg.Incarnation).Info("VM registered")
 			return
 		}
-		time.Sleep(registerRetry)
+		pauser.Pause(ctx, registerRetry)
 	}
 }
 
@@ -371,7 +373,7 @@
 		}
 		g.send(isUrgent, isBeat)
 		beat.Reset(heartbeat)
-		if !wait(ctx, urgentGap) {
+		if !pauser.Pause(ctx, urgentGap) {
 			return
 		}
 	}
@@ -404,17 +406,6 @@
 	return time.Duration(n) * time.Second / nearBudget, time.Duration(len(g.members)-n) * time.Second / farBudget
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // send tells the VMs of the region, and those of others when it is their turn or their batch has to yield.
 func (g *Gossiper) send(isUrgent, isBeat bool) {
 	report := g.balancer.Report()
--- a/pkg/jobkeeper/calls.go
+++ b/pkg/jobkeeper/calls.go
@@ -12,6 +12,8 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -178,7 +180,7 @@
 		if err == nil {
 			break
 		}
-		if !pause(ctx, retryPause) {
+		if !pauser.Pause(ctx, retryPause) {
 			k.failCall(w, c.Job, true, err)
 			return
 		}
--- a/pkg/jobkeeper/commit.go
+++ b/pkg/jobkeeper/commit.go
@@ -8,6 +8,8 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -55,7 +57,7 @@
 			continue
 		}
 		k.log.WithError(err).WithFields(logrus.Fields{"job": job, "items": len(batch)}).Warn("results not written yet")
-		if !pause(ctx, retryPause) {
+		if !pauser.Pause(ctx, retryPause) {
 			return
 		}
 	}
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -16,6 +16,8 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -179,7 +181,7 @@
 		if errors.Is(err, errBehind) {
 			wait = conflictPause
 		}
-		if !pause(ctx, wait) {
+		if !pauser.Pause(ctx, wait) {
 			if isInDoubt {
 				return http.StatusGatewayTimeout, err
 			}
@@ -284,15 +286,4 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 var _ Members = (*gossiper.Gossiper)(nil)
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -9,6 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -97,7 +99,7 @@
 			f.space(ctx)
 			continue
 		}
-		if !sleep(ctx, pause) {
+		if !pauser.Pause(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, longestRetry)
@@ -192,14 +194,3 @@
 	f.known.Store(f.version)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/worker/worker.go
+++ b/pkg/worker/worker.go
@@ -16,6 +16,8 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -163,23 +165,12 @@
 		case <-w.balancer.Freed():
 		}
 		w.step(ctx, time.Now())
-		if !sleep(ctx, stepGap) {
+		if !pauser.Pause(ctx, stepGap) {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (w *Worker) step(ctx context.Context, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
