--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -68,6 +69,7 @@
 		route("non_idempotent", "/book/", "app", nil),
 		route("stream", "/draft/", "llm", map[string]any{"maxAttempts": 1}),
 		route("stream", "/note/", "llm", map[string]any{"resumable": true}),
+		route("safe", "/mark/", "mark", nil),
 		route("batch_job", "/batch/", "llm", map[string]any{"maxAttempts": 3, "dueMs": 18000, "maxWaitS": 60, "cap": 0}),
 	}
 }
@@ -123,6 +125,45 @@
 	})
 }
 
+// batchRoute returns the route of batch jobs.
+func (f *testFleet) batchRoute() map[string]any {
+	for _, r := range f.routes {
+		if r["kind"] == "batch_job" {
+			return r
+		}
+	}
+	require.Fail(f.t, "no batch route")
+	return nil
+}
+
+// awaitRoute waits until every VM serves the route.
+func (f *testFleet) awaitRoute(prefix string) {
+	f.t.Helper()
+	for _, vm := range f.vms {
+		require.Eventually(f.t, func() bool {
+			a := f.call(f.t.Context(), vm, http.MethodPost, prefix+"1", newID("m"), "", withHeader("X-Deadline-Ms", "2000"))
+			return a.status == http.StatusOK
+		}, patience, 10*time.Millisecond, "route %s is not served", prefix)
+	}
+}
+
+// awaitConfig puts a configuration in force and waits until every VM goes by it.
+func (f *testFleet) awaitConfig() {
+	f.t.Helper()
+	prefix := fmt.Sprintf("/version%d/", f.version)
+	f.routes = append(f.routes, route("safe", prefix, "app", nil))
+	f.configure()
+	f.awaitRoute(prefix)
+}
+
+// awaitEndpoints waits until every VM has heard of all endpoint rows so far: rows come in order, and the last one written
+// is that of the only endpoint of a service.
+func (f *testFleet) awaitEndpoints() {
+	f.t.Helper()
+	f.addEndpoint("i-mark-1", "mark")
+	f.awaitRoute("/mark/")
+}
+
 func (f *testFleet) settings(name string) platform.Settings {
 	n := lastIP.Add(1)
 	ip := netip.AddrFrom4([4]byte{127, 9, byte(n >> 8), byte(n)})
@@ -201,19 +242,20 @@
 		withHeader("X-Token-Count", "450,250"), withHeader("X-Model", "m"), withHeader("X-Deadline-Ms", "5000"))
 }
 
-// runsOf returns the runs of a request at all endpoints.
-func (f *testFleet) runsOf(id string) []standin.Run {
+// allRuns returns what all endpoints worked on.
+func (f *testFleet) allRuns() []standin.Run {
 	var runs []standin.Run
 	for _, e := range f.endpoints {
-		for _, r := range e.Runs() {
-			if r.ID == id {
-				runs = append(runs, r)
-			}
-		}
+		runs = append(runs, e.Runs()...)
 	}
 	return runs
 }
 
+// runsOf returns the runs of a request at all endpoints.
+func (f *testFleet) runsOf(id string) []standin.Run {
+	return slices.DeleteFunc(f.allRuns(), func(r standin.Run) bool { return r.ID != id })
+}
+
 func wholeStream(id string, events int) string {
 	b := strings.Builder{}
 	for n := range events {
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -78,8 +79,9 @@
 			assert.Contains(t, c.statuses, a.status)
 			f.store.SetFault(func(*http.Request) standin.Fault { return standin.NoFault })
 			if a.status == http.StatusServiceUnavailable {
-				time.Sleep(time.Second)
-				assert.Empty(t, f.runsOf(items[0].ID), "the refusal says that nothing of the job runs")
+				// Long enough for a write that the store does late.
+				assert.Never(t, func() bool { return len(f.runsOf(items[0].ID)) > 0 }, time.Second, 20*time.Millisecond,
+					"the refusal says that nothing of the job runs")
 				return
 			}
 			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
@@ -138,26 +140,21 @@
 	}
 	job, items := newID("job"), newItems(20)
 	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
-	time.Sleep(200 * time.Millisecond)
+	require.Eventually(t, func() bool { return len(f.allRuns()) > 0 }, patience, 10*time.Millisecond, "no item runs")
 	for range 2 {
 		a := f.call(t.Context(), f.vms[1], http.MethodDelete, "/lots/"+job, newID("e"), "")
 		require.Equal(t, http.StatusOK, a.status)
 	}
-	time.Sleep(500 * time.Millisecond)
-	count := func() int {
-		n := 0
-		for _, e := range f.endpoints {
-			n += len(e.Runs())
-		}
-		return n
-	}
-	before := count()
-	time.Sleep(time.Second)
-	assert.Equal(t, before, count(), "an ended job starts no further item")
-	for _, e := range f.endpoints {
-		for _, r := range e.Runs() {
-			assert.True(t, r.WasCut, "a run of an ended job goes on")
-		}
+	ended := time.Now()
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(f.allRuns(), func(r standin.Run) bool { return !r.WasCut })
+	}, 1500*time.Millisecond, 10*time.Millisecond, "a run of an ended job goes on")
+	// Items that wait would start in the slots that came free.
+	before := len(f.allRuns())
+	assert.Never(t, func() bool { return len(f.allRuns()) != before }, time.Second, 20*time.Millisecond,
+		"an ended job starts a further item")
+	for _, r := range f.allRuns() {
+		assert.Less(t, r.At.Sub(ended), 500*time.Millisecond, "an ended job starts a further item")
 	}
 }
 
@@ -166,14 +163,17 @@
 	t.Parallel()
 	f := newFleet(t, 2)
 	cutOff := "dogwoodledge/" + f.vms[1].name
+	var refused atomic.Int64
 	f.store.SetFault(func(r *http.Request) standin.Fault {
 		if r.UserAgent() == cutOff {
+			refused.Add(1)
 			return standin.Busy
 		}
 		return standin.NoFault
 	})
 	f.server.CloseClientConnections()
-	time.Sleep(time.Second)
+	require.Eventually(t, func() bool { return refused.Load() >= 8 }, patience, 10*time.Millisecond,
+		"the VM does not call the store")
 	f.routes = append(f.routes, route("safe", "/new/", "app", nil))
 	f.configure()
 	drained := f.endpoint("i-app-1")
@@ -192,7 +192,7 @@
 	t.Parallel()
 	f := newFleet(t, 0)
 	f.jobStatus = time.Second - jobkeeper.ClockMargin
-	f.routes[4]["cap"] = 5 * 940
+	f.batchRoute()["cap"] = 5 * 940
 	f.configure()
 	f.addVM()
 	f.addVM()
--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -164,10 +164,9 @@
 				}
 				assert.Equal(t, "succeeded", r.State)
 			}
-			time.Sleep(500 * time.Millisecond)
-			runs := len(f.runsOf(items[1].ID))
-			assert.GreaterOrEqual(t, runs, c.min)
-			assert.LessOrEqual(t, runs, c.max)
+			assert.GreaterOrEqual(t, len(f.runsOf(items[1].ID)), c.min)
+			assert.Never(t, func() bool { return len(f.runsOf(items[1].ID)) > c.max }, 500*time.Millisecond, 10*time.Millisecond,
+				"an item that is given up runs again")
 		})
 	}
 }
@@ -213,8 +212,7 @@
 	t.Parallel()
 	f := newFleet(t, 1)
 	f.routes[1]["timeoutMs"] = 400
-	f.configure()
-	time.Sleep(300 * time.Millisecond)
+	f.awaitConfig()
 	for _, e := range f.endpoints {
 		e.SetTrick(func(int, *http.Request) standin.Trick { return standin.Mute })
 	}
@@ -229,7 +227,7 @@
 	f := newFleet(t, 1)
 	e := f.endpoint("i-app-1")
 	f.store.Put("servers", "", e.ID, e.Entry("draining"))
-	time.Sleep(200 * time.Millisecond)
+	f.awaitEndpoints()
 	before := len(e.Runs())
 	for range 10 {
 		assert.Equal(t, 200, f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", newID("d"), "").status)
@@ -243,8 +241,11 @@
 	f.store.Put("op", "", "config", []byte("{not json"))
 	f.store.Put("servers", "", "i-bad-1", map[string]any{"service": 5, "address": "nowhere"})
 	f.store.Put("servers", "", "i-bad-2", map[string]any{"service": "app", "address": "10.0.0.1:1", "state": "odd", "slots": 6})
+	scans := f.store.Calls("/rows-get")
 	f.store.Forget()
-	time.Sleep(300 * time.Millisecond)
+	require.Eventually(t, func() bool { return f.store.Calls("/rows-get") >= scans+2 }, patience, 10*time.Millisecond,
+		"tables are not read anew after their history is lost")
+	f.awaitEndpoints()
 	for range 10 {
 		assert.Equal(t, 200, f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", newID("b"), "").status)
 	}
@@ -303,7 +304,8 @@
 	id := newID("s")
 	done := make(chan answer, 1)
 	go func() { done <- f.stream(f.vms[0], "/draft/1", id) }()
-	time.Sleep(150 * time.Millisecond)
+	require.Eventually(t, func() bool { return len(f.runsOf(id)) == 1 && len(f.runsOf(items[0].ID)) == 1 }, patience,
+		10*time.Millisecond, "stream and items do not run")
 	require.NoError(t, f.vms[0].app.Stop(context.Background()))
 	a := <-done
 	require.NoError(t, a.err)
@@ -317,12 +319,11 @@
 func TestQuotaHoldsAcrossVMs(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
+	f.batchRoute()["cap"] = 20 * 940
+	f.awaitConfig()
 	for _, e := range f.endpoints {
 		e.SetTrick(func(int, *http.Request) standin.Trick { return standin.Mute })
 	}
-	f.routes[4]["cap"] = 20 * 940
-	f.configure()
-	time.Sleep(200 * time.Millisecond)
 	statuses := make(chan int, 6)
 	for n := range 6 {
 		go func() { statuses <- f.submit(f.vms[n%2], newID("job"), newItems(8)).status }()
