--- a/pkg/informer/informer.go
+++ b/pkg/informer/informer.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/emptypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
@@ -64,24 +65,20 @@
 }
 
 func (i *Informer) runAsk(ctx context.Context) {
-	tick := time.NewTicker(askEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if !i.watcher.IsLost() {
-			continue
-		}
-		peer, ok := i.peers.AnyPeer()
-		if !ok {
-			continue
-		}
-		if err := i.ask(ctx, peer); err != nil {
-			i.log.WithError(err).WithField("peer", peer.String()).Info("peer did not pass its rows on")
+	pauser.Every(ctx, askEvery, func(time.Time) {
+		if i.watcher.IsLost() {
+			i.askAny(ctx)
 		}
+	})
+}
+
+func (i *Informer) askAny(ctx context.Context) {
+	peer, ok := i.peers.AnyPeer()
+	if !ok {
+		return
+	}
+	if err := i.ask(ctx, peer); err != nil {
+		i.log.WithError(err).WithField("peer", peer.String()).Info("peer did not pass its rows on")
 	}
 }
 
--- a/pkg/inspector/inspector.go
+++ b/pkg/inspector/inspector.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -59,26 +60,23 @@
 func (i *Inspector) Start(ctx context.Context) { go i.run(ctx) }
 
 func (i *Inspector) run(ctx context.Context) {
-	tick := time.NewTicker(askEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
+	pauser.Every(ctx, askEvery, func(time.Time) {
+		if i.members.IsPartial() {
+			i.askEngines(ctx)
 		}
-		if !i.members.IsPartial() {
+	})
+}
+
+// askEngines asks the engines that fall to this VM, all at once.
+func (i *Inspector) askEngines(ctx context.Context) {
+	live := i.members.LiveVMs()
+	reg := i.registry()
+	for _, e := range reg.Endpoints {
+		if reg.Config == nil || !reg.Config.Services[e.Service].IsEngine || e.IsDraining {
 			continue
 		}
-		live := i.members.LiveVMs()
-		reg := i.registry()
-		for _, e := range reg.Endpoints {
-			if reg.Config == nil || !reg.Config.Services[e.Service].IsEngine || e.IsDraining {
-				continue
-			}
-			if vm, ok := gossiper.Choose("engine "+e.ID, live); ok && vm.Name == i.vm {
-				go i.runAsk(ctx, e)
-			}
+		if vm, ok := gossiper.Choose("engine "+e.ID, live); ok && vm.Name == i.vm {
+			go i.runAsk(ctx, e)
 		}
 	}
 }
--- a/pkg/jobkeeper/adopt.go
+++ b/pkg/jobkeeper/adopt.go
@@ -8,6 +8,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
@@ -59,16 +60,7 @@
 }
 
 func (k *Keeper) runAdopt(ctx context.Context) {
-	tick := time.NewTicker(adoptEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			k.adoptLost(ctx)
-		}
-	}
+	pauser.Every(ctx, adoptEvery, func(time.Time) { k.adoptLost(ctx) })
 }
 
 // adoptLost takes over the jobs of lost holders that fall to this VM.
--- a/pkg/jobkeeper/expire.go
+++ b/pkg/jobkeeper/expire.go
@@ -9,6 +9,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
@@ -23,20 +24,13 @@
 
 // runExpire drops jobs that are over and were submitted longer ago than callers may read them.
 func (k *Keeper) runExpire(ctx context.Context) {
-	tick := time.NewTicker(min(expireEvery, k.cfg.KeepFor))
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, j := range k.expired(now) {
-				if err := k.expire(ctx, j); err != nil {
-					k.log.WithError(err).WithField("job", j.ID).Warn("old job not dropped yet")
-				}
+	pauser.Every(ctx, min(expireEvery, k.cfg.KeepFor), func(now time.Time) {
+		for _, j := range k.expired(now) {
+			if err := k.expire(ctx, j); err != nil {
+				k.log.WithError(err).WithField("job", j.ID).Warn("old job not dropped yet")
 			}
 		}
-	}
+	})
 }
 
 // expired returns the old jobs that fall to this VM.
--- a/pkg/pauser/pauser.go
+++ b/pkg/pauser/pauser.go
@@ -1,4 +1,3 @@
-// Package pauser waits for a time or for the end of a context.
 package pauser
 
 import (
@@ -17,3 +16,17 @@
 		return true
 	}
 }
+
+// Every calls f at each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			f(now)
+		}
+	}
+}
--- a/pkg/poller/poller.go
+++ b/pkg/poller/poller.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/keeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/router"
 	"github.com/dogwoodledge/dogwoodledge/pkg/declarer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -77,16 +78,7 @@
 
 func (p *Poller) loop(ctx context.Context) {
 	defer close(p.done)
-	tick := time.NewTicker(pollEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			p.round(ctx)
-		}
-	}
+	pauser.Every(ctx, pollEvery, func(time.Time) { p.round(ctx) })
 }
 
 type heard struct {
--- a/pkg/storer/paced.go
+++ b/pkg/storer/paced.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 // Paced is a Store whose objects go over the link between regions no faster than a share of it.
@@ -88,14 +90,10 @@
 	if wait == 0 {
 		return nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pauser.Pause(ctx, wait) {
 		return &UnavailableError{Operation: "wait for the link's share", After: wait, Cause: ctx.Err()}
 	}
+	return nil
 }
 
 // charge takes n bytes from the share, in steps of its burst, and lets it go below zero.
--- a/pkg/worker/checkpoint.go
+++ b/pkg/worker/checkpoint.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -15,16 +16,7 @@
 )
 
 func (w *Worker) runCheckpoint(ctx context.Context) {
-	tick := time.NewTicker(checkpointEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			w.checkpoint(ctx)
-		}
-	}
+	pauser.Every(ctx, checkpointEvery, func(time.Time) { w.checkpoint(ctx) })
 }
 
 // checkpoint saves the outputs that have grown, in one transaction for each job.
