Take out what nothing reads of a report; read settings anew without a race

The version of the configuration went out in every report and was read by nobody, and nobody ever heard of the changes that the gossiper announced.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"reflect"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/listener"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
@@ -119,17 +121,11 @@
 }
 
 func newGossiper(
-	s platform.Settings, t storer.Table, b *balancer.Balancer, w *watcher.Watcher, log logrus.FieldLogger,
+	s platform.Settings, t storer.Table, b *balancer.Balancer, log logrus.FieldLogger,
 ) *gossiper.Gossiper {
 	return gossiper.New(gossiper.Config{
 		VM: s.VM.ID, Incarnation: time.Now().UnixMicro(), Address: netip.AddrPortFrom(s.IP, s.FirstPort),
 		Region: s.VM.Region,
-		ConfigVersion: func() int64 {
-			if c := w.Current().Config; c != nil {
-				return c.Version
-			}
-			return 0
-		},
 	}, t, b, log)
 }
 
@@ -186,11 +182,14 @@
 	gatewayParts
 	ctx    context.Context
 	cancel context.CancelFunc
+	// inForce holds the settings as last read.
+	inForce atomic.Pointer[platform.Settings]
 }
 
 func runGateway(lc fx.Lifecycle, p gatewayParts) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &gateway{gatewayParts: p, ctx: ctx, cancel: cancel}
+	g.inForce.Store(&p.Settings)
 	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.stop})
 }
 
@@ -220,7 +219,7 @@
 // stop is the planned stop: hand the batch work over, and answer what has begun.
 func (g *gateway) stop(context.Context) error {
 	start := time.Now()
-	limit := start.Add(time.Duration(float64(g.Settings.Grace) * (1 - stopMarginShare)))
+	limit := start.Add(time.Duration(float64(g.inForce.Load().Grace) * (1 - stopMarginShare)))
 	g.Log.Info("leaving")
 	g.Listener.Leave()
 	g.Gossiper.Leave()
@@ -266,26 +265,19 @@
 		g.Log.WithError(err).Warn("settings can't be used, those in force stay")
 		return
 	}
-	if reflect.DeepEqual(s, g.Settings) {
+	if reflect.DeepEqual(s, *g.inForce.Load()) {
 		return
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	g.Settings = s
+	g.inForce.Store(&s)
 	g.Log.Info("settings read anew; addresses hold from the next start on")
 }
 
 func (g *gateway) runSweep() {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-g.ctx.Done():
-			return
-		case now := <-tick.C:
-			reg := g.Watcher.Current()
-			g.Pool.Sweep(now, func(id string) bool { _, ok := reg.Endpoints[id]; return ok })
-		}
-	}
+	pauser.Every(g.ctx, sweepEvery, func(now time.Time) {
+		reg := g.Watcher.Current()
+		g.Pool.Sweep(now, func(id string) bool { _, ok := reg.Endpoints[id]; return ok })
+	})
 }
 
 func runOnPlatform() error {
--- /dev/null
+++ b/pkg/assembler/reload_test.go
@@ -0,0 +1,42 @@
+package assembler
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/platform"
+)
+
+// TestReloadKeepsGoodSettings reads settings anew while they are in use, as a stop that comes with a change does.
+func TestReloadKeepsGoodSettings(t *testing.T) {
+	text, err := os.ReadFile("../../platform/testdata/settings.toml")
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	t.Setenv(platform.SettingsVariable, file)
+	write := func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	write(string(text))
+	first, err := platform.ReadSettings(file)
+	require.NoError(t, err)
+	log := logrus.New()
+	log.SetOutput(&strings.Builder{})
+	g := &gateway{gatewayParts: gatewayParts{Settings: first, Log: log}}
+	g.inForce.Store(&first)
+
+	read := make(chan time.Duration)
+	go func() { read <- g.inForce.Load().Grace }()
+	write(strings.Replace(string(text), "graceS = 8", "graceS = 5", 1))
+	g.reload()
+	assert.Contains(t, []time.Duration{8 * time.Second, 5 * time.Second}, <-read)
+	assert.Equal(t, 5*time.Second, g.inForce.Load().Grace)
+
+	write("nodeName = 5")
+	g.reload()
+	assert.Equal(t, 5*time.Second, g.inForce.Load().Grace, "a faulty file changes nothing")
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -50,8 +50,6 @@
 	Incarnation int64
 	Address     netip.AddrPort
 	Region      string
-	// ConfigVersion returns the version of the newest configuration known here.
-	ConfigVersion func() int64
 }
 
 // record is a VM's row in the store.
@@ -68,7 +66,6 @@
 	Incarnation int64
 	// Region is empty until the VM's row is known.
 	Region    string
-	Config    int64
 	IsLeaving bool
 	HasStore  bool
 	// HeardAt is the time of its last report; zero when there was none.
@@ -77,6 +74,9 @@
 	listedAt time.Time
 }
 
+// isHeard says whether the VM reported lately.
+func (m *Member) isHeard(now time.Time) bool { return now.Sub(m.HeardAt) < Silence }
+
 // Gossiper exchanges reports with the other VMs.
 type Gossiper struct {
 	cfg      Config
@@ -93,22 +93,17 @@
 	started   time.Time
 	// farSentAt is when other regions were last told.
 	farSentAt time.Time
-	// onChange hears that a VM came, left or was lost.
-	onChange func()
 }
 
 // New returns a gossiper.
 func New(
 	cfg Config, store storer.Table, b *balancer.Balancer, log logrus.FieldLogger,
 ) *Gossiper {
-	g := &Gossiper{cfg: cfg, store: store, balancer: b, log: log, members: map[string]*Member{}, onChange: func() {}}
+	g := &Gossiper{cfg: cfg, store: store, balancer: b, log: log, members: map[string]*Member{}}
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.hearTable, log)
 	return g
 }
 
-// OnChange sets who hears that a VM came, left or was lost.
-func (g *Gossiper) OnChange(f func()) { g.onChange = f }
-
 // Start listens, registers this VM and exchanges reports until ctx ends.
 func (g *Gossiper) Start(ctx context.Context) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(g.cfg.Address))
@@ -160,9 +155,9 @@
 	switch {
 	case ok && m.Incarnation > incarnation:
 		return Lost
-	case ok && now.Sub(m.HeardAt) < Silence && m.IsLeaving:
+	case ok && m.isHeard(now) && m.IsLeaving:
 		return Leaving
-	case ok && now.Sub(m.HeardAt) < Silence:
+	case ok && m.isHeard(now):
 		return Live
 	case now.Sub(g.started) < Silence:
 		return Live
@@ -190,7 +185,7 @@
 	}
 	now := time.Now()
 	for _, m := range g.members {
-		if now.Sub(m.HeardAt) < Silence && !m.IsLeaving {
+		if m.isHeard(now) && !m.IsLeaving {
 			vms = append(vms, VM{Name: m.VM, Incarnation: m.Incarnation})
 		}
 	}
@@ -207,7 +202,7 @@
 		if m.listedAt.After(seen) {
 			seen = m.listedAt
 		}
-		if age := now.Sub(m.HeardAt); age >= Silence && now.Sub(seen) >= Silence && now.Sub(seen) < partialFor {
+		if age := now.Sub(seen); age >= Silence && age < partialFor {
 			return true
 		}
 	}
@@ -232,7 +227,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	for _, m := range g.members {
-		if m.HasStore && !m.IsLeaving && now.Sub(m.HeardAt) < Silence {
+		if m.HasStore && !m.IsLeaving && m.isHeard(now) {
 			return true
 		}
 	}
@@ -250,7 +245,7 @@
 	var near, far []netip.AddrPort
 	for _, m := range g.members {
 		switch {
-		case now.Sub(m.HeardAt) >= Silence:
+		case !m.isHeard(now):
 		case m.Region == g.cfg.Region:
 			near = append(near, m.Address)
 		default:
@@ -345,14 +340,10 @@
 		return
 	}
 	now := time.Now()
-	isNews := now.Sub(known.HeardAt) >= Silence || known.IsLeaving != m.IsLeaving || m.Incarnation != known.Incarnation
-	known.Incarnation, known.sequence, known.Config = m.Incarnation, m.Sequence, m.Config
+	known.Incarnation, known.sequence = m.Incarnation, m.Sequence
 	known.IsLeaving, known.HasStore, known.HeardAt = m.IsLeaving, m.HasStore, now
 	g.mu.Unlock()
 	g.balancer.Hear(m.report())
-	if isNews {
-		g.onChange()
-	}
 }
 
 func (g *Gossiper) runSend(ctx context.Context) {
@@ -365,7 +356,6 @@
 			return
 		case <-beat.C:
 			isBeat = true
-			g.onChange()
 		case <-g.balancer.Changed():
 			isUrgent = g.pause(ctx)
 		case <-g.balancer.Urgent():
@@ -416,7 +406,7 @@
 	m := message{
 		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
 		HasStore: !g.feed.IsLost(),
-		Pending:  report.Pending, UrgencyMs: report.Urgency.Milliseconds(), Config: g.cfg.ConfigVersion(),
+		Pending:  report.Pending, UrgencyMs: report.Urgency.Milliseconds(),
 		Loads: loadMessages(report), Faults: faultMessages(report), Hidden: hiddenMessages(report),
 	}
 	now := time.Now()
--- a/pkg/gossiper/message.go
+++ b/pkg/gossiper/message.go
@@ -33,11 +33,9 @@
 	Pending  int
 	// UrgencyMs is the time until the most urgent waiting item is due, in milliseconds.
 	UrgencyMs int64
-	// Config is the version of the newest configuration that the sender knows.
-	Config int64
-	Loads  []loadMessage
-	Faults []faultMessage
-	Hidden []hiddenMessage
+	Loads     []loadMessage
+	Faults    []faultMessage
+	Hidden    []hiddenMessage
 }
 
 type hiddenMessage struct {
