One piece of code where the change had written the same twice

Found by reading the change: usable endpoints were filtered at two places and for every request (now once per registry); three loops read ranges in pages (storer.ScanAll); rows with heads were put together and taken apart twice (withHead, cutHead); the check of a signature, the answer to a bad body, reads tried twice, orders by due time. Taken out: counters nobody read, the feed's poke, a job's time of abandoning that nothing used. The balancer's lock was taken with every event; now with a stream's first. go test and go test -race ./pkg/assembler pass; bounds and assertions as before.

--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -281,7 +281,7 @@
 	save("a", 1, 2, "\n"+standin.EventData(items[0].ID, 2))
 	f.store.Put("job", part, job, map[string]any{
 		"id": job, "host": testHost, "routePrefix": "/batch/", "config": 3, "tokens": []int{940, 940},
-		"due": time.Now().Add(18 * time.Second).UnixMilli(), "abandonAt": time.Now().Add(time.Minute).UnixMilli(),
+		"due":    time.Now().Add(18 * time.Second).UnixMilli(),
 		"holder": map[string]any{"vm": "front-lost", "incarnation": 1},
 	})
 	for _, r := range f.await(f.vms[0], job, 2).Results {
--- a/pkg/core/jobber/job.go
+++ b/pkg/core/jobber/job.go
@@ -32,10 +32,9 @@
 	Tokens []int64 `json:"tokens"`
 	// ItemRows is how many rows hold the items; 0 means that an object does.
 	ItemRows int `json:"itemRows,omitempty"`
-	// Submitted, Due and AbandonAt are Unix milliseconds.
+	// Submitted and Due are Unix milliseconds.
 	Submitted int64 `json:"submitted"`
 	Due       int64 `json:"due"`
-	AbandonAt int64 `json:"abandonAt"`
 	// Order lists the items at their end, by position of their result.
 	Order []int `json:"order,omitempty"`
 	// IsEnded says that the caller wants no further results.
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// Round trips by distance, as the deployments' sheets state them.
+// Round trips by distance: within a data center, between those of a region, and between regions some thousand km apart.
 var roundTrips = [...]time.Duration{
 	SameZone: 400 * time.Microsecond, SameRegion: 3 * time.Millisecond, OtherRegion: 41 * time.Millisecond,
 }
--- a/pkg/core/registrar/endpoint.go
+++ b/pkg/core/registrar/endpoint.go
@@ -21,6 +21,7 @@
 type Registry struct {
 	Config    *Config
 	Endpoints map[string]Endpoint
+	// byService holds the endpoints of each service that take requests.
 	byService map[string][]Endpoint
 }
 
@@ -28,12 +29,14 @@
 func NewRegistry(cfg *Config, endpoints map[string]Endpoint) *Registry {
 	r := &Registry{Config: cfg, Endpoints: endpoints, byService: map[string][]Endpoint{}}
 	for _, e := range endpoints {
-		r.byService[e.Service] = append(r.byService[e.Service], e)
+		if !e.IsDraining {
+			r.byService[e.Service] = append(r.byService[e.Service], e)
+		}
 	}
 	return r
 }
 
-// Of returns the service's endpoints, draining ones included.
+// Of returns the service's endpoints that take requests; the caller must not change the list.
 func (r *Registry) Of(service string) []Endpoint {
 	return r.byService[service]
 }
--- a/pkg/core/scheduler/scheduler.go
+++ b/pkg/core/scheduler/scheduler.go
@@ -29,12 +29,7 @@
 // that item is due, the longest one so far is put off. The slots are taken as one that is so many times as fast.
 func Order(now time.Time, items []Item, slots float64) []Planned {
 	sorted := slices.Clone(items)
-	slices.SortFunc(sorted, func(a, b Item) int {
-		if c := a.Due.Compare(b.Due); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
+	slices.SortFunc(sorted, byDue)
 	slots = max(slots, 1)
 	var inTime longest
 	var late []Item
@@ -55,21 +50,18 @@
 	return merge(inTime, late)
 }
 
+func byDue(a, b Item) int {
+	return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.ID, b.ID))
+}
+
+func byRemaining(a, b Item) int {
+	return cmp.Or(cmp.Compare(a.Remaining, b.Remaining), cmp.Compare(a.ID, b.ID))
+}
+
 func merge(inTime, late []Item) []Planned {
-	byDue := func(a, b Item) int {
-		if c := a.Due.Compare(b.Due); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
-	}
 	slices.SortFunc(inTime, byDue)
 	// Of the late ones, those that are nearly done free their places soonest.
-	slices.SortFunc(late, func(a, b Item) int {
-		if c := cmp.Compare(a.Remaining, b.Remaining); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
+	slices.SortFunc(late, byRemaining)
 	plan := make([]Planned, 0, len(inTime)+len(late))
 	for _, i := range inTime {
 		plan = append(plan, Planned{Item: i})
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -29,8 +29,6 @@
 	idle map[string][]*Conn
 	// most bounds the idle connections to one endpoint.
 	most int
-	// opened counts the connections made.
-	opened int64
 }
 
 // NewPool returns a pool that keeps at most so many idle connections to one endpoint.
@@ -62,21 +60,11 @@
 	if err != nil {
 		return nil, &ConnectError{Address: addr, After: time.Since(start), Cause: err}
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &Conn{
 		Conn: conn, br: bufio.NewReaderSize(conn, readBuffer), endpoint: id, address: addr, keepFor: defaultIdle,
 	}, nil
 }
 
-// Opened returns how many connections were made.
-func (p *Pool) Opened() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 func (p *Pool) takeIdle(id string, addr netip.AddrPort) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -17,10 +17,9 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
-
-	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -114,7 +113,7 @@
 	g.started = time.Now()
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go g.runRegister(ctx)
-	go g.feed.Run(ctx)
+	g.feed.Start(ctx)
 	go g.runReceive()
 	go g.runSend(ctx)
 	return nil
--- a/pkg/jobkeeper/calls.go
+++ b/pkg/jobkeeper/calls.go
@@ -10,10 +10,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
-
-	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -23,7 +22,6 @@
 	pageBytes = 700 << 10
 	// endTimeout bounds the tries to write a job's end.
 	endTimeout = 4 * time.Second
-	readTries  = 2
 )
 
 // ServeCall answers a call about a job, and says whether the request is one.
@@ -93,26 +91,28 @@
 }
 
 func (k *Keeper) refreshTwice(ctx context.Context, id string) (job jobber.Job, ok bool, err error) {
-	for range readTries {
-		if job, ok, err = k.refresh(ctx, id); err == nil {
-			return job, ok, nil
-		}
-	}
+	job, err = twice(func() (jobber.Job, error) {
+		var j jobber.Job
+		var err error
+		j, ok, err = k.refresh(ctx, id)
+		return j, err
+	})
 	return job, ok, err
 }
 
-func (k *Keeper) readResults(ctx context.Context, c ReadCall) ([]Result, error) {
-	var page storer.Page
-	var err error
-	for range readTries {
-		page, err = k.store.Scan(ctx, storer.Range{
-			Table: resultTable, Partition: partitionOf(c.Job), From: resultKey(c.Job, c.After, 0), To: c.Job + "0",
-			Limit: scanLimit,
-		})
-		if err == nil {
-			break
-		}
+// twice reads once more when the first read fails: a connection may have been reset.
+func twice[T any](read func() (T, error)) (T, error) {
+	v, err := read()
+	if err != nil {
+		v, err = read()
 	}
+	return v, err
+}
+
+func (k *Keeper) readResults(ctx context.Context, c ReadCall) ([]Result, error) {
+	r := rangeOf(resultTable, c.Job)
+	r.From, r.Limit = resultKey(c.Job, c.After, 0), scanLimit
+	page, err := twice(func() (storer.Page, error) { return k.store.Scan(ctx, r) })
 	if err != nil {
 		return nil, err
 	}
@@ -144,13 +144,7 @@
 			return
 		}
 	}
-	var items []Item
-	var err error
-	for range readTries {
-		if items, err = k.Items(r.Context(), c.Job, false); err == nil {
-			break
-		}
-	}
+	items, err := twice(func() ([]Item, error) { return k.Items(r.Context(), c.Job, false) })
 	if err != nil {
 		k.failCall(w, c.Job, true, err)
 		return
--- a/pkg/jobkeeper/checkpoint.go
+++ b/pkg/jobkeeper/checkpoint.go
@@ -1,9 +1,7 @@
 package jobkeeper
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -54,24 +52,15 @@
 }
 
 func encodeCheckpoint(job string, c Checkpoint) (storer.Entry, error) {
-	head, err := json.Marshal(c)
+	value, err := withHead(c, c.Output)
 	return storer.Entry{
-		Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, c.Item, c.After),
-		Value: append(append(head, '\n'), c.Output...),
+		Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, c.Item, c.After), Value: value,
 	}, errors.Wrap(err, "encode checkpoint")
 }
 
-func decodeCheckpoint(e storer.Entry) (Checkpoint, error) {
-	c := Checkpoint{}
-	head, output, ok := bytes.Cut(e.Value, []byte("\n"))
-	if !ok {
-		return c, errors.Errorf("checkpoint row %s has no head", e.Key)
-	}
-	if err := json.Unmarshal(head, &c); err != nil {
-		return c, errors.Wrap(err, "checkpoint row "+e.Key)
-	}
-	c.Output = output
-	return c, nil
+func decodeCheckpoint(e storer.Entry) (c Checkpoint, err error) {
+	c.Output, err = cutHead(e, &c)
+	return c, err
 }
 
 func (k *Keeper) noteCheckpoints(job string, rows []storer.Entry, list []Checkpoint) {
@@ -90,29 +79,21 @@
 
 // Checkpoints returns what is saved of the job's items: of each, the events that follow one another without a gap.
 func (k *Keeper) Checkpoints(ctx context.Context, job string) (map[int]Checkpoint, error) {
+	rows, _, err := storer.ScanAll(ctx, k.store, rangeOf(checkpointTable, job))
+	if err != nil {
+		return nil, err
+	}
 	saved := map[int]Checkpoint{}
-	from := job + "/"
-	for {
-		page, err := k.store.Scan(ctx, storer.Range{
-			Table: checkpointTable, Partition: partitionOf(job), From: from, To: job + "0", Limit: scanLimit,
-		})
+	for _, e := range rows {
+		c, err := decodeCheckpoint(e)
 		if err != nil {
-			return nil, err
-		}
-		for _, e := range page.Entries {
-			c, err := decodeCheckpoint(e)
-			if err != nil {
-				k.log.WithError(err).WithField("job", job).Warn("checkpoint can't be read")
-				continue
-			}
-			k.noteCheckpoints(job, []storer.Entry{e}, []Checkpoint{c})
-			joinCheckpoint(saved, c)
-		}
-		if !page.HasMore || len(page.Entries) == 0 {
-			return saved, nil
+			k.log.WithError(err).WithField("job", job).Warn("checkpoint can't be read")
+			continue
 		}
-		from = page.Entries[len(page.Entries)-1].Key + "\x00"
+		k.noteCheckpoints(job, []storer.Entry{e}, []Checkpoint{c})
+		joinCheckpoint(saved, c)
 	}
+	return saved, nil
 }
 
 // joinCheckpoint appends a checkpoint to the item's output when it begins where that ends, and in the same work or a new one:
--- a/pkg/jobkeeper/commit.go
+++ b/pkg/jobkeeper/commit.go
@@ -7,9 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
-	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
-
 	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
 const (
--- a/pkg/jobkeeper/expire.go
+++ b/pkg/jobkeeper/expire.go
@@ -67,9 +67,9 @@
 
 func (k *Keeper) dropRange(ctx context.Context, table, job string) error {
 	for {
-		page, err := k.store.Scan(ctx, storer.Range{
-			Table: table, Partition: partitionOf(job), From: job + "/", To: job + "0", Limit: dropRows,
-		})
+		r := rangeOf(table, job)
+		r.Limit = dropRows
+		page, err := k.store.Scan(ctx, r)
 		if err != nil || len(page.Entries) == 0 {
 			return err
 		}
--- a/pkg/jobkeeper/keeper.go
+++ b/pkg/jobkeeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -87,7 +88,7 @@
 
 // Start follows the jobs until ctx ends.
 func (k *Keeper) Start(ctx context.Context) {
-	go k.feed.Run(ctx)
+	k.feed.Start(ctx)
 	go k.runAdopt(ctx)
 	go k.runExpire(ctx)
 }
@@ -110,7 +111,7 @@
 
 // take takes over a row unless a newer one is known; the lock is held.
 func (k *Keeper) take(e storer.Entry) {
-	if len(e.Key) > len(gatePrefix) && e.Key[:len(gatePrefix)] == gatePrefix {
+	if strings.HasPrefix(e.Key, gatePrefix) {
 		k.takeGate(e)
 		return
 	}
--- a/pkg/jobkeeper/payload.go
+++ b/pkg/jobkeeper/payload.go
@@ -24,8 +24,8 @@
 	items []Item
 	bytes int
 	used  int64
-	// pins counts the reasons to keep the payload whatever the size.
-	pins int
+	// isPinned keeps the payload whatever the size.
+	isPinned bool
 }
 
 func newPayloadCache() *payloadCache {
@@ -41,19 +41,18 @@
 	}
 	c.clock++
 	p.used = c.clock
-	if pin {
-		p.pins = 1
-	}
+	p.isPinned = p.isPinned || pin
 	return p.items, true
 }
 
-func (c *payloadCache) put(job string, items []Item) {
+func (c *payloadCache) put(job string, items []Item, pin bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.items[job]; ok {
+	if p, ok := c.items[job]; ok {
+		p.isPinned = p.isPinned || pin
 		return
 	}
-	p := &payload{items: items}
+	p := &payload{items: items, isPinned: pin}
 	for _, i := range items {
 		p.bytes += len(i.Body) + len(i.Path) + len(i.ID)
 	}
@@ -68,7 +67,7 @@
 	for c.bytes > cacheBytes {
 		oldest := ""
 		for id, p := range c.items {
-			if id != keep && p.pins == 0 && (oldest == "" || p.used < c.items[oldest].used) {
+			if id != keep && !p.isPinned && (oldest == "" || p.used < c.items[oldest].used) {
 				oldest = id
 			}
 		}
@@ -105,10 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "stored job "+job)
 	}
-	k.payloads.put(job, items)
-	if pin {
-		_, _ = k.payloads.get(job, true)
-	}
+	k.payloads.put(job, items, pin)
 	return items, nil
 }
 
@@ -118,26 +114,16 @@
 	if job.ItemRows == 0 {
 		return k.store.GetBlob(ctx, blobName(id))
 	}
-	var body []byte
-	rows, from := 0, id+"/"
-	for {
-		page, err := k.store.Scan(ctx, storer.Range{
-			Table: itemTable, Partition: partitionOf(id), From: from, To: id + "0", Limit: scanLimit,
-		})
-		if err != nil {
-			return nil, err
-		}
-		for _, e := range page.Entries {
-			body = append(body, e.Value...)
-			rows++
-			from = e.Key + "\x00"
-		}
-		if !page.HasMore || len(page.Entries) == 0 {
-			break
-		}
+	rows, _, err := storer.ScanAll(ctx, k.store, rangeOf(itemTable, id))
+	if err != nil {
+		return nil, err
 	}
-	if rows != job.ItemRows {
-		return nil, errors.Errorf("job %s has %d rows of items, not %d", id, rows, job.ItemRows)
+	if len(rows) != job.ItemRows {
+		return nil, errors.Errorf("job %s has %d rows of items, not %d", id, len(rows), job.ItemRows)
+	}
+	var body []byte
+	for _, e := range rows {
+		body = append(body, e.Value...)
 	}
 	return body, nil
 }
--- a/pkg/jobkeeper/rows.go
+++ b/pkg/jobkeeper/rows.go
@@ -78,6 +78,26 @@
 	return rows
 }
 
+// rangeOf is the range of a job's rows in a table.
+func rangeOf(table, job string) storer.Range {
+	return storer.Range{Table: table, Partition: partitionOf(job), From: job + "/", To: job + "0"}
+}
+
+// withHead puts a line with the encoded head before the body of a row.
+func withHead(head any, body []byte) ([]byte, error) {
+	text, err := json.Marshal(head)
+	return slices.Concat(text, []byte("\n"), body), err
+}
+
+// cutHead decodes the head of a row and returns the body.
+func cutHead(e storer.Entry, head any) ([]byte, error) {
+	text, body, ok := bytes.Cut(e.Value, []byte("\n"))
+	if !ok {
+		return nil, errors.Errorf("row %s of table %s has no head", e.Key, e.Table)
+	}
+	return body, errors.Wrapf(json.Unmarshal(text, head), "row %s of table %s", e.Key, e.Table)
+}
+
 // resultHead opens the first row of a result.
 type resultHead struct {
 	ID    string       `json:"id"`
@@ -95,11 +115,11 @@
 	if len(chunks) == 0 {
 		chunks = [][]byte{nil}
 	}
-	head, err := json.Marshal(resultHead{ID: r.ID, State: r.State, Rows: len(chunks)})
+	var err error
+	chunks[0], err = withHead(resultHead{ID: r.ID, State: r.State, Rows: len(chunks)}, chunks[0])
 	if err != nil {
 		return nil, errors.Wrap(err, "encode result")
 	}
-	chunks[0] = slices.Concat(head, []byte("\n"), chunks[0])
 	rows := make([]storer.Entry, 0, len(chunks))
 	for n, chunk := range chunks {
 		rows = append(rows, storer.Entry{
@@ -116,13 +136,10 @@
 		if !strings.HasPrefix(rows[0].Key, fmt.Sprintf("%s/%05d/000", job, position)) {
 			break
 		}
-		text, output, ok := bytes.Cut(rows[0].Value, []byte("\n"))
 		head := resultHead{}
-		if !ok {
-			return results, errors.Errorf("result row %s has no head", rows[0].Key)
-		}
-		if err := json.Unmarshal(text, &head); err != nil {
-			return results, errors.Wrap(err, "result row "+rows[0].Key)
+		output, err := cutHead(rows[0], &head)
+		if err != nil {
+			return results, err
 		}
 		if head.Rows > len(rows) {
 			break
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -13,11 +13,10 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
-
-	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 )
 
 const (
@@ -49,12 +48,8 @@
 	defer cancel()
 	cfg := k.registry().Config
 	body, err := relayer.ReadBody(w, r, cfg.Limits.BodyBytes)
-	if tooLarge := (*relayer.BodyTooLargeError)(nil); errors.As(err, &tooLarge) {
-		relayer.WriteProblem(w, http.StatusRequestEntityTooLarge, err.Error())
-		return
-	}
 	if err != nil {
-		relayer.WriteProblem(w, http.StatusBadRequest, err.Error())
+		relayer.WriteBodyProblem(w, err)
 		return
 	}
 	id := k.codec.JobID(r)
@@ -129,8 +124,7 @@
 func newJob(id string, items []Item, route registrar.Route, config int64, now time.Time) jobber.Job {
 	j := jobber.Job{
 		ID: id, Host: route.Host, PathPrefix: route.PathPrefix, Config: config,
-		Submitted: now.UnixMilli(),
-		Due:       now.Add(route.Due).UnixMilli(), AbandonAt: now.Add(route.AbandonAfter).UnixMilli(),
+		Submitted: now.UnixMilli(), Due: now.Add(route.Due).UnixMilli(),
 	}
 	for _, i := range items {
 		j.Tokens = append(j.Tokens, i.Tokens)
@@ -148,12 +142,12 @@
 	if k.feed.IsLost() {
 		return http.StatusServiceUnavailable, errStoreLost
 	}
-	if !k.fits(job, route) {
-		return http.StatusTooManyRequests, nil
-	}
 	rows := encodeItems(job.ID, body, k.cfg.RowBytes)
 	job.ItemRows = len(rows)
 	if len(rows) == 0 {
+		if !k.fits(job, route) {
+			return http.StatusTooManyRequests, nil
+		}
 		if err := k.putItems(ctx, job.ID, body); err != nil {
 			return http.StatusServiceUnavailable, err
 		}
@@ -163,7 +157,7 @@
 		status, err := k.acceptOnce(ctx, job, rows, route)
 		switch {
 		case status == http.StatusAccepted:
-			k.payloads.put(job.ID, items)
+			k.payloads.put(job.ID, items, false)
 			return status, nil
 		case err == nil:
 			if isInDoubt {
@@ -171,11 +165,11 @@
 			}
 			return status, nil
 		}
-		if unavailable := (*storer.UnavailableError)(nil); errors.As(err, &unavailable) && unavailable.MayHaveRun {
-			isInDoubt = true
-		}
-		if !isInDoubt && ctx.Err() == nil && isRefusedByStore(err) {
-			return http.StatusServiceUnavailable, err
+		if unavailable := (*storer.UnavailableError)(nil); errors.As(err, &unavailable) {
+			isInDoubt = isInDoubt || unavailable.MayHaveRun
+			if !isInDoubt {
+				return http.StatusServiceUnavailable, err
+			}
 		}
 		wait := retryPause
 		if errors.Is(err, errBehind) {
@@ -190,11 +184,6 @@
 	}
 }
 
-func isRefusedByStore(err error) bool {
-	unavailable := (*storer.UnavailableError)(nil)
-	return errors.As(err, &unavailable) && !unavailable.MayHaveRun
-}
-
 func (k *Keeper) putItems(ctx context.Context, id string, body []byte) error {
 	err := k.store.PutBlob(ctx, blobName(id), body)
 	exists := (*storer.ExistsError)(nil)
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -137,7 +137,7 @@
 		return
 	}
 	if limit := reg.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
-		relayer.WriteProblem(w, http.StatusRequestEntityTooLarge, (&relayer.BodyTooLargeError{Limit: limit}).Error())
+		relayer.WriteBodyProblem(w, &relayer.BodyTooLargeError{Limit: limit})
 		return
 	}
 	if limit := reg.Config.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -10,6 +10,11 @@
 	RequestID, Deadline, ExpectInstance, NotExecuted, Signature, LastEventID string
 }
 
+// IsSigned says whether an endpoint made the answer for the request with the id.
+func (h Headers) IsSigned(res *http.Response, id string) bool {
+	return res.Header.Get(h.Signature) != "" && res.Header.Get(h.RequestID) == id
+}
+
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
--- a/pkg/relayer/pass.go
+++ b/pkg/relayer/pass.go
@@ -84,7 +84,7 @@
 func (q *request) passStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	events := NewEventReader(x)
 	flush := http.NewResponseController(q.w)
-	for {
+	for hasBegun := false; ; hasBegun = true {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if !q.hasAnswer {
@@ -96,8 +96,10 @@
 		if err != nil {
 			return q.endBrokenStream(err, s)
 		}
-		q.balancer.FirstByte(ticket, s.NeedsYield)
-		q.noteFirst()
+		if !hasBegun {
+			q.balancer.FirstByte(ticket, s.NeedsYield)
+			q.noteFirst()
+		}
 		if e.ID >= 0 && e.ID <= q.lastEvent {
 			continue
 		}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,8 +42,6 @@
 	pool     *dialer.Pool
 	metrics  Metrics
 	log      logrus.FieldLogger
-	// active counts the requests under way.
-	active atomic.Int64
 }
 
 // New returns a relayer.
@@ -55,23 +52,18 @@
 	return &Relayer{headers: h, registry: registry, balancer: b, pool: pool, metrics: m, log: log}
 }
 
-// Active returns how many requests are under way.
-func (l *Relayer) Active() int64 { return l.active.Load() }
-
 // errTimeout is the cause of a request that ran out of time.
 var errTimeout = errors.New("time is over")
 
 // Serve answers an online request of the route.
 func (l *Relayer) Serve(w http.ResponseWriter, r *http.Request, route registrar.Route) {
-	l.active.Add(1)
-	defer l.active.Add(-1)
 	start := time.Now()
 	spanCtx, span := otel.Tracer("relayer").Start(r.Context(), "request "+route.Name)
 	defer span.End()
 	r = r.WithContext(spanCtx)
 	body, err := ReadBody(w, r, l.registry().Config.Limits.BodyBytes)
 	if err != nil {
-		WriteProblem(w, bodyStatus(err), err.Error())
+		WriteBodyProblem(w, err)
 		return
 	}
 	q := &request{
@@ -111,11 +103,13 @@
 	return body, errors.Wrap(err, "read body")
 }
 
-func bodyStatus(err error) int {
+// WriteBodyProblem answers a request whose body ReadBody could not read.
+func WriteBodyProblem(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
 	if tooLarge := (*BodyTooLargeError)(nil); errors.As(err, &tooLarge) {
-		return http.StatusRequestEntityTooLarge
+		status = http.StatusRequestEntityTooLarge
 	}
-	return http.StatusBadRequest
+	WriteProblem(w, status, err.Error())
 }
 
 // WriteProblem writes a failure of our own.
@@ -206,16 +200,10 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
-	service := route.ServiceFor(q.id)
-	var candidates []registrar.Endpoint
-	for _, e := range reg.Of(service) {
-		if !e.IsDraining {
-			candidates = append(candidates, e)
-		}
-	}
 	now := time.Now()
 	d, ticket := q.balancer.Place(placer.Ask{
-		Route: route, Candidates: candidates, Tried: q.tried, Left: q.deadline.Sub(now), Waited: now.Sub(q.start),
+		Route: route, Candidates: reg.Of(route.ServiceFor(q.id)), Tried: q.tried, Left: q.deadline.Sub(now),
+		Waited: now.Sub(q.start),
 	})
 	if s, isSend := d.(placer.Send); isSend {
 		q.endpoint, q.load, q.estimate, q.decision = s.Endpoint.ID, s.Load, s.Estimate, "send"
@@ -315,8 +303,7 @@
 		q.refuse(placer.Refuse{Reason: "the endpoints have no room"})
 		return true, placer.EndedFull
 	}
-	isSigned := res.Header.Get(q.headers.Signature) != "" && res.Header.Get(q.headers.RequestID) == q.id
-	if !isSigned {
+	if !q.headers.IsSigned(res, q.id) {
 		q.cause = errors.Errorf("answer of endpoint %s with status %d is not signed for this request", s.Endpoint.ID, status)
 		return q.endAfterDoubt(q.cause), placer.EndedBroken
 	}
--- a/pkg/storer/table.go
+++ b/pkg/storer/table.go
@@ -56,6 +56,30 @@
 	DropBlob(ctx context.Context, name string) error
 }
 
+// scanPage is the largest page that the table service gives.
+const scanPage = 500
+
+// ScanAll reads a whole range in pages, and returns the version of the oldest of them.
+func ScanAll(ctx context.Context, t Table, r Range) ([]Entry, int64, error) {
+	var entries []Entry
+	version := int64(0)
+	r.Limit = scanPage
+	for {
+		page, err := t.Scan(ctx, r)
+		if err != nil {
+			return nil, 0, err
+		}
+		entries = append(entries, page.Entries...)
+		if version == 0 || page.Version < version {
+			version = page.Version
+		}
+		if !page.HasMore || len(page.Entries) == 0 {
+			return entries, version, nil
+		}
+		r.From = page.Entries[len(page.Entries)-1].Key + "\x00"
+	}
+}
+
 // StaleError says that a row had another version than a change expected; Current holds the rows as they are.
 type StaleError struct {
 	Current []Entry
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -8,9 +8,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
-
 	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
 const (
@@ -20,7 +19,6 @@
 	// firstRetry and longestRetry bound the pause after a failed call.
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = 400 * time.Millisecond
-	scanPage     = 500
 	// lostAfter is how many calls in a row must fail for the store to count as lost; one may be a reset connection.
 	lostAfter = 2
 )
@@ -43,9 +41,8 @@
 	partitions []string
 	hear       func(Update)
 	log        logrus.FieldLogger
-	// gap spaces the calls of a table that changes often; poked ends it.
-	gap   time.Duration
-	poked chan struct{}
+	// gap spaces the calls of a table that changes often.
+	gap time.Duration
 
 	version  int64
 	isSynced bool
@@ -63,21 +60,13 @@
 ) *Feed {
 	return &Feed{
 		store: store, table: table, partitions: partitions, hear: hear,
-		log: log.WithField("table", table), poked: make(chan struct{}, 1),
+		log: log.WithField("table", table),
 	}
 }
 
 // SetGap spaces the calls of a table whose changes need not be known at once.
 func (f *Feed) SetGap(gap time.Duration) { f.gap = gap }
 
-// Poke ends the gap after the last call.
-func (f *Feed) Poke() {
-	select {
-	case f.poked <- struct{}{}:
-	default:
-	}
-}
-
 // Version returns the store's version up to which the table is known; 0 before the first full read.
 func (f *Feed) Version() int64 { return f.known.Load() }
 
@@ -90,13 +79,17 @@
 	return now.Sub(time.Unix(0, at))
 }
 
-// run follows the table until ctx ends.
+// Start follows the table until ctx ends.
+func (f *Feed) Start(ctx context.Context) { go f.run(ctx) }
+
 func (f *Feed) run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err == nil {
 			pause = firstRetry
-			f.space(ctx)
+			if f.gap > 0 {
+				pauser.Pause(ctx, f.gap)
+			}
 			continue
 		}
 		if !pauser.Pause(ctx, pause) {
@@ -109,23 +102,6 @@
 // IsLost says whether the store did not answer the feed's last calls.
 func (f *Feed) IsLost() bool { return f.isLost.Load() }
 
-// Run follows the table until ctx ends.
-func (f *Feed) Run(ctx context.Context) { f.run(ctx) }
-
-// space waits for the gap, or until the feed is poked.
-func (f *Feed) space(ctx context.Context) {
-	if f.gap == 0 {
-		return
-	}
-	t := time.NewTimer(f.gap)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-f.poked:
-	}
-}
-
 func (f *Feed) step(ctx context.Context) error {
 	if !f.isSynced {
 		u, err := f.scan(ctx)
@@ -144,20 +120,13 @@
 func (f *Feed) scan(ctx context.Context) (Update, error) {
 	u := Update{IsFull: true}
 	for _, p := range f.partitions {
-		from := ""
-		for {
-			page, err := f.store.Scan(ctx, storer.Range{Table: f.table, Partition: p, From: from, Limit: scanPage})
-			if err != nil {
-				return u, err
-			}
-			u.Entries = append(u.Entries, page.Entries...)
-			if u.Version == 0 || page.Version < u.Version {
-				u.Version = page.Version
-			}
-			if !page.HasMore || len(page.Entries) == 0 {
-				break
-			}
-			from = page.Entries[len(page.Entries)-1].Key + "\x00"
+		entries, version, err := storer.ScanAll(ctx, f.store, storer.Range{Table: f.table, Partition: p})
+		if err != nil {
+			return u, err
+		}
+		u.Entries = append(u.Entries, entries...)
+		if u.Version == 0 || version < u.Version {
+			u.Version = version
 		}
 	}
 	return u, nil
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -67,13 +67,8 @@
 
 // Start follows both tables until ctx ends.
 func (w *Watcher) Start(ctx context.Context) {
-	go w.config.run(ctx)
-	go w.endpoints.run(ctx)
-}
-
-// Age returns how long ago the store last confirmed both tables.
-func (w *Watcher) Age(now time.Time) time.Duration {
-	return max(w.config.Age(now), w.endpoints.Age(now))
+	w.config.Start(ctx)
+	w.endpoints.Start(ctx)
 }
 
 // IsLost says whether the store did not answer the last calls of either table.
--- a/pkg/worker/item.go
+++ b/pkg/worker/item.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	abandoned = jobber.Abandoned
 	// stallTimeout is how long an endpoint may send nothing: well over a pause that makes a stream late.
 	stallTimeout = 2 * time.Second
 	maxRefusal   = 64 << 10
@@ -94,12 +93,12 @@
 		switch answer.Status {
 		case http.StatusUnprocessableEntity:
 			how, outcome = placer.EndedWhole, "impossible"
-			w.finish(t, jobkeeper.Result{ID: t.item.ID, State: abandoned})
+			w.finish(t, jobkeeper.Result{ID: t.item.ID, State: jobber.Abandoned})
 		case http.StatusInternalServerError:
 			how, outcome = placer.EndedWhole, "failed"
 			t.failures++
 			if t.failures >= route.MaxAttempts {
-				w.finish(t, jobkeeper.Result{ID: t.item.ID, State: abandoned})
+				w.finish(t, jobkeeper.Result{ID: t.item.ID, State: jobber.Abandoned})
 			}
 		case http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
 			how, outcome = placer.EndedFull, "refused"
@@ -132,7 +131,7 @@
 		return err
 	}
 	events := relayer.NewEventReader(x)
-	for {
+	for hasBegun := false; ; hasBegun = true {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -144,7 +143,9 @@
 			return err
 		}
 		stall.Reset(stallTimeout)
-		w.balancer.FirstByte(run.ticket, true)
+		if !hasBegun {
+			w.balancer.FirstByte(run.ticket, true)
+		}
 		if err := w.takeEvent(t, run, e); err != nil {
 			return err
 		}
@@ -169,7 +170,7 @@
 func (w *Worker) checkAnswer(x *dialer.Exchange, t *task, run *itemRun) error {
 	res := x.Response
 	if res.StatusCode == http.StatusOK {
-		if res.Header.Get(w.headers.Signature) == "" || res.Header.Get(w.headers.RequestID) != t.item.ID {
+		if !w.headers.IsSigned(res, t.item.ID) {
 			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
 		}
 		return nil
--- a/pkg/worker/worker.go
+++ b/pkg/worker/worker.go
@@ -10,14 +10,14 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/scheduler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobkeeper"
-	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
-
 	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
+	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 )
 
 const (
@@ -318,7 +318,7 @@
 		if full[service] {
 			continue
 		}
-		e, ticket, ok := w.balancer.StartBatch(usable(reg.Of(service)))
+		e, ticket, ok := w.balancer.StartBatch(reg.Of(service))
 		if !ok {
 			full[service] = true
 			continue
@@ -400,16 +400,6 @@
 	return waiting
 }
 
-func usable(endpoints []registrar.Endpoint) []registrar.Endpoint {
-	list := make([]registrar.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
-		if !e.IsDraining {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
 // abandonIfGone gives an item up whose route the configuration no longer has.
 func (w *Worker) abandonIfGone(t *task, reg *registrar.Registry) {
 	if reg.Config.Version < w.keeper.ConfigOf(t.work.id) {
@@ -418,7 +408,7 @@
 	w.log.WithFields(logrus.Fields{
 		"job": t.work.id, "item": t.item.ID, "config": reg.Config.Version,
 	}).Warn("item given up: its route is gone")
-	w.finish(t, jobkeeper.Result{ID: t.item.ID, State: abandoned})
+	w.finish(t, jobkeeper.Result{ID: t.item.ID, State: jobber.Abandoned})
 }
 
 func (w *Worker) finish(t *task, r jobkeeper.Result) {
