--- /dev/null
+++ b/pkg/dialer/pool_test.go
@@ -0,0 +1,202 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// serveRaw answers each connection with a function of its own, and counts connections by the length of its channel.
+func serveRaw(t *testing.T, answer func(conn net.Conn, br *bufio.Reader)) (netip.AddrPort, <-chan struct{}) {
+	t.Helper()
+	socket, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	opened := make(chan struct{}, 100)
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			opened <- struct{}{}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				answer(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(socket.Addr().String()), opened
+}
+
+func readHead(br *bufio.Reader) (*http.Request, error) { return http.ReadRequest(br) }
+
+func ask(t *testing.T, p *Pool, addr netip.AddrPort, id string, body []byte) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	conn, err := p.Get(ctx, "e", addr)
+	if err != nil {
+		return "", err
+	}
+	x, err := p.Do(ctx, conn, Request{
+		Method: http.MethodPost, Target: "/a%2Fb?c", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: body,
+		IDHeader: "X-Id", ID: id,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	text, err := io.ReadAll(x)
+	return string(text), err
+}
+
+func reply(id, extra, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + extra + "\r\n" + body
+}
+
+// TestReuse checks after which answers a connection serves another request.
+func TestReuse(t *testing.T) {
+	cases := []struct {
+		name, extra, body string
+		// then is written after the answer, ends closes the connection after it.
+		then    string
+		ends    bool
+		isReuse bool
+	}{
+		{"a whole answer", "Content-Length: 2\r\n", "ok", "", false, true},
+		{"an answer in chunks", "Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0\r\n\r\n", "", false, true},
+		{"an answer that says close", "Content-Length: 2\r\nConnection: close\r\n", "ok", "", false, false},
+		{"an idle limit that leaves no margin", "Content-Length: 2\r\nKeep-Alive: timeout=0\r\n", "ok", "", false, false},
+		{"bytes behind the answer", "Content-Length: 2\r\n", "ok", "HTTP/1.1 200 OK\r\n\r\n", false, false},
+		{"an endpoint that closes", "Content-Length: 2\r\n", "ok", "", true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+				for {
+					r, err := readHead(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, reply(r.Header.Get("X-Id"), c.extra, c.body)+c.then)
+					if c.ends {
+						return
+					}
+				}
+			})
+			p := NewPool(4)
+			for _, id := range []string{"1", "2"} {
+				text, err := ask(t, p, addr, id, []byte("body"))
+				require.NoError(t, err)
+				assert.Equal(t, "ok", text)
+				awaitQuiet(p, c.then != "" || c.ends)
+			}
+			want := 2
+			if c.isReuse {
+				want = 1
+			}
+			assert.Len(t, opened, want)
+		})
+	}
+}
+
+// awaitQuiet waits until what comes behind an answer has reached the idle connection.
+func awaitQuiet(p *Pool, isExpected bool) {
+	for limit := time.Now().Add(time.Second); isExpected && time.Now().Before(limit); {
+		p.mu.Lock()
+		list := p.idle["e"]
+		isDone := len(list) == 0 || !list[0].isQuiet()
+		p.mu.Unlock()
+		if isDone {
+			return
+		}
+	}
+}
+
+// TestEarlyAnswerEndsItsConnection has an endpoint answer before it read a long body, and read on later: it must not get
+// another request where the rest of the body is due.
+func TestEarlyAnswerEndsItsConnection(t *testing.T) {
+	addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		r, err := readHead(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, reply(r.Header.Get("X-Id"), "Content-Length: 2\r\n", "ok"))
+		_, err = io.Copy(io.Discard, r.Body)
+		if err == nil {
+			_, err = readHead(br)
+		}
+		assert.Error(t, err, "a further request came on the connection")
+	})
+	p := NewPool(4)
+	for _, id := range []string{"1", "2"} {
+		text, err := ask(t, p, addr, id, bytes.Repeat([]byte("x"), 16<<20))
+		require.NoError(t, err)
+		assert.Equal(t, "ok", text)
+	}
+	assert.Len(t, opened, 2)
+}
+
+func TestStrayAnswersAreSkipped(t *testing.T) {
+	addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		r, err := readHead(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, reply("other", "Content-Length: 3\r\n", "bad")+
+			"HTTP/1.1 100 Continue\r\n\r\n"+reply(r.Header.Get("X-Id"), "Content-Length: 2\r\n", "ok"))
+	})
+	text, err := ask(t, NewPool(4), addr, "1", nil)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", text)
+}
+
+// TestEndByResetIsNoEnd tells an answer without a length that ends with its connection from one that was cut.
+func TestEndByResetIsNoEnd(t *testing.T) {
+	for _, isReset := range []bool{false, true} {
+		addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+			r, err := readHead(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, reply(r.Header.Get("X-Id"), "", "part"))
+			if isReset {
+				assert.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+			}
+		})
+		_, err := ask(t, NewPool(4), addr, "1", nil)
+		assert.Equal(t, isReset, err != nil)
+	}
+}
+
+func TestErrorsTellWhetherTheEndpointSawIt(t *testing.T) {
+	socket, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := netip.MustParseAddrPort(socket.Addr().String())
+	require.NoError(t, socket.Close())
+	_, err = ask(t, NewPool(4), gone, "1", nil)
+	connect := (*ConnectError)(nil)
+	assert.True(t, errors.As(err, &connect))
+
+	addr, opened := serveRaw(t, func(_ net.Conn, br *bufio.Reader) { _, _ = readHead(br) })
+	_, err = ask(t, NewPool(4), addr, "1", nil)
+	exchange := (*ExchangeError)(nil)
+	assert.True(t, errors.As(err, &exchange))
+	assert.Len(t, opened, 1, "a request is sent once")
+	assert.True(t, strings.Contains(err.Error(), addr.String()))
+}
