One client for the store

Ruled out: keeping the old protocol behind a flag (nothing else speaks it); rewriting archiver, follower and claims to partitioned tables (storer.Rows maps their flat keys on one partition; their transactions are within 100 entries, which the stand-in enforces).

Change: storer.Rows implements Store over a Table, with the retries, breaker and counts of the former client; platform.Store is the only client; emulator.Platform is the stand-in of platform/standin with its admin calls.

--- a/pkg/assembler/assembler.go
+++ b/pkg/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/server"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+	"github.com/dogwoodledge/dogwoodledge/platform"
 )
 
 const (
@@ -35,7 +36,7 @@
 	Settings   loader.Settings
 	Log        logrus.FieldLogger
 	Tracer     *tracer.Tracer
-	Client     *storer.Client
+	Rows       *storer.Rows
 	Paced      *storer.Paced
 	Auth       *messenger.Authenticator
 	Caller     *messenger.Caller
@@ -60,7 +61,7 @@
 		fx.StopTimeout(s.DrainLimit+stopMargin),
 		fx.Supply(s),
 		fx.Provide(
-			tracer.New, tracer.NewLog, newRandom, newPaced, newClient, newAuthenticator, newCaller, newFollower, newFleet,
+			tracer.New, tracer.NewLog, newRandom, newPaced, newRows, newAuthenticator, newCaller, newFollower, newFleet,
 			newMembership, newGranter, newReserver, newRoutes, newDispatcher, forwarder.NewPools, newArchiver, newRunner, newPoller,
 			newClaims, newOrderer, newServer, newVMServer,
 		),
@@ -77,11 +78,11 @@
 	}
 }
 
-func newClient(s loader.Settings) *storer.Client {
-	return storer.NewClient(storer.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout})
+func newRows(s loader.Settings) *storer.Rows {
+	return storer.NewRows(platform.NewStore(s.Platform.Address, s.VM.ID, platform.WithCallTimeout(s.Platform.Timeout)))
 }
 
-func newPaced(c *storer.Client) *storer.Paced { return storer.NewPaced(c) }
+func newPaced(s *storer.Rows) *storer.Paced { return storer.NewPaced(s) }
 
 func newArchiver(s loader.Settings, p *storer.Paced) *archiver.Archiver {
 	return archiver.New(p, s.SegmentItems)
@@ -100,13 +101,13 @@
 }
 
 func newFollower(
-	s loader.Settings, c *storer.Client, random func() *rand.Rand, log logrus.FieldLogger,
+	s loader.Settings, c *storer.Rows, random func() *rand.Rand, log logrus.FieldLogger,
 ) *follower.Follower {
 	return follower.New(c, s.PollEvery, random(), log)
 }
 
 func newMembership(
-	s loader.Settings, auth *messenger.Authenticator, p *storer.Client, fleet *Fleet,
+	s loader.Settings, auth *messenger.Authenticator, p *storer.Rows, fleet *Fleet,
 	random func() *rand.Rand, log logrus.FieldLogger,
 ) (*messenger.Membership, error) {
 	return messenger.NewMembership(messenger.MembershipConfig{
--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -241,9 +241,9 @@
 	f.store.Put("op", "", "config", []byte("{not json"))
 	f.store.Put("servers", "", "i-bad-1", map[string]any{"service": 5, "address": "nowhere"})
 	f.store.Put("servers", "", "i-bad-2", map[string]any{"service": "app", "address": "10.0.0.1:1", "state": "odd", "slots": 6})
-	scans := f.store.Calls("/rows-get")
+	scans := f.store.CallCounts().Reads
 	f.store.Forget()
-	require.Eventually(t, func() bool { return f.store.Calls("/rows-get") >= scans+2 }, patience, 10*time.Millisecond,
+	require.Eventually(t, func() bool { return f.store.CallCounts().Reads >= scans+2 }, patience, 10*time.Millisecond,
 		"tables are not read anew after their history is lost")
 	f.awaitEndpoints()
 	for range 10 {
--- a/pkg/emulator/platform.go
+++ b/pkg/emulator/platform.go
@@ -1,18 +1,19 @@
 package emulator
 
 import (
-	"bytes"
-	"context"
-	"io"
-	"slices"
-	"sort"
-	"strings"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/platform"
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
 // PlatformFaults are the faults that can be switched on.
@@ -32,213 +33,144 @@
 	Objects int64 `json:"objects"`
 }
 
-// Platform is an in-memory table service, object store and VM list with faults.
+// Platform is the store's stand-in with faults, a list of VMs, and a client of its own within the process.
 type Platform struct {
-	mu      sync.Mutex
-	rows    map[string]storer.Row
-	keys    []string
-	objects map[string][]byte
-	vms     map[string]storer.VMRecord
-	frozen  []storer.VMRecord
-	version int64
-	faults  PlatformFaults
-	counts  PlatformCounts
+	*storer.Rows
+
+	store *standin.Store
+
+	mu     sync.Mutex
+	faults PlatformFaults
+	// held are the changes of the list of VMs that wait while it is frozen, in order.
+	held []func()
 }
 
 var _ storer.Store = (*Platform)(nil)
 
-var (
-	errDown       = errors.New("platform is down")
-	errAnswerLost = errors.New("answer lost")
-)
-
 // NewPlatform returns an empty platform without faults.
 func NewPlatform() *Platform {
-	return &Platform{
-		rows:    map[string]storer.Row{},
-		objects: map[string][]byte{},
-		vms:     map[string]storer.VMRecord{},
-	}
+	p := &Platform{store: standin.NewStore()}
+	p.store.SetFault(p.faultOf)
+	p.Rows = storer.NewRows(platform.NewStore(inProcess, "emulator", platform.WithTransport(direct{p.store})))
+	return p
 }
 
 // SetFaults replaces the faults in force.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if f.IsVMListFrozen && !p.faults.IsVMListFrozen {
-		p.frozen = p.listVMs()
-	}
 	p.faults = f
-}
-
-// Counts returns the calls served so far.
-func (p *Platform) Counts() PlatformCounts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counts
+	var due []func()
+	if !f.IsVMListFrozen {
+		due, p.held = p.held, nil
+	}
+	p.mu.Unlock()
+	p.store.SetDelay(f.Slow)
+	for _, change := range due {
+		change()
+	}
 }
 
 // SetVM adds or replaces an entry of the VM list.
 func (p *Platform) SetVM(vm storer.VMRecord) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.vms[vm.ID] = vm
+	p.changeVMs(func() { p.store.Put(storer.VMTable, "", vm.ID, vm) })
 }
 
 // RemoveVM deletes an entry of the VM list.
 func (p *Platform) RemoveVM(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.vms, id)
+	p.changeVMs(func() { p.store.Remove(storer.VMTable, "", id) })
 }
 
-// Read returns the row, with Version 0 when it is absent.
-func (p *Platform) Read(ctx context.Context, key string) (storer.Row, error) {
-	if err := p.enter(ctx, "read"); err != nil {
-		return storer.Row{}, err
+func (p *Platform) changeVMs(change func()) {
+	p.mu.Lock()
+	isFrozen := p.faults.IsVMListFrozen
+	if isFrozen {
+		p.held = append(p.held, change)
+	}
+	p.mu.Unlock()
+	if !isFrozen {
+		change()
 	}
-	defer p.mu.Unlock()
-	p.counts.Reads++
-	row := p.rows[key]
-	row.Key = key
-	return row, nil
 }
 
-// List returns at most n rows whose keys start with prefix and sort behind after, in key order.
-func (p *Platform) List(ctx context.Context, prefix, after string, n int) ([]storer.Row, error) {
-	if err := p.enter(ctx, "list"); err != nil {
-		return nil, err
-	}
-	defer p.mu.Unlock()
-	p.counts.Reads++
-	rows := []storer.Row{}
-	from := sort.SearchStrings(p.keys, max(prefix, after))
-	for _, key := range p.keys[from:] {
-		if !strings.HasPrefix(key, prefix) || len(rows) == n {
-			break
-		}
-		if key != after {
-			rows = append(rows, p.rows[key])
-		}
-	}
-	return rows, nil
+// served returns the calls served so far.
+func (p *Platform) served() PlatformCounts {
+	c := p.store.CallCounts()
+	return PlatformCounts{Reads: c.Reads, Writes: c.Changes, Objects: c.Blobs}
 }
 
-// Commit applies tx and returns the new version of its written rows.
-func (p *Platform) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
-	if err := p.enter(ctx, "commit"); err != nil {
-		return 0, err
-	}
+// faultOf decides on a call; a lost answer is one of a change or of an object that is put.
+func (p *Platform) faultOf(r *http.Request) standin.Fault {
+	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counts.Writes++
-	for _, c := range tx.Checks {
-		if row := p.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
-			return 0, &storer.ConflictError{Current: row}
+	isCommit := r.Method == http.MethodPost
+	switch {
+	case r.URL.Query().Get("table") == storer.VMTable:
+		if p.faults.IsVMListDown {
+			return standin.Busy
 		}
-	}
-	p.version++
-	for _, put := range tx.Puts {
-		p.putRow(put)
-	}
-	for _, key := range tx.Deletes {
-		p.deleteRow(key)
-	}
-	if p.faults.LoseCommits > 0 {
+	case p.faults.IsDown:
+		return standin.Busy
+	case isCommit && p.faults.LoseCommits > 0:
 		p.faults.LoseCommits--
-		return 0, &storer.UnavailableError{Operation: "commit", MayHaveRun: true, Cause: errAnswerLost}
+		return standin.LoseAnswer
+	case (isCommit || r.Method == http.MethodPut) && p.faults.LoseAnswers > 0:
+		p.faults.LoseAnswers--
+		return standin.LoseAnswer
 	}
-	return p.version, p.loseAnswer("commit")
+	return standin.NoFault
 }
 
-// PutObject stores body under name.
-func (p *Platform) PutObject(ctx context.Context, name string, body []byte) error {
-	if err := p.enter(ctx, "put object"); err != nil {
-		return err
-	}
-	defer p.mu.Unlock()
-	p.counts.Objects++
-	p.objects[name] = bytes.Clone(body)
-	return p.loseAnswer("put object")
-}
+// inProcess stands in the calls' addresses, which direct does not read.
+var inProcess = netip.MustParseAddrPort("127.0.0.1:1")
 
-// GetObject opens the object; the caller closes it.
-func (p *Platform) GetObject(ctx context.Context, name string) (io.ReadCloser, error) {
-	if err := p.enter(ctx, "get object"); err != nil {
-		return nil, err
-	}
-	defer p.mu.Unlock()
-	p.counts.Objects++
-	body, ok := p.objects[name]
-	if !ok {
-		return nil, &storer.NotFoundError{Name: name}
-	}
-	return io.NopCloser(bytes.NewReader(body)), nil
+// direct is a transport to a handler of the same process.
+type direct struct {
+	handler http.Handler
 }
 
-// ListVMs returns the platform's list of VMs.
-func (p *Platform) ListVMs(ctx context.Context) ([]storer.VMRecord, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.counts.Reads++
-	if p.faults.IsVMListDown || ctx.Err() != nil {
-		return nil, &storer.UnavailableError{Operation: "list VMs", Cause: errDown}
-	}
-	if p.faults.IsVMListFrozen {
-		return slices.Clone(p.frozen), nil
-	}
-	return p.listVMs(), nil
-}
+var errAnswerLost = errors.New("answer lost")
 
-// enter applies the faults and takes the lock on success.
-func (p *Platform) enter(ctx context.Context, what string) error {
-	p.mu.Lock()
-	f := p.faults
-	p.mu.Unlock()
-	if f.Slow > 0 {
-		select {
-		case <-time.After(f.Slow):
-		case <-ctx.Done():
-			return &storer.UnavailableError{Operation: what, After: f.Slow, MayHaveRun: true, Cause: ctx.Err()}
+// RoundTrip returns the handler's answer, or errAnswerLost when it aborts the connection.
+func (d direct) RoundTrip(r *http.Request) (res *http.Response, err error) {
+	defer func() {
+		if e := recover(); e != nil {
+			res, err = nil, errAnswerLost
 		}
+	}()
+	if err := r.Context().Err(); err != nil {
+		return nil, err
 	}
-	if f.IsDown {
-		return &storer.UnavailableError{Operation: what, MayHaveRun: true, Cause: errDown}
-	}
-	p.mu.Lock()
-	return nil
-}
-
-func (p *Platform) loseAnswer(what string) error {
-	if p.faults.LoseAnswers == 0 {
-		return nil
-	}
-	p.faults.LoseAnswers--
-	return &storer.UnavailableError{Operation: what, MayHaveRun: true, Cause: errAnswerLost}
-}
-
-func (p *Platform) putRow(put storer.Put) {
-	if _, ok := p.rows[put.Key]; !ok {
-		i := sort.SearchStrings(p.keys, put.Key)
-		p.keys = slices.Insert(p.keys, i, put.Key)
-	}
-	p.rows[put.Key] = storer.Row{Key: put.Key, Version: p.version, Value: bytes.Clone(put.Value)}
-}
-
-func (p *Platform) deleteRow(key string) {
-	if _, ok := p.rows[key]; !ok {
-		return
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
 	}
-	delete(p.rows, key)
-	i := sort.SearchStrings(p.keys, key)
-	p.keys = slices.Delete(p.keys, i, i+1)
-}
-
-func (p *Platform) listVMs() []storer.VMRecord {
-	vms := make([]storer.VMRecord, 0, len(p.vms))
-	for _, vm := range p.vms {
-		vms = append(vms, vm)
+	return w.Result(), nil
+}
+
+// PlatformHandler serves a Platform over plain HTTP, with its faults behind POST /admin/faults.
+func PlatformHandler(p *Platform) http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.HandleFunc("/admin/vms", decoded(p.SetVM)).Methods(http.MethodPost)
+	r.HandleFunc("/admin/vms/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		p.RemoveVM(mux.Vars(r)["id"])
+	}).Methods(http.MethodDelete)
+	r.HandleFunc("/admin/faults", decoded(p.SetFaults)).Methods(http.MethodPost)
+	r.HandleFunc("/admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, p.served(), nil)
+	}).Methods(http.MethodGet)
+	r.PathPrefix("/").Handler(p.store)
+	return r
+}
+
+// decoded passes the body of a request on as a T.
+func decoded[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(v)
 	}
-	slices.SortFunc(vms, func(a, b storer.VMRecord) int { return strings.Compare(a.ID, b.ID) })
-	return vms
 }
--- a/pkg/emulator/service.go
+++ b/pkg/emulator/service.go
@@ -84,3 +84,12 @@
 	s.faults = f
 	s.mu.Unlock()
 }
+
+func reply(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/storer/rows.go
@@ -0,0 +1,244 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"github.com/sony/gobreaker/v2"
+)
+
+const (
+	// RowTable holds the rows of a Rows, all in one partition: a transaction may touch any of them.
+	RowTable = "dogwoodledge"
+	// VMTable holds the platform's list of VMs, one VMRecord each.
+	VMTable = "vms"
+)
+
+const (
+	// readTries bounds the calls of one read or object, which are safe to repeat.
+	readTries = 3
+	// breakerFailures in a row say that the platform is away; a few lost answers do not.
+	breakerFailures = 5
+	// breakerOpenFor is the time that a platform in trouble is left alone, well under a lease.
+	breakerOpenFor = 2 * time.Second
+	// firstBackoff is a few calls long; longestBackoff keeps all tries within a second.
+	firstBackoff   = 20 * time.Millisecond
+	longestBackoff = 400 * time.Millisecond
+)
+
+// Counts are the calls made so far by kind.
+type Counts struct {
+	Reads, Writes, Objects, Failures int64
+}
+
+// Rows is a Store over a Table, with retried reads and a circuit breaker.
+type Rows struct {
+	table   Table
+	breaker *gobreaker.CircuitBreaker[struct{}]
+
+	reads, writes, objects, failures atomic.Int64
+}
+
+var _ Store = (*Rows)(nil)
+
+// NewRows returns a Store that keeps its rows and objects at t.
+func NewRows(t Table) *Rows {
+	return &Rows{
+		table: t,
+		breaker: gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
+			Name:         "platform",
+			Timeout:      breakerOpenFor,
+			ReadyToTrip:  func(n gobreaker.Counts) bool { return n.ConsecutiveFailures >= breakerFailures },
+			IsSuccessful: func(err error) bool { return !isUnavailable(err) },
+			IsExcluded:   func(err error) bool { return errors.Is(err, context.Canceled) },
+		}),
+	}
+}
+
+// Counts returns the calls made so far.
+func (s *Rows) Counts() Counts {
+	return Counts{Reads: s.reads.Load(), Writes: s.writes.Load(), Objects: s.objects.Load(), Failures: s.failures.Load()}
+}
+
+// Read returns the row, with Version 0 when it is absent.
+func (s *Rows) Read(ctx context.Context, key string) (Row, error) {
+	s.reads.Add(1)
+	row := Row{Key: key}
+	err := s.repeat(ctx, "read "+key, func() error {
+		page, err := s.table.Scan(ctx, Range{Table: RowTable, From: key, To: key + "\x00", Limit: 1})
+		for _, e := range page.Entries {
+			row.Version, row.Value = e.Version, e.Value
+		}
+		return err
+	})
+	return row, err
+}
+
+// List returns at most n rows whose keys start with prefix and sort behind after, in key order.
+func (s *Rows) List(ctx context.Context, prefix, after string, n int) ([]Row, error) {
+	s.reads.Add(1)
+	r := Range{Table: RowTable, From: max(prefix, after+"\x00"), To: endOfPrefix(prefix)}
+	rows := []Row{}
+	for {
+		r.Limit = min(n-len(rows), scanPage)
+		page := Page{}
+		err := s.repeat(ctx, "list "+prefix, func() error {
+			var err error
+			page, err = s.table.Scan(ctx, r)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range page.Entries {
+			rows = append(rows, Row{Key: e.Key, Version: e.Version, Value: e.Value})
+		}
+		if !page.HasMore || len(page.Entries) == 0 || len(rows) >= n {
+			return rows, nil
+		}
+		r.From = rows[len(rows)-1].Key + "\x00"
+	}
+}
+
+// ListVMs returns the platform's list of VMs.
+func (s *Rows) ListVMs(ctx context.Context) ([]VMRecord, error) {
+	s.reads.Add(1)
+	var entries []Entry
+	err := s.repeat(ctx, "list VMs", func() error {
+		var err error
+		entries, _, err = ScanAll(ctx, s.table, Range{Table: VMTable})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	vms := make([]VMRecord, len(entries))
+	for i, e := range entries {
+		if err := json.Unmarshal(e.Value, &vms[i]); err != nil {
+			return nil, errors.Wrapf(err, "decode VM %q", e.Key)
+		}
+	}
+	return vms, nil
+}
+
+// Commit applies tx and returns the new version of its written rows.
+//
+// It is sent once: a lost answer is the caller's to resolve by reading back, for only the caller knows
+// whether the rows that it finds are its own.
+func (s *Rows) Commit(ctx context.Context, tx Transaction) (int64, error) {
+	s.writes.Add(1)
+	c := Change{}
+	for _, check := range tx.Checks {
+		c.Expect = append(c.Expect, Entry{Table: RowTable, Key: check.Key, Version: check.Version})
+	}
+	for _, put := range tx.Puts {
+		c.Puts = append(c.Puts, Entry{Table: RowTable, Key: put.Key, Value: put.Value})
+	}
+	for _, key := range tx.Deletes {
+		c.Drops = append(c.Drops, Entry{Table: RowTable, Key: key})
+	}
+	version := int64(0)
+	err := s.guard("commit", func() error {
+		var err error
+		version, err = s.table.Apply(ctx, c)
+		return err
+	})
+	stale := (*StaleError)(nil)
+	if errors.As(err, &stale) {
+		return 0, &ConflictError{Current: firstMismatch(tx.Checks, stale.Current)}
+	}
+	return version, err
+}
+
+// PutObject stores body under name; names are never reused for other content, so it is retried, and an object that
+// exists is the one of an earlier try.
+func (s *Rows) PutObject(ctx context.Context, name string, body []byte) error {
+	s.objects.Add(1)
+	return s.repeat(ctx, "put object "+name, func() error {
+		err := s.table.PutBlob(ctx, name, body)
+		if exists := (*ExistsError)(nil); errors.As(err, &exists) {
+			return nil
+		}
+		return err
+	})
+}
+
+// GetObject opens the object; the caller closes it.
+func (s *Rows) GetObject(ctx context.Context, name string) (io.ReadCloser, error) {
+	s.objects.Add(1)
+	var body []byte
+	err := s.repeat(ctx, "get object "+name, func() error {
+		var err error
+		body, err = s.table.GetBlob(ctx, name)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return io.NopCloser(bytes.NewReader(body)), nil
+}
+
+// repeat makes a call that is safe to repeat until it has an answer, a few times.
+func (s *Rows) repeat(ctx context.Context, what string, call func() error) error {
+	attempt := func() (struct{}, error) {
+		err := s.guard(what, call)
+		if err != nil && !isUnavailable(err) {
+			err = backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	}
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstBackoff, longestBackoff
+	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(b), backoff.WithMaxTries(readTries))
+	return err
+}
+
+// guard makes a call unless the breaker is open.
+func (s *Rows) guard(what string, call func() error) error {
+	_, err := s.breaker.Execute(func() (struct{}, error) { return struct{}{}, call() })
+	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
+		err = &UnavailableError{Operation: what, Cause: err}
+	}
+	if isUnavailable(err) {
+		s.failures.Add(1)
+	}
+	return err
+}
+
+// firstMismatch returns the first row that isn't at its version, as it stands.
+func firstMismatch(checks []Check, current []Entry) Row {
+	for _, check := range checks {
+		row := Row{Key: check.Key}
+		if i := slices.IndexFunc(current, func(e Entry) bool { return e.Key == check.Key }); i >= 0 {
+			row.Version, row.Value = current[i].Version, current[i].Value
+		}
+		if row.Version != check.Version {
+			return row
+		}
+	}
+	return Row{}
+}
+
+// endOfPrefix returns the first key behind all that start with prefix, and "" when there is none.
+func endOfPrefix(prefix string) string {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return string(end[:i+1])
+		}
+	}
+	return ""
+}
+
+func isUnavailable(err error) bool {
+	unavailable := (*UnavailableError)(nil)
+	return errors.As(err, &unavailable)
+}
--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
 	"github.com/dogwoodledge/dogwoodledge/pkg/server"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/platform"
 )
 
 const (
@@ -138,7 +139,7 @@
 type fleet struct {
 	t        *testing.T
 	platform netip.AddrPort
-	store    *storer.Client
+	store    *storer.Rows
 	vms      []*vm
 	engines  []netip.AddrPort
 	procs    map[string]*process
@@ -157,7 +158,7 @@
 	t.Helper()
 	f := &fleet{t: t, procs: map[string]*process{}, dir: t.TempDir()}
 	f.platform = f.startStandin("platform", "platform")
-	f.store = storer.NewClient(storer.Config{Address: f.platform, Timeout: 2 * time.Second})
+	f.store = storer.NewRows(platform.NewStore(f.platform, "proof"))
 	for i := range size.engines {
 		f.engines = append(f.engines, f.startStandin(fmt.Sprintf("engine-%d", i+1), append([]string{"engine"}, size.engineArgs...)...))
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,7 +38,7 @@
 
 say "starting the stand-ins and three VMs"
 begin platform bin/standin platform --listen 127.0.0.1:18000
-await platform curl -sf http://127.0.0.1:18000/vms
+await platform curl -sf http://127.0.0.1:18000/admin/counts
 begin engine-1 bin/standin engine --listen 127.0.0.1:18101
 begin engine-2 bin/standin engine --listen 127.0.0.1:18102
 begin booking-1 bin/standin service --listen 127.0.0.1:18103
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -23,7 +23,7 @@
   rm -rf "$DIR" && mkdir -p "$DIR"
   hash=$(bin/dogwoodledge account hash $OPERATOR)
   begin platform bin/standin platform --listen 127.0.0.1:18000
-  await curl -sf http://127.0.0.1:18000/vms
+  await curl -sf http://127.0.0.1:18000/admin/counts
   begin engine-1 bin/standin engine --listen 127.0.0.1:18101 --step 1ms
   begin engine-2 bin/standin engine --listen 127.0.0.1:18102 --step 1ms
   begin booking-1 bin/standin service --listen 127.0.0.1:18103
