Bound idle connections by the operators' limit; drop the rows of VMs that are gone

Cause: maxConns was decoded and not enforced: 85 VMs with 8 idle connections each hold 680 where an endpoint takes 540, and one that is reset behind a written request may have run it. Rows of replaced VMs were never dropped from the list, so the list, and the reports that a new VM sends along it, grow with every replacement. A failed registration had no log line.

Ruled out: bounding connections with requests as well (the placer bounds those by slots and what waits); an owner for the list (any VM may drop a row at the version that it read).

The VM that the highest hash names drops the row of one silent for 60 s, expecting its version; a VM whose row was dropped writes it again.

Tests: idle shares by table, a bound that falls while connections are idle, 20 replaced VMs before three, a drop that fails and one whose row was written anew, the second registration.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -38,9 +38,7 @@
 	// metricsPort is where deploy/system.toml says that metrics are.
 	metricsPort = 7661
 	metricsPath = "/metrics"
-	// idleConnections bounds the idle connections to one endpoint: its slots.
-	idleConnections = 8
-	sweepEvery      = time.Second
+	sweepEvery  = time.Second
 	// memoryShare of the VM's memory is the heap's soft limit; the rest is for stacks and sockets.
 	memoryShare = 0.6
 	// stopMarginShare of the grace is kept for the last acts.
@@ -142,7 +140,9 @@
 	return inspector.New(s.VM.ID, platform.ReportProtocol(), w.Current, g, b, p, log)
 }
 
-func newPool() *dialer.Pool { return dialer.NewPool(idleConnections) }
+func newPool(w *watcher.Watcher, g *gossiper.Gossiper) *dialer.Pool {
+	return dialer.NewPool(func(endpoint string) int { return w.Current().IdleShare(endpoint, g.Size()) })
+}
 
 func newRelayer(
 	w *watcher.Watcher, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter, log logrus.FieldLogger,
@@ -274,10 +274,7 @@
 }
 
 func (g *gateway) runSweep() {
-	pauser.Every(g.ctx, sweepEvery, func(now time.Time) {
-		reg := g.Watcher.Current()
-		g.Pool.Sweep(now, func(id string) bool { _, ok := reg.Endpoints[id]; return ok })
-	})
+	pauser.Every(g.ctx, sweepEvery, g.Pool.Sweep)
 }
 
 func runOnPlatform() error {
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -27,13 +27,13 @@
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*Conn
-	// most bounds the idle connections to one endpoint.
-	most int
+	// mostIdle bounds the idle connections to an endpoint at this moment.
+	mostIdle func(endpoint string) int
 }
 
-// NewPool returns a pool that keeps at most so many idle connections to one endpoint.
-func NewPool(most int) *Pool {
-	return &Pool{idle: map[string][]*Conn{}, most: most}
+// NewPool returns a pool that keeps at most mostIdle connections to an endpoint.
+func NewPool(mostIdle func(endpoint string) int) *Pool {
+	return &Pool{idle: map[string][]*Conn{}, mostIdle: mostIdle}
 }
 
 // Conn is a connection to one endpoint.
@@ -115,23 +115,25 @@
 	}
 	c.freeAt = time.Now()
 	_ = c.SetDeadline(time.Time{})
+	most := p.mostIdle(c.endpoint)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.endpoint]) >= p.most {
+	if len(p.idle[c.endpoint]) >= most {
 		_ = c.Close()
 		return
 	}
 	p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
 }
 
-// Sweep closes connections that were idle for too long or lead to endpoints that are gone.
-func (p *Pool) Sweep(now time.Time, isKnown func(endpoint string) bool) {
+// Sweep closes connections that were idle for too long, and the oldest of those that are more than mostIdle.
+func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, list := range p.idle {
+		most := p.mostIdle(id)
 		keep := list[:0]
-		for _, c := range list {
-			if isKnown(id) && now.Sub(c.freeAt) < c.keepFor {
+		for i, c := range list {
+			if len(list)-i <= most && now.Sub(c.freeAt) < c.keepFor {
 				keep = append(keep, c)
 				continue
 			}
--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -40,6 +40,8 @@
 	return netip.MustParseAddrPort(socket.Addr().String()), opened
 }
 
+func atMost(n int) func(string) int { return func(string) int { return n } }
+
 func readHead(br *bufio.Reader) (*http.Request, error) { return http.ReadRequest(br) }
 
 func ask(t *testing.T, p *Pool, addr netip.AddrPort, id string, body []byte) (string, error) {
@@ -97,7 +99,7 @@
 					}
 				}
 			})
-			p := NewPool(4)
+			p := NewPool(atMost(4))
 			for _, id := range []string{"1", "2"} {
 				text, err := ask(t, p, addr, id, []byte("body"))
 				require.NoError(t, err)
@@ -141,7 +143,7 @@
 		}
 		assert.Error(t, err, "a further request came on the connection")
 	})
-	p := NewPool(4)
+	p := NewPool(atMost(4))
 	for _, id := range []string{"1", "2"} {
 		text, err := ask(t, p, addr, id, bytes.Repeat([]byte("x"), 16<<20))
 		require.NoError(t, err)
@@ -160,7 +162,7 @@
 		_, _ = io.WriteString(conn, reply("other", "Content-Length: 3\r\n", "bad")+
 			"HTTP/1.1 100 Continue\r\n\r\n"+reply(r.Header.Get("X-Id"), "Content-Length: 2\r\n", "ok"))
 	})
-	text, err := ask(t, NewPool(4), addr, "1", nil)
+	text, err := ask(t, NewPool(atMost(4)), addr, "1", nil)
 	require.NoError(t, err)
 	assert.Equal(t, "ok", text)
 }
@@ -179,7 +181,7 @@
 				assert.NoError(t, conn.(*net.TCPConn).SetLinger(0))
 			}
 		})
-		_, err := ask(t, NewPool(4), addr, "1", nil)
+		_, err := ask(t, NewPool(atMost(4)), addr, "1", nil)
 		assert.Equal(t, isReset, err != nil)
 	}
 }
@@ -189,14 +191,50 @@
 	require.NoError(t, err)
 	gone := netip.MustParseAddrPort(socket.Addr().String())
 	require.NoError(t, socket.Close())
-	_, err = ask(t, NewPool(4), gone, "1", nil)
+	_, err = ask(t, NewPool(atMost(4)), gone, "1", nil)
 	connect := (*ConnectError)(nil)
 	assert.True(t, errors.As(err, &connect))
 
 	addr, opened := serveRaw(t, func(_ net.Conn, br *bufio.Reader) { _, _ = readHead(br) })
-	_, err = ask(t, NewPool(4), addr, "1", nil)
+	_, err = ask(t, NewPool(atMost(4)), addr, "1", nil)
 	exchange := (*ExchangeError)(nil)
 	assert.True(t, errors.As(err, &exchange))
 	assert.Len(t, opened, 1, "a request is sent once")
 	assert.True(t, strings.Contains(err.Error(), addr.String()))
 }
+
+// TestIdleConnectionsFollowTheBound lowers the bound, as when VMs join, while connections are idle.
+func TestIdleConnectionsFollowTheBound(t *testing.T) {
+	addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		for {
+			r, err := readHead(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, reply(r.Header.Get("X-Id"), "Content-Length: 2\r\n", "ok"))
+		}
+	})
+	most := 3
+	p := NewPool(func(string) int { return most })
+	conns := make([]*Conn, 4)
+	for i := range conns {
+		var err error
+		conns[i], err = p.Get(t.Context(), "e", addr)
+		require.NoError(t, err)
+	}
+	for _, c := range conns {
+		p.put(c)
+	}
+	assert.Len(t, p.idle["e"], 3)
+	most = 1
+	p.Sweep(time.Now())
+	require.Len(t, p.idle["e"], 1)
+	assert.Same(t, conns[2], p.idle["e"][0], "the one that was used last stays")
+	_, err := ask(t, p, addr, "1", nil)
+	require.NoError(t, err)
+	assert.Len(t, opened, 4, "it is used again")
+	most = 0
+	p.Sweep(time.Now())
+	assert.Empty(t, p.idle, "an endpoint that is gone has no connections")
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -37,10 +37,6 @@
 	Silence = 1500 * time.Millisecond
 	// partialFor is how long a VM that fell silent is taken to be cut off rather than gone.
 	partialFor = 30 * time.Second
-	// registerRetry is the pause after a failed registration.
-	registerRetry = 200 * time.Millisecond
-	// forgetAfter is how long a silent VM's row is kept: longer than any outage that VMs come back from.
-	forgetAfter = 60 * time.Second
 )
 
 // Config is who this VM is.
@@ -70,7 +66,9 @@
 	// HeardAt is the time of its last report; zero when there was none.
 	HeardAt  time.Time
 	sequence uint64
+	// listedAt is when its row was read, at version.
 	listedAt time.Time
+	version  int64
 }
 
 // isHeard says whether the VM reported lately.
@@ -92,13 +90,18 @@
 	started   time.Time
 	// farSentAt is when other regions were last told.
 	farSentAt time.Time
+	// isRegistered says that the own row was written; unlisted tells that it was dropped since.
+	isRegistered atomic.Bool
+	unlisted     chan struct{}
 }
 
 // New returns a gossiper.
 func New(
 	cfg Config, store storer.Table, b *balancer.Balancer, log logrus.FieldLogger,
 ) *Gossiper {
-	g := &Gossiper{cfg: cfg, store: store, balancer: b, log: log, members: map[string]*Member{}}
+	g := &Gossiper{
+		cfg: cfg, store: store, balancer: b, log: log, members: map[string]*Member{}, unlisted: make(chan struct{}, 1),
+	}
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.hearTable, log)
 	return g
 }
@@ -116,6 +119,7 @@
 	g.feed.Start(ctx)
 	go g.runReceive()
 	go g.runSend(ctx)
+	go g.runForget(ctx)
 	return nil
 }
 
@@ -220,6 +224,13 @@
 	return best, found
 }
 
+// Size returns how many VMs are listed, this one included.
+func (g *Gossiper) Size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members) + 1
+}
+
 // HasStoreElsewhere says whether another live VM reaches the store.
 func (g *Gossiper) HasStoreElsewhere() bool {
 	g.mu.Lock()
@@ -264,8 +275,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	isListed := !u.IsFull
 	for _, e := range u.Entries {
 		if e.Key == g.cfg.VM {
+			isListed = !e.IsRemoved
 			continue
 		}
 		if e.IsRemoved {
@@ -283,24 +296,14 @@
 			g.members[e.Key] = m
 		}
 		if r.Incarnation >= m.Incarnation {
-			m.Address, m.Incarnation, m.Region, m.listedAt = r.Address, r.Incarnation, r.Region, now
+			m.Address, m.Incarnation, m.Region, m.listedAt, m.version = r.Address, r.Incarnation, r.Region, now, e.Version
 		}
 	}
-}
-
-func (g *Gossiper) runRegister(ctx context.Context) {
-	value, err := json.Marshal(record{Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region})
-	if err != nil {
-		g.log.WithError(err).Error("VM's row can't be written")
-		return
-	}
-	put := storer.Change{Puts: []storer.Entry{{Table: VMTable, Key: g.cfg.VM, Value: value}}}
-	for ctx.Err() == nil {
-		if _, err = g.store.Apply(ctx, put); err == nil {
-			g.log.WithField("incarnation", g.cfg.Incarnation).Info("VM registered")
-			return
+	if !isListed && g.isRegistered.Load() {
+		select {
+		case g.unlisted <- struct{}{}:
+		default:
 		}
-		pauser.Pause(ctx, registerRetry)
 	}
 }
 
@@ -415,10 +418,6 @@
 	}
 	targets := make([]netip.AddrPort, 0, len(g.members))
 	for name, member := range g.members {
-		if now.Sub(member.HeardAt) > forgetAfter && now.Sub(member.listedAt) > forgetAfter {
-			delete(g.members, name)
-			continue
-		}
 		if member.Region == g.cfg.Region || isFarDue || (isUrgent && yielders[name]) {
 			targets = append(targets, member.Address)
 		}
--- /dev/null
+++ b/pkg/gossiper/register_test.go
@@ -0,0 +1,126 @@
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
+)
+
+// changeLog is a store that notes the changes and fails those of its list of errors first.
+type changeLog struct {
+	storer.Table
+	errs    []error
+	changes []storer.Change
+}
+
+func (c *changeLog) Apply(_ context.Context, change storer.Change) (int64, error) {
+	c.changes = append(c.changes, change)
+	if len(c.errs) > 0 {
+		err := c.errs[0]
+		c.errs = c.errs[1:]
+		return 0, err
+	}
+	return int64(len(c.changes)), nil
+}
+
+func newTestGossiper(vm string, store storer.Table) (*Gossiper, *logtest.Hook) {
+	log, hook := logtest.NewNullLogger()
+	log.SetLevel(logrus.InfoLevel)
+	b := balancer.New(vm, placer.Topology{AvailabilityZone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	return New(Config{VM: vm, Incarnation: 1}, store, b, log), hook
+}
+
+func rowsOf(t *testing.T, vms ...string) []storer.Entry {
+	t.Helper()
+	var rows []storer.Entry
+	for i, vm := range vms {
+		value, err := json.Marshal(record{Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1, Region: "r"})
+		require.NoError(t, err)
+		rows = append(rows, storer.Entry{Table: VMTable, Key: vm, Value: value, Version: int64(10 + i)})
+	}
+	return rows
+}
+
+// TestRowsOfReplacedVMsAreDropped replaces VMs under new names: one of those left drops each old row, the others forget it.
+func TestRowsOfReplacedVMsAreDropped(t *testing.T) {
+	names := []string{"v1", "v2", "v3"}
+	var gone []string
+	for i := range 20 {
+		gone = append(gone, fmt.Sprintf("old-%d", i))
+	}
+	dropped := map[string]int{}
+	for _, self := range names {
+		store := &changeLog{}
+		g, _ := newTestGossiper(self, store)
+		g.hearTable(watcher.Update{IsFull: true, Version: 40, Entries: rowsOf(t, slices.Concat(names, gone)...)})
+		for i, peer := range names {
+			if peer != self {
+				g.hear(message{VM: peer, Incarnation: 1, Sequence: uint64(i + 1)}, netip.AddrPort{})
+			}
+		}
+		g.forget(t.Context(), time.Now())
+		assert.Empty(t, store.changes, "they may come back")
+		for _, vm := range gone {
+			g.members[vm].listedAt = time.Now().Add(-forgetAfter - time.Second)
+		}
+		g.forget(t.Context(), time.Now())
+		assert.Equal(t, len(names), g.Size())
+		for _, c := range store.changes {
+			require.Equal(t, c.Expect, c.Drops, "a row that was written anew stays")
+			dropped[c.Drops[0].Key]++
+		}
+	}
+	for _, vm := range gone {
+		assert.Equal(t, 1, dropped[vm], vm)
+	}
+	assert.Len(t, dropped, len(gone))
+}
+
+// TestDropOfASilentVMIsRepeated fails the first drop, and has the VM write its row anew before the second.
+func TestDropOfASilentVMIsRepeated(t *testing.T) {
+	store := &changeLog{errs: []error{&storer.UnavailableError{Operation: "change"}, &storer.StaleError{}}}
+	g, hook := newTestGossiper("v1", store)
+	g.hearTable(watcher.Update{IsFull: true, Version: 40, Entries: rowsOf(t, "old")})
+	later := time.Now().Add(2 * forgetAfter)
+	g.forget(t.Context(), later)
+	assert.Equal(t, 2, g.Size())
+	require.NotNil(t, hook.LastEntry(), "the failure is logged")
+	assert.Equal(t, "old", hook.LastEntry().Data["peer"])
+	g.forget(t.Context(), later)
+	g.forget(t.Context(), later)
+	assert.Equal(t, 1, g.Size())
+	assert.Len(t, store.changes, 2)
+}
+
+// TestVMWhoseRowWasDroppedRegistersAgain drops the row of a VM that was only cut off from its peers.
+func TestVMWhoseRowWasDroppedRegistersAgain(t *testing.T) {
+	store := &changeLog{errs: []error{&storer.UnavailableError{Operation: "change"}}}
+	g, hook := newTestGossiper("v1", store)
+	g.hearTable(watcher.Update{IsFull: true, Version: 1})
+	assert.Empty(t, g.unlisted, "its first row is still to be written")
+	put := storer.Change{Puts: rowsOf(t, "v1")}
+	require.True(t, g.register(t.Context(), put))
+	assert.Equal(t, "VM not registered, trying again", hook.AllEntries()[0].Message)
+	g.hearTable(watcher.Update{Version: 2, Entries: rowsOf(t, "v1")})
+	assert.Empty(t, g.unlisted)
+	g.hearTable(watcher.Update{Version: 3, Entries: []storer.Entry{{Key: "v1", IsRemoved: true}}})
+	require.Len(t, g.unlisted, 1)
+	<-g.unlisted
+	g.hearTable(watcher.Update{IsFull: true, Version: 4})
+	assert.Len(t, g.unlisted, 1, "a full list without it")
+}
