Log what limits and routes turn away; end idle connections by the operators' limit

Cause: 404, 413, 431 and 400 answers had no log line, so an engineer with the id of such a request found nothing; the configuration's idle limit was decoded and 60 s held instead.

Change: Relayer.Refuse answers and logs with the request's id, the configuration's version and the cause; jobs and calls about them likewise. Connections that are idle for longer than the limit end within a second of it.

--- a/pkg/jobkeeper/calls.go
+++ b/pkg/jobkeeper/calls.go
@@ -31,6 +31,7 @@
 		return false
 	}
 	if err != nil {
+		k.log.WithError(err).WithField("path", r.URL.Path).Info("call about a job can't be read")
 		relayer.WriteProblem(w, http.StatusBadRequest, err.Error())
 		return true
 	}
@@ -155,6 +156,7 @@
 			return
 		}
 	}
+	k.log.WithFields(logrus.Fields{"job": c.Job, "item": c.Item}).Info("no such item")
 	relayer.WriteProblem(w, http.StatusNotFound, "job "+c.Job+" has no item "+strconv.Quote(c.Item))
 }
 
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -47,19 +47,18 @@
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
 	cfg := k.registry().Config
+	id := k.codec.JobID(r)
 	body, err := relayer.ReadBody(w, r, cfg.Limits.BodyBytes)
 	if err != nil {
-		relayer.WriteBodyProblem(w, err)
+		k.refuseJob(w, id, relayer.BodyStatus(err), err)
 		return
 	}
-	id := k.codec.JobID(r)
 	items, err := k.codec.Items(body)
 	if err == nil {
 		err = checkJob(id, items)
 	}
 	if err != nil {
-		k.log.WithError(err).WithField("job", id).Info("job refused")
-		relayer.WriteProblem(w, http.StatusBadRequest, err.Error())
+		k.refuseJob(w, id, http.StatusBadRequest, err)
 		return
 	}
 	job := newJob(id, items, route, cfg.Version, start)
@@ -68,6 +67,12 @@
 	k.answerSubmit(w, job, status, err, start)
 }
 
+// refuseJob answers a job of which nothing is kept.
+func (k *Keeper) refuseJob(w http.ResponseWriter, id string, status int, err error) {
+	k.log.WithError(err).WithFields(logrus.Fields{"job": id, "status": status}).Info("job refused")
+	relayer.WriteProblem(w, status, err.Error())
+}
+
 func (k *Keeper) answerSubmit(w http.ResponseWriter, job jobber.Job, status int, err error, start time.Time) {
 	log := k.log.WithFields(logrus.Fields{
 		"job": job.ID, "items": job.Total(), "config": job.Config, "status": status,
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -12,12 +13,15 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/pauser"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 )
 
 const (
-	// idleTimeout is over what configurations allow callers, so that the caller closes first.
-	idleTimeout    = 60 * time.Second
+	// idleTimeout holds where the configuration has no limit.
+	idleTimeout = 60 * time.Second
+	// idleEvery is how late an idle connection may end behind the configuration's limit.
+	idleEvery      = time.Second
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 256 << 10
 )
@@ -50,6 +54,8 @@
 	log       logrus.FieldLogger
 	servers   []*http.Server
 	callers   *http.Server
+	idle      idleConns
+	stopIdle  context.CancelFunc
 	isLeaving atomic.Bool
 	open      atomic.Int64
 }
@@ -59,14 +65,17 @@
 	cfg Config, registry func() *registrar.Registry, rl *relayer.Relayer, jobs Jobs, metrics http.Handler,
 	log logrus.FieldLogger,
 ) *Listener {
-	return &Listener{cfg: cfg, registry: registry, relayer: rl, jobs: jobs, metrics: metrics, log: log}
+	return &Listener{
+		cfg: cfg, registry: registry, relayer: rl, jobs: jobs, metrics: metrics, log: log,
+		idle: idleConns{since: map[net.Conn]time.Time{}}, stopIdle: func() {},
+	}
 }
 
 // Start opens the addresses.
 func (l *Listener) Start() error {
 	l.callers = &http.Server{
 		Handler: http.HandlerFunc(l.serveCaller), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: l.idle.track,
 	}
 	listen := net.ListenConfig{}
 	ready := http.NewServeMux()
@@ -88,9 +97,25 @@
 		l.servers = append(l.servers, s.server)
 		go l.runServer(s.server, socket)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stopIdle = cancel
+	go l.runIdle(ctx)
 	return nil
 }
 
+func (l *Listener) runIdle(ctx context.Context) {
+	pauser.Every(ctx, idleEvery, func(now time.Time) { l.closeIdle(now) })
+}
+
+// closeIdle closes the connections that are idle for longer than the configuration allows, and returns how many.
+func (l *Listener) closeIdle(now time.Time) int {
+	reg := l.registry()
+	if !reg.IsReady() || reg.Config.Limits.IdleTimeout <= 0 {
+		return 0
+	}
+	return l.idle.closeOlder(now, reg.Config.Limits.IdleTimeout)
+}
+
 func (l *Listener) runServer(s *http.Server, socket net.Listener) {
 	if err := s.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 		l.log.WithError(err).Error("server ended")
@@ -107,6 +132,7 @@
 
 // Stop closes all connections.
 func (l *Listener) Stop(ctx context.Context) {
+	l.stopIdle()
 	for _, s := range l.servers {
 		if err := s.Shutdown(ctx); err != nil {
 			_ = s.Close()
@@ -133,15 +159,17 @@
 	}
 	reg := l.registry()
 	if !reg.IsReady() {
+		l.log.WithField("path", r.URL.Path).Info("request not admitted: no configuration is known yet")
 		relayer.WriteRetry(w, http.StatusServiceUnavailable, unreadyRetry, "no configuration is known yet")
 		return
 	}
 	if limit := reg.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
-		relayer.WriteBodyProblem(w, &relayer.BodyTooLargeError{Limit: limit})
+		l.relayer.Refuse(w, r, http.StatusRequestEntityTooLarge, (&relayer.BodyTooLargeError{Limit: limit}).Error())
 		return
 	}
 	if limit := reg.Config.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
-		relayer.WriteProblem(w, http.StatusRequestHeaderFieldsTooLarge, "the headers are too long")
+		l.relayer.Refuse(w, r, http.StatusRequestHeaderFieldsTooLarge,
+			"the headers have more than "+strconv.Itoa(limit)+" bytes: send less")
 		return
 	}
 	if l.jobs.ServeCall(w, r) {
@@ -149,7 +177,7 @@
 	}
 	route, ok := reg.Config.Match(r.Host, r.URL.Path)
 	if !ok {
-		relayer.WriteProblem(w, http.StatusNotFound, "no route has this host and path")
+		l.relayer.Refuse(w, r, http.StatusNotFound, "no route has this host and path")
 		return
 	}
 	if route.Kind == registrar.KindBatch && r.Method == http.MethodPost {
--- /dev/null
+++ b/pkg/listener/listener_test.go
@@ -0,0 +1,136 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+)
+
+// noJobs has no calls of its own.
+type noJobs struct{}
+
+func (noJobs) ServeCall(http.ResponseWriter, *http.Request) bool { return false }
+
+func (noJobs) Submit(http.ResponseWriter, *http.Request, registrar.Route) {}
+
+func newTestListener(t *testing.T, cfg *registrar.Config) (*Listener, *logtest.Hook) {
+	t.Helper()
+	log, hook := logtest.NewNullLogger()
+	log.SetLevel(logrus.InfoLevel)
+	reg := registrar.NewRegistry(cfg.Index(), map[string]registrar.Endpoint{"e": {ID: "e", Service: "s", Slots: 1}})
+	registry := func() *registrar.Registry { return reg }
+	b := balancer.New("v", placer.Topology{AvailabilityZone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	pool := dialer.NewPool(func(string) int { return 0 })
+	m, err := tracer.NewMeter(nil)
+	require.NoError(t, err)
+	rl := relayer.New(relayer.Headers{RequestID: "X-Id"}, registry, b, pool, m, log)
+	return New(Config{
+		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics",
+		HasPeers: func() bool { return true },
+	}, registry, rl, noJobs{}, http.NotFoundHandler(), log), hook
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestRequestsThatAreNotTakenAreLogged answers by the limits and routes in force, each with the request's id in the log.
+func TestRequestsThatAreNotTakenAreLogged(t *testing.T) {
+	tests := []struct {
+		name, target, header, body string
+		hidesLength                bool
+		status                     int
+	}{
+		{"no route", "/other", "", "", false, http.StatusNotFound},
+		{"long body", "/cards", "", strings.Repeat("x", 101), false, http.StatusRequestEntityTooLarge},
+		{"long body in chunks", "/cards", "", strings.Repeat("x", 101), true, http.StatusRequestEntityTooLarge},
+		{"long header", "/cards", strings.Repeat("h", 300), "", false, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, hook := newTestListener(t, &registrar.Config{
+				Version: 7, Limits: registrar.Limits{HeaderBytes: 300, BodyBytes: 100},
+				Routes: []registrar.Route{{
+					Name: "cards", Host: "h", PathPrefix: "/cards", Kind: registrar.KindSafe,
+					Splits: []registrar.Split{{Service: "s", Weight: 1}},
+				}},
+			})
+			var body io.Reader = bytes.NewReader([]byte(tt.body))
+			if tt.hidesLength {
+				body = io.MultiReader(body)
+			}
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h"+tt.target, body)
+			r.Header.Set("X-Id", "r1")
+			r.Header.Set("X-Long", tt.header)
+			w := httptest.NewRecorder()
+			l.serveCaller(w, r)
+			assert.Equal(t, tt.status, w.Code)
+			entry := hook.LastEntry()
+			require.NotNil(t, entry)
+			assert.Equal(t, "r1", entry.Data["request"])
+			assert.Equal(t, tt.status, entry.Data["status"])
+			assert.EqualValues(t, 7, entry.Data["config"])
+		})
+	}
+}
+
+// TestIdleConnectionsEndByTheLimit keeps a connection idle within the limit and then beyond it.
+func TestIdleConnectionsEndByTheLimit(t *testing.T) {
+	l, _ := newTestListener(t, &registrar.Config{Limits: registrar.Limits{IdleTimeout: time.Minute}})
+	require.NoError(t, l.Start())
+	defer l.Stop(context.Background())
+	c, err := net.Dial("tcp4", l.cfg.Callers.String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	ask := func() error {
+		_, err := io.WriteString(c, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		return err
+	}
+	require.NoError(t, ask())
+	awaitIdle := func(n int) {
+		require.Eventually(t, func() bool {
+			l.idle.mu.Lock()
+			defer l.idle.mu.Unlock()
+			return len(l.idle.since) == n
+		}, 5*time.Second, time.Millisecond)
+	}
+	awaitIdle(1)
+	assert.Zero(t, l.closeIdle(time.Now().Add(time.Minute-time.Second)))
+	require.NoError(t, ask(), "it is still open")
+	awaitIdle(1)
+	assert.Equal(t, 1, l.closeIdle(time.Now().Add(time.Minute+time.Second)))
+	_, err = br.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -63,7 +63,7 @@
 	r = r.WithContext(spanCtx)
 	body, err := ReadBody(w, r, l.registry().Config.Limits.BodyBytes)
 	if err != nil {
-		WriteBodyProblem(w, err)
+		l.Refuse(w, r, BodyStatus(err), err.Error())
 		return
 	}
 	q := &request{
@@ -103,13 +103,21 @@
 	return body, errors.Wrap(err, "read body")
 }
 
-// WriteBodyProblem answers a request whose body ReadBody could not read.
-func WriteBodyProblem(w http.ResponseWriter, err error) {
-	status := http.StatusBadRequest
+// BodyStatus returns the status for an error of ReadBody.
+func BodyStatus(err error) int {
 	if tooLarge := (*BodyTooLargeError)(nil); errors.As(err, &tooLarge) {
-		status = http.StatusRequestEntityTooLarge
+		return http.StatusRequestEntityTooLarge
 	}
-	WriteProblem(w, status, err.Error())
+	return http.StatusBadRequest
+}
+
+// Refuse answers a request that the configuration in force doesn't admit; it has not run.
+func (l *Relayer) Refuse(w http.ResponseWriter, r *http.Request, status int, detail string) {
+	l.log.WithFields(logrus.Fields{
+		"request": r.Header.Get(l.headers.RequestID), "host": r.Host, "path": r.URL.Path, "status": status,
+		"config": l.registry().Config.Version, "cause": detail,
+	}).Info("request not admitted")
+	WriteProblem(w, status, detail)
 }
 
 // WriteProblem writes a failure of our own.
