--- a/pkg/emulator/platform.go
+++ b/pkg/emulator/platform.go
@@ -3,13 +3,11 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/platform"
@@ -51,7 +49,7 @@
 func NewPlatform() *Platform {
 	p := &Platform{store: standin.NewStore()}
 	p.store.SetFault(p.faultOf)
-	p.Rows = storer.NewRows(platform.NewStore(inProcess, "emulator", platform.WithTransport(direct{p.store})))
+	p.Rows = storer.NewRows(platform.NewStore(inProcess, "emulator", platform.WithTransport(p.store.Transport())))
 	return p
 }
 
@@ -120,34 +118,9 @@
 	return standin.NoFault
 }
 
-// inProcess stands in the calls' addresses, which direct does not read.
+// inProcess stands in the calls' addresses, which the transport within the process does not read.
 var inProcess = netip.MustParseAddrPort("127.0.0.1:1")
 
-// direct is a transport to a handler of the same process.
-type direct struct {
-	handler http.Handler
-}
-
-var errAnswerLost = errors.New("answer lost")
-
-// RoundTrip returns the handler's answer, or errAnswerLost when it aborts the connection.
-func (d direct) RoundTrip(r *http.Request) (res *http.Response, err error) {
-	defer func() {
-		if e := recover(); e != nil {
-			res, err = nil, errAnswerLost
-		}
-	}()
-	if err := r.Context().Err(); err != nil {
-		return nil, err
-	}
-	w := httptest.NewRecorder()
-	d.handler.ServeHTTP(w, r)
-	if err := r.Context().Err(); err != nil {
-		return nil, err
-	}
-	return w.Result(), nil
-}
-
 // PlatformHandler serves a Platform over plain HTTP, with its faults behind POST /admin/faults.
 func PlatformHandler(p *Platform) http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
--- a/pkg/jobkeeper/submit.go
+++ b/pkg/jobkeeper/submit.go
@@ -150,7 +150,7 @@
 	rows := encodeItems(job.ID, body, k.cfg.RowBytes)
 	job.ItemRows = len(rows)
 	if len(rows) == 0 {
-		if !k.fits(job, route) {
+		if _, isRoom := k.gateFor(job, route); !isRoom {
 			return http.StatusTooManyRequests, nil
 		}
 		if err := k.putItems(ctx, job.ID, body); err != nil {
@@ -211,7 +211,8 @@
 	if _, ok, _ := k.lookUp(job.ID); ok {
 		return http.StatusAccepted, nil
 	}
-	if !k.fits(job, route) {
+	known, isRoom := k.gateFor(job, route)
+	if !isRoom {
 		return http.StatusTooManyRequests, nil
 	}
 	row, err := encodeJob(job)
@@ -220,7 +221,7 @@
 	}
 	absent := row
 	absent.Value = nil
-	gate, err := k.nextGate(job, route)
+	gate, err := known.next(job, route)
 	if err != nil {
 		return 0, err
 	}
@@ -243,33 +244,33 @@
 	return http.StatusAccepted, nil
 }
 
-// nextGate returns the route's row with the job's tokens added, at the version that it must have.
-func (k *Keeper) nextGate(job jobber.Job, route registrar.Route) (storer.Entry, error) {
+// next returns the route's row with the job's tokens added, at the version that it must have.
+func (g gate) next(job jobber.Job, route registrar.Route) (storer.Entry, error) {
 	key := gateKey(route.Host, route.PathPrefix)
-	k.mu.Lock()
-	known := k.gates[key]
-	k.mu.Unlock()
-	value, err := json.Marshal(gateRow{Accepted: known.accepted + job.AllTokens()})
+	value, err := json.Marshal(gateRow{Accepted: g.accepted + job.AllTokens()})
 	return storer.Entry{
-		Table: jobTable, Partition: partitionOf(key), Key: key, Version: known.version, Value: value,
+		Table: jobTable, Partition: partitionOf(key), Key: key, Version: g.version, Value: value,
 	}, errors.Wrap(err, "encode route's row")
 }
 
-// fits says whether the job's tokens may wait besides those that wait already: all that were ever taken in, less those
-// that are known to be finished.
-func (k *Keeper) fits(job jobber.Job, route registrar.Route) bool {
-	if route.WaitingTokens <= 0 {
-		return true
-	}
+// gateFor returns the route's row as known, and whether by that row the job's tokens may wait besides those that wait
+// already: all that were ever taken in, less those that are known to be finished.
+//
+// Both come from one moment: the row's version in the transaction then stands for the tokens that were counted.
+func (k *Keeper) gateFor(job jobber.Job, route registrar.Route) (gate, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	waiting := k.gates[gateKey(route.Host, route.PathPrefix)].accepted + job.AllTokens()
+	known := k.gates[gateKey(route.Host, route.PathPrefix)]
+	if route.WaitingTokens <= 0 {
+		return known, true
+	}
+	waiting := known.accepted + job.AllTokens()
 	for _, r := range k.jobs {
 		if r.job.Host == route.Host && r.job.PathPrefix == route.PathPrefix {
 			waiting -= r.job.AllTokens() - r.job.WaitingTokens()
 		}
 	}
-	return waiting <= route.WaitingTokens
+	return known, waiting <= route.WaitingTokens
 }
 
 func asStale(err error) *storer.StaleError {
