A fault soak of VMs as processes

Change: package soak (test files only). Four VMs as processes before the project's stand-ins, each with a proxy of its own before the store and one before each endpoint, which delays, resets, silences or holds back one direction. Fourteen troubles a seed overlap: SIGTERM, SIGKILL, SIGSTOP and SIGCONT, SIGHUP with a broken settings file, the store down, silent, losing answers, doing them late for one VM or all, its history dropped, endpoints lost, draining, shedding, breaking off, mute, new configurations. Checked from what callers and endpoints see: whole answers and none of another request, at most one run where the kind says so, refusals that are true, bodies as sent, jobs whole with positions that never change, no unknown job, ends in time, planned stops within the grace, no race and no panic. Each checker is shown to catch a planted fault (TestCheckersCatch).

Not covered: clocks that step (the system's needs rights), datagrams between VMs through a proxy.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/dogwoodledge/dogwoodledge/pkg/commander.Version=$(VERSION)
 
-.PHONY: build demo check bench prove mutate slopes lint tools generate clean
+.PHONY: build demo check bench prove soak mutate slopes lint tools generate clean
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -22,6 +22,11 @@
 prove:
 	scripts/prove.sh
 
+# soak runs VMs as processes under faults of new seeds; SEEDS=n sets how many, SEED=n plays one again.
+SEEDS ?= 20
+soak:
+	SOAK_RACE=1 SEEDS=$(SEEDS) SEED=$(SEED) go test -count=1 -timeout 60m -parallel 3 -run TestSoak -v ./soak
+
 # mutate shows of each proof that it fails when its mechanism is taken out of a copy of the source.
 mutate:
 	go test -tags mutate -run TestMutations -timeout 60m -v ./prove
