--- a/pkg/bencher/bencher_test.go
+++ b/pkg/bencher/bencher_test.go
@@ -12,7 +12,7 @@
 func TestVerdictIsTheSame(t *testing.T) {
 	first, second := &bytes.Buffer{}, &bytes.Buffer{}
 	for _, out := range []*bytes.Buffer{first, second} {
-		Main([]string{"idle", "flood", "herd", "loss"}, out)
+		Main([]string{"idle", "flood", "herd", "tide", "loss"}, out)
 	}
 	assert.Equal(t, first.String(), second.String())
 	assert.NotEmpty(t, first.String())
--- a/pkg/bencher/main.go
+++ b/pkg/bencher/main.go
@@ -25,6 +25,7 @@
 	{"prefix", runPrefix},
 	{"loss", runLoss},
 	{"herd", runHerd},
+	{"tide", runTide},
 	{"cost", runCost},
 }
 
