--- a/pkg/bencher/bencher_test.go
+++ b/pkg/bencher/bencher_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"image/png"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // TestVerdictIsTheSame runs a scenario twice: virtual time and fixed seeds give the same report to the letter.
@@ -33,3 +37,20 @@
 func TestUnknownScenarioIsNamed(t *testing.T) {
 	assert.Equal(t, 2, Main([]string{"no-such"}, &strings.Builder{}))
 }
+
+// TestRecordedDaysAreCompared prints and draws two days of testdata.
+func TestRecordedDaysAreCompared(t *testing.T) {
+	out, file := &bytes.Buffer{}, filepath.Join(t.TempDir(), "days.png")
+	code := Main([]string{"--day", "testdata/before.json", "--day", "testdata/after.json", "--plot", file}, out)
+	assert.Zero(t, code)
+	assert.Contains(t, out.String(), "testdata/before.json: worth 0.700\n")
+	assert.Contains(t, out.String(), "  second 6: worth 0.900, p50 53 ms, p99 120 ms, 100 requests\n")
+	raw, err := os.ReadFile(file)
+	require.NoError(t, err)
+	picture, err := png.DecodeConfig(bytes.NewReader(raw))
+	require.NoError(t, err)
+	assert.Greater(t, picture.Height, picture.Width/2)
+	for _, bad := range []string{"testdata/none.json", "bencher_test.go"} {
+		assert.Equal(t, 2, Main([]string{"--day", bad}, out), bad)
+	}
+}
--- a/pkg/bencher/main.go
+++ b/pkg/bencher/main.go
@@ -41,13 +41,21 @@
 		SilenceErrors: true,
 		RunE:          func(_ *cobra.Command, names []string) error { return runNamed(r, names) },
 	}
-	tradeoff := ""
+	tradeoff, days, file := "", []string(nil), ""
 	cmd.Flags().StringVar(&tradeoff, "tradeoff", "", "print and plot the curve between the two users' weights instead")
+	cmd.Flags().StringArrayVar(&days, "day", nil, "print the windows of a recorded day instead; repeat it to compare")
+	cmd.Flags().StringVar(&file, "plot", "", "with --day: draw worth and latency by second into this PNG file")
 	cmd.PreRunE = func(*cobra.Command, []string) error {
-		if tradeoff == "" {
+		var err error
+		switch {
+		case tradeoff != "":
+			err = writeTradeoff(out, tradeoff)
+		case len(days) > 0:
+			err = writeDays(out, days, file)
+		default:
 			return nil
 		}
-		if err := writeTradeoff(out, tradeoff); err != nil {
+		if err != nil {
 			return err
 		}
 		return errDone
--- a/pkg/bencher/tradeoff.go
+++ b/pkg/bencher/tradeoff.go
@@ -68,10 +68,10 @@
 		_, _ = fmt.Fprintf(out, "| %g | %g | %g | %.3f | %.0f ms | %.2f |\n",
 			p.factor, p.from, p.reserve, p.share, p.rushP95, p.aloneP99)
 	}
-	return draw(points, file)
+	return drawTradeoff(points, file)
 }
 
-func draw(points plotter.XYs, file string) error {
+func drawTradeoff(points plotter.XYs, file string) error {
 	p := plot.New()
 	p.Title.Text = "Tail latency in a rush against batch in idle seconds"
 	p.X.Label.Text = "batch share of what online leaves (idle scenario)"
