--- a/pkg/core/jobber/job.go
+++ b/pkg/core/jobber/job.go
@@ -1,6 +1,7 @@
 package jobber
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -45,6 +46,30 @@
 	Kept   []int `json:"kept,omitempty"`
 }
 
+// RecordError says that a job's record contradicts itself.
+type RecordError struct {
+	Field string
+	Item  int
+}
+
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("%s names item %d, which the job doesn't have or names twice", e.Field, e.Item)
+}
+
+// Check returns a *RecordError unless the lists name each item of the job at most once.
+func (j Job) Check() error {
+	for field, list := range map[string][]int{"order": j.Order, "kept": j.Kept} {
+		seen := make([]bool, len(j.Tokens))
+		for _, i := range list {
+			if i < 0 || i >= len(seen) || seen[i] {
+				return &RecordError{Field: field, Item: i}
+			}
+			seen[i] = true
+		}
+	}
+	return nil
+}
+
 // Total returns the number of items.
 func (j Job) Total() int { return len(j.Tokens) }
 
--- a/pkg/emulator/platform.go
+++ b/pkg/emulator/platform.go
@@ -70,12 +70,12 @@
 
 // SetVM adds or replaces an entry of the VM list.
 func (p *Platform) SetVM(vm storer.VMRecord) {
-	p.changeVMs(func() { p.store.Put(storer.VMTable, "", vm.ID, vm) })
+	p.changeVMs(func() { p.store.Put(storer.ListedVMTable, "", vm.ID, vm) })
 }
 
 // RemoveVM deletes an entry of the VM list.
 func (p *Platform) RemoveVM(id string) {
-	p.changeVMs(func() { p.store.Remove(storer.VMTable, "", id) })
+	p.changeVMs(func() { p.store.Remove(storer.ListedVMTable, "", id) })
 }
 
 func (p *Platform) changeVMs(change func()) {
@@ -102,7 +102,7 @@
 	defer p.mu.Unlock()
 	isCommit := r.Method == http.MethodPost
 	switch {
-	case r.URL.Query().Get("table") == storer.VMTable:
+	case r.URL.Query().Get("table") == storer.ListedVMTable:
 		if p.faults.IsVMListDown {
 			return standin.Busy
 		}
--- /dev/null
+++ b/pkg/jobkeeper/fuzz_test.go
@@ -0,0 +1,37 @@
+package jobkeeper
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobber"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+// FuzzRows reads any bytes as each kind of row: a result is whole or not there, and nothing panics.
+func FuzzRows(f *testing.F) {
+	rows, err := encodeResult("j", 0, Result{ID: "i", State: jobber.Succeeded, Output: []byte("out")}, 4096)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(rows[0].Value, []byte("rest"))
+	f.Add([]byte(`{"id":"i","state":"succeeded","rows":-1}`+"\nout"), []byte(nil))
+	f.Add([]byte(`{"id":"i","rows":2}`+"\nout"), []byte("more"))
+	f.Add([]byte(`{"tokens":[1],"order":[4]}`), []byte(nil))
+	f.Add([]byte(`{"tokens":[1],"order":[0]}`), []byte(`{"accepted":1}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		entry := func(row int, value []byte) storer.Entry {
+			return storer.Entry{Table: resultTable, Key: resultKey("j", 0, row), Value: value}
+		}
+		results, err := decodeResults("j", 0, []storer.Entry{entry(0, first), entry(1, second)})
+		if err == nil {
+			assert.LessOrEqual(t, len(results), 1, "two rows of one position are one result")
+		}
+		if j, err := decodeJob(storer.Entry{Value: first}); err == nil {
+			_, _ = j.Append([]int{0})
+			_, _, _ = j.WaitingTokens(), j.Runnable(true), j.IsOver()
+		}
+		_, _ = decodeCheckpoint(storer.Entry{Value: first})
+	})
+}
--- a/pkg/jobkeeper/rows.go
+++ b/pkg/jobkeeper/rows.go
@@ -61,7 +61,10 @@
 
 func decodeJob(e storer.Entry) (jobber.Job, error) {
 	j := jobber.Job{}
-	return j, errors.Wrap(json.Unmarshal(e.Value, &j), "job "+e.Key)
+	if err := json.Unmarshal(e.Value, &j); err != nil {
+		return j, errors.Wrap(err, "job "+e.Key)
+	}
+	return j, errors.Wrap(j.Check(), "job "+e.Key)
 }
 
 // encodeItems returns the rows of a submitted job's body; none when it is too large for rows.
@@ -141,6 +144,9 @@
 		if err != nil {
 			return results, err
 		}
+		if head.Rows < 1 {
+			return results, errors.Errorf("row %s of table %s counts %d rows", rows[0].Key, rows[0].Table, head.Rows)
+		}
 		if head.Rows > len(rows) {
 			break
 		}
--- a/pkg/storer/rows.go
+++ b/pkg/storer/rows.go
@@ -17,8 +17,8 @@
 const (
 	// RowTable holds the rows of a Rows, all in one partition: a transaction may touch any of them.
 	RowTable = "dogwoodledge"
-	// VMTable holds the platform's list of VMs, one VMRecord each.
-	VMTable = "vms"
+	// ListedVMTable holds the platform's list of VMs, one VMRecord each; VMs do not write there.
+	ListedVMTable = "vms"
 )
 
 const (
@@ -113,7 +113,7 @@
 	var entries []Entry
 	err := s.repeat(ctx, "list VMs", func() error {
 		var err error
-		entries, _, err = ScanAll(ctx, s.table, Range{Table: VMTable})
+		entries, _, err = ScanAll(ctx, s.table, Range{Table: ListedVMTable})
 		return err
 	})
 	if err != nil {
