One copy of what a whole stream and output are in tests; one loop that answers requests

Cause: the soak had written again what the gateway's tests have, and the pool's tests the same loop twice (duplicates). Assertions are the same. No file that the daemon is built of changed.

--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -256,14 +256,6 @@
 	return slices.DeleteFunc(f.allRuns(), func(r standin.Run) bool { return r.ID != id })
 }
 
-func wholeStream(id string, events int) string {
-	b := strings.Builder{}
-	for n := range events {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, standin.EventData(id, n))
-	}
-	return b.String()
-}
-
 type jobItem struct {
 	ID      string            `json:"id"`
 	Path    string            `json:"path"`
@@ -323,11 +315,3 @@
 	}, patience, 20*time.Millisecond, "job has too few results")
 	return p
 }
-
-func wholeOutput(id string, events int) string {
-	lines := make([]string, 0, events)
-	for n := range events {
-		lines = append(lines, standin.EventData(id, n))
-	}
-	return strings.Join(lines, "\n")
-}
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -116,7 +116,7 @@
 	for _, r := range p.Results {
 		assert.False(t, seen[r.ID])
 		seen[r.ID] = true
-		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+		assert.Equal(t, standin.WholeOutput(r.ID, 6), r.Output)
 	}
 	assert.Len(t, p.Results, len(items))
 }
--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -22,7 +22,7 @@
 		a := f.stream(f.vms[0], path, id)
 		require.NoError(t, a.err)
 		assert.Equal(t, http.StatusOK, a.status)
-		assert.Equal(t, wholeStream(id, 6), a.body)
+		assert.Equal(t, standin.WholeStream(id, 6), a.body)
 		assert.NotEmpty(t, a.header.Get("X-Response-Stamp"))
 		assert.Equal(t, id, a.header.Get("X-Request-Id"))
 	}
@@ -42,7 +42,7 @@
 	seen := map[string]bool{}
 	for _, r := range first.Results {
 		assert.Equal(t, "succeeded", r.State)
-		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+		assert.Equal(t, standin.WholeOutput(r.ID, 6), r.Output)
 		assert.False(t, seen[r.ID], "item listed twice")
 		seen[r.ID] = true
 		assert.Len(t, f.runsOf(r.ID), 1)
@@ -105,7 +105,7 @@
 			assert.Len(t, f.runsOf(id), c.runs)
 			assert.Equal(t, c.isCut, a.err != nil, "an answer that ends early must not look complete")
 			if c.path == "/note/1" {
-				assert.Equal(t, wholeStream(id, 6), a.body)
+				assert.Equal(t, standin.WholeStream(id, 6), a.body)
 			}
 			if c.runs > 0 && (a.status == 503 || a.status == 429) {
 				assert.Fail(t, "the refusal says that the request has not run")
@@ -187,7 +187,7 @@
 	job := newID("job")
 	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
 	for _, r := range f.await(f.vms[0], job, 6).Results {
-		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+		assert.Equal(t, standin.WholeOutput(r.ID, 6), r.Output)
 	}
 }
 
@@ -285,7 +285,7 @@
 		"holder": map[string]any{"vm": "front-lost", "incarnation": 1},
 	})
 	for _, r := range f.await(f.vms[0], job, 2).Results {
-		assert.Equal(t, wholeOutput(r.ID, 6), r.Output)
+		assert.Equal(t, standin.WholeOutput(r.ID, 6), r.Output)
 	}
 	runs := f.runsOf(items[0].ID)
 	require.Len(t, runs, 1)
@@ -309,7 +309,7 @@
 	require.NoError(t, f.vms[0].app.Stop(context.Background()))
 	a := <-done
 	require.NoError(t, a.err)
-	assert.Equal(t, wholeStream(id, 6), a.body)
+	assert.Equal(t, standin.WholeStream(id, 6), a.body)
 	f.await(f.vms[1], job, len(items))
 	for _, i := range items {
 		assert.LessOrEqual(t, len(f.runsOf(i.ID)), 1, "the VM that stops finishes its items, and no other runs them too")
--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -40,6 +40,20 @@
 	return netip.MustParseAddrPort(socket.Addr().String()), opened
 }
 
+// answerEach reads one request after the other and has each answered, until answer says that it was the last.
+func answerEach(br *bufio.Reader, answer func(id string) bool) {
+	for {
+		r, err := readHead(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !answer(r.Header.Get("X-Id")) {
+			return
+		}
+	}
+}
+
 func atMost(n int) func(string) int { return func(string) int { return n } }
 
 func readHead(br *bufio.Reader) (*http.Request, error) { return http.ReadRequest(br) }
@@ -87,17 +101,10 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
-				for {
-					r, err := readHead(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, reply(r.Header.Get("X-Id"), c.extra, c.body)+c.then)
-					if c.ends {
-						return
-					}
-				}
+				answerEach(br, func(id string) bool {
+					_, _ = io.WriteString(conn, reply(id, c.extra, c.body)+c.then)
+					return !c.ends
+				})
 			})
 			p := NewPool(atMost(4))
 			for _, id := range []string{"1", "2"} {
@@ -206,14 +213,10 @@
 // TestIdleConnectionsFollowTheBound lowers the bound, as when VMs join, while connections are idle.
 func TestIdleConnectionsFollowTheBound(t *testing.T) {
 	addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
-		for {
-			r, err := readHead(br)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(conn, reply(r.Header.Get("X-Id"), "Content-Length: 2\r\n", "ok"))
-		}
+		answerEach(br, func(id string) bool {
+			_, _ = io.WriteString(conn, reply(id, "Content-Length: 2\r\n", "ok"))
+			return true
+		})
 	})
 	most := 3
 	p := NewPool(func(string) int { return most })
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -73,20 +73,10 @@
 	if !k.isStream {
 		return "answer to " + id
 	}
-	b := strings.Builder{}
-	for n := range events {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, standin.EventData(id, n))
-	}
-	return b.String()
+	return standin.WholeStream(id, events)
 }
 
-func itemOutput(id string) string {
-	lines := make([]string, 0, events)
-	for n := range events {
-		lines = append(lines, standin.EventData(id, n))
-	}
-	return strings.Join(lines, "\n")
-}
+func itemOutput(id string) string { return standin.WholeOutput(id, events) }
 
 // isRefusal says whether a status promises that the request has not run and never will.
 func isRefusal(status int) bool {
