Soak: take the race detector's own second out of the time of a stop

Finding:, built under the race detector: front-3 needed 8.095 s to stop, bound 8 s. Its log: leaving 43.146, stopped 50.189 (7.04 s, as the margin of the grace wants it), the process gone a second later.

Cause shown by a run: an idle VM stops in 3.206 s under the race detector, in 2.226 s with GORACE=atexit_sleep_ms=0, in 2.213 s without the detector. The daemon is not changed; VMs of the soak run with that setting. The bound stays; the seed is a fixed one.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -97,7 +97,8 @@
 	file, err := os.OpenFile(v.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(v.t, err)
 	cmd := exec.Command(filepath.Join(binaries, "dogwoodledged"), "platform")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
+	// The race detector otherwise adds a second to each end of a process.
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings, "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = file, file
 	require.NoError(v.t, cmd.Start())
 	v.cmd, v.done, v.isTold = cmd, make(chan struct{}), false
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,7 +32,11 @@
 )
 
 // fixedSeeds are played by CI: two short ones, and each that ever failed, with its cause.
-var fixedSeeds = []uint64{1, 2}
+var fixedSeeds = []uint64{
+	1, 2,
+	// A planned stop took 8.1 s of 8: programs built under the race detector sleep for a second at their end.
+	2088822166,
+}
 
 var (
 	binaries string
