--- a/pkg/bencher/tide.go
+++ b/pkg/bencher/tide.go
@@ -48,12 +48,15 @@
 	engines   map[string]*tideEngine
 	yields    bool
 
-	first                    *hdrhistogram.Histogram
-	asked, refused, lost     int
-	measured                 int
-	onlineTime, batchUseful  time.Duration
-	slotTime                 time.Duration
-	accountedAt, measureFrom time.Time
+	// first holds the times to the first event of the requests that came after measureFrom, which measured counts.
+	first       *hdrhistogram.Histogram
+	measureFrom time.Time
+	measured    int
+	// asked counts all requests, refused those that were turned away, lost those that ran at an endpoint that went.
+	asked, refused, lost int
+	// slotTime is that of all slots up to accountedAt, onlineTime and batchUseful what requests and items had of it.
+	slotTime, onlineTime, batchUseful time.Duration
+	accountedAt                       time.Time
 }
 
 type tideVM struct {
@@ -323,6 +326,7 @@
 	r.info("tide/own", "batchOfIdleShare", own.idleShare())
 	r.atMost("tide/lostThird", "firstEventP95Ms", quantile(shrunk.first, 95), objective)
 	r.info("tide/lostThird", "inTimeShare", shrunk.inTimeShare())
+	r.info("tide/lostThird", "cutWithTheirEndpoints", float64(shrunk.lost))
 	r.info("tide/lostThird", "refusedShare", float64(shrunk.refused)/float64(shrunk.asked))
 	r.info("tide/noYield", "firstEventP95Ms", quantile(rigid.first, 95))
 	r.info("tide/noYield", "refusedShare", float64(rigid.refused)/float64(rigid.asked))
