--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
 
@@ -164,6 +165,16 @@
 	f.awaitRoute("/mark/")
 }
 
+// requireSpared has the VM serve requests, none of which may reach the endpoint.
+func (f *testFleet) requireSpared(vm *testVM, e *standin.Endpoint) {
+	f.t.Helper()
+	before := len(e.Runs())
+	for range 10 {
+		assert.Equal(f.t, 200, f.call(f.t.Context(), vm, http.MethodPost, "/status/1", newID("s"), "").status)
+	}
+	assert.Len(f.t, e.Runs(), before)
+}
+
 func (f *testFleet) settings(name string) platform.Settings {
 	n := lastIP.Add(1)
 	ip := netip.AddrFrom4([4]byte{127, 9, byte(n >> 8), byte(n)})
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -181,11 +181,7 @@
 	require.Eventually(t, func() bool {
 		return f.call(t.Context(), f.vms[1], http.MethodPost, "/new/1", newID("n"), "").status == http.StatusOK
 	}, patience, 50*time.Millisecond, "the VM without the store does not learn of the route")
-	before := len(drained.Runs())
-	for range 10 {
-		assert.Equal(t, 200, f.call(t.Context(), f.vms[1], http.MethodPost, "/status/1", newID("n"), "").status)
-	}
-	assert.Len(t, drained.Runs(), before)
+	f.requireSpared(f.vms[1], drained)
 }
 
 func TestOldJobsAreDropped(t *testing.T) {
--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -228,11 +228,7 @@
 	e := f.endpoint("i-app-1")
 	f.store.Put("servers", "", e.ID, e.Entry("draining"))
 	f.awaitEndpoints()
-	before := len(e.Runs())
-	for range 10 {
-		assert.Equal(t, 200, f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", newID("d"), "").status)
-	}
-	assert.Len(t, e.Runs(), before)
+	f.requireSpared(f.vms[0], e)
 }
 
 func TestBadRowsChangeNothing(t *testing.T) {
--- a/pkg/granter/late_reply_test.go
+++ b/pkg/granter/late_reply_test.go
@@ -21,6 +21,7 @@
 type lateKeeper struct{ wire.UnimplementedVMsServer }
 
 func (lateKeeper) Reserve(_ *wire.ReserveRequest, s grpc.ServerStreamingServer[wire.ReserveReply]) error {
+	// The reply has to cross the end of the asker's patience: the delay is what is tested, nothing is waited for.
 	time.Sleep(keeperAnswersIn - time.Millisecond)
 	_ = s.Send(&wire.ReserveReply{Queued: true})
 	<-s.Context().Done()
--- a/pkg/jobkeeper/linear_test.go
+++ b/pkg/jobkeeper/linear_test.go
@@ -335,6 +335,7 @@
 		for _, at := range pl.Forgets {
 			time.AfterFunc(at, p.store.Forget)
 		}
+		// In the bubble of synctest this is virtual time and takes none.
 		time.Sleep(settled)
 		for job := range 2 {
 			p.run(vms[vmCount-1], action{VM: vmCount - 1, Do: "read", Job: job})
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -15,6 +15,8 @@
 const (
 	// callerWait is how long a caller stays: beyond it the answer counts as missing.
 	callerWait = routeTimeout + slack + time.Second
+	// returnAfter is the pause of a caller that got nothing.
+	returnAfter = 20 * time.Millisecond
 	// readEvery is how often a job is read; jobItems is its number of items.
 	readEvery = 200 * time.Millisecond
 	jobItems  = 4
@@ -97,7 +99,8 @@
 		c.attempts = append(c.attempts, a)
 		c.mu.Unlock()
 		if a.status == 0 || isRefusal(a.status) {
-			time.Sleep(20 * time.Millisecond)
+			// A caller does not come back in a tight loop to a VM that is down or refuses.
+			time.Sleep(returnAfter)
 		}
 	}
 }
@@ -149,6 +152,7 @@
 		}
 		for !j.isDone() && ctx.Err() == nil {
 			c.read(j, c.fleet.vms[random.IntN(len(c.fleet.vms))], random.IntN(4) == 0)
+			// Callers read at this pace; the loop ends on the job's results.
 			time.Sleep(readEvery)
 			if random.IntN(60) == 0 {
 				c.endJob(j, c.fleet.vms[random.IntN(len(c.fleet.vms))])
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -262,6 +262,7 @@
 	e.Close()
 	e.link.set(linkReset)
 	f.addEndpoint(e.Service)
+	// The platform keeps the row of a lost endpoint for so long: part of the fault, no wait for the system.
 	time.Sleep(goneAfter)
 	f.store.Remove(platform.EndpointTable, "", e.ID)
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -87,6 +87,7 @@
 			return false
 		case f == linkSlow && !isDelayed:
 			isDelayed = true
+			// The delay is the fault.
 			time.Sleep(linkDelay)
 		case f == linkSilent || f == held:
 			<-changed
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,8 @@
 	troubled       = 8 * time.Second
 	longestTrouble = 3 * time.Second
 	troubleCount   = 14
+	// quiet is how long callers go on after the last trouble.
+	quiet = time.Second
 	// recovery is how long after its return a VM that did not run may be late.
 	recovery = 2 * time.Second
 )
@@ -105,7 +107,8 @@
 	c := &callers{fleet: f, seed: seed, paused: s.paused}
 	c.start(ctx, callerCount)
 	s.run()
-	time.Sleep(time.Second)
+	// Callers go on for a while with everything sound; what is owed is awaited below, on conditions.
+	time.Sleep(quiet)
 	stop()
 	c.wg.Wait()
 	for _, v := range f.vms {
@@ -193,6 +196,7 @@
 
 func (s *soak) runTrouble(start time.Time, tr *trouble, cause func(*trouble)) {
 	defer s.wg.Done()
+	// The seed says when a trouble begins, whatever the system does.
 	time.Sleep(time.Until(start.Add(tr.at)))
 	cause(tr)
 }
