soak: an attempt carries its duration, so that LATE can fire

Cause: send set the duration in a deferred function, but its result had no name, so the returned attempt had 0. Change: the result is named. Result: TestSendMeasuresTheAttempt failed before (0s, 30 ms wanted) and passes.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -105,10 +105,10 @@
 	}
 }
 
-func (c *callers) send(client *http.Client, v *vm, k kind, id string) attempt {
+func (c *callers) send(client *http.Client, v *vm, k kind, id string) (a attempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	a := attempt{kind: k, id: id, vm: v.name}
+	a = attempt{kind: k, id: id, vm: v.name}
 	began := time.Now()
 	defer func() {
 		a.took, a.isExcused = time.Since(began), !isTimed || c.outages.isDownSince(v.name, began)
