dialer, itemrunner: bytes that are no answer, without end, are bounded

Cause: net/http's parser has no limit of its own for the head of an answer. One endless status line made the exchange read 735 MB in 5 s, endless 1xx answers 312 MB, an endless answer to another request 847 MB: a VM of 184 MB is killed by one endpoint. An item's output had no limit, and comment lines counted as progress, so that a stalled endpoint kept an item's run for ever. Change: 64 KiB for a head with its informational answers, 8 of these; a stray answer of 1 MiB ends the exchange; the rest of a refusal is read for 50 ms at most; an item's output has 1 MiB; only events with an id or data are progress. Result: TestEndlessBytesAreBounded, 11 cases: 6 failed before (sizes above), all pass.

--- /dev/null
+++ b/pkg/dialer/endless_test.go
@@ -0,0 +1,66 @@
+package dialer
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestEndlessBytesAreBounded sends bytes that are no answer, without end, in each part of an answer: the exchange fails by itself
+// well before its context ends, has read no more than maxStrays stray answers allow, and closes the connection.
+func TestEndlessBytesAreBounded(t *testing.T) {
+	const line, chunked = "x", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := []struct{ name, start, repeat string }{
+		{"status line", "HTTP/1.1 200 ", line},
+		{"no status line", "", line},
+		{"header line", "HTTP/1.1 200 OK\r\nX-Long: ", line},
+		{"headers", "HTTP/1.1 200 OK\r\n", "X-Many: 1\r\n"},
+		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"answers to other requests", "", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok"},
+		{"body of an answer to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", line},
+		{"chunk size", chunked, "0"},
+		{"chunk extension", chunked + "1;", line},
+		{"chunk extensions", chunked, "1;" + strings.Repeat("x", 99) + "\r\n.\r\n"},
+		{"trailer", chunked + "0\r\n", "X-Many: 1\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			written, isClosed := atomic.Int64{}, make(chan struct{})
+			addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+				defer close(isClosed)
+				if _, err := readHead(br); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, c.start)
+				block := strings.Repeat(c.repeat, 1+4096/len(c.repeat))
+				for {
+					n, err := io.WriteString(conn, block)
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			p := NewPool(atMost(4))
+			start := time.Now()
+			_, err := roundTrip(t, p, addr, "a", nil)
+			require.Error(t, err)
+			assert.Less(t, time.Since(start), 4*time.Second, "the exchange ended only with its context")
+			select {
+			case <-isClosed:
+			case <-time.After(4 * time.Second):
+				require.Fail(t, "the connection stays open")
+			}
+			// The kernel's buffers hold some MiB beyond what was read.
+			assert.Less(t, written.Load(), int64(maxStrayBytes+16<<20))
+			assert.Empty(t, p.idle)
+		})
+	}
+}
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -97,12 +97,18 @@
 // readResponse reads the head of the answer. It skips informational answers and stray ones.
 func (c *Conn) readResponse(r Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
+	defer c.limit.end()
+	c.limit.begin(c.br.Buffered())
+	informational := 0
 	for strays := 0; ; {
 		res, err := http.ReadResponse(c.br, method)
 		if err != nil {
 			return nil, err
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
+			if informational++; informational > maxInformational {
+				return nil, errors.Errorf("more than %d informational answers, the last one with status %d", maxInformational, res.StatusCode)
+			}
 			continue
 		}
 		id := res.Header.Get(r.IDHeader)
@@ -113,9 +119,15 @@
 		if strays > maxStrays {
 			return nil, errors.Errorf("connection carries answers to other requests, the last one to %q", id)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes)); err != nil {
+		c.limit.end()
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes))
+		if err != nil {
 			return nil, errors.Wrap(err, "discard an answer to another request")
 		}
+		if n >= maxStrayBytes {
+			return nil, errors.Errorf("answer to another request has %d bytes or more", n)
+		}
+		c.limit.begin(c.br.Buffered())
 	}
 }
 
@@ -128,6 +140,16 @@
 	return n, err
 }
 
+// drainTimeout bounds the wait for the rest of an answer that is not needed.
+const drainTimeout = 50 * time.Millisecond
+
+// Drain discards the rest of a short answer, so that the connection can be reused. It gives up if the rest has more than
+// maxInlineBytes or does not arrive within drainTimeout; the connection is closed then.
+func (x *Exchange) Drain() {
+	_ = x.conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxInlineBytes))
+}
+
 // Close ends the exchange. The connection is kept for reuse only if the request was written and the answer read completely.
 func (x *Exchange) Close() {
 	if !x.stop() || !x.isComplete {
--- a/pkg/dialer/fuzz_test.go
+++ b/pkg/dialer/fuzz_test.go
@@ -31,10 +31,7 @@
 			_ = far.Close()
 		}()
 		p := NewPool(atMost(1))
-		c := &Conn{
-			Conn: near, br: bufio.NewReader(near), endpoint: "e", address: netip.MustParseAddrPort("127.0.0.1:1"),
-			idleTimeout: defaultIdleTimeout,
-		}
+		c := newConn(near, "e", netip.MustParseAddrPort("127.0.0.1:1"))
 		x, err := p.Do(context.Background(), c, Request{
 			Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IDHeader: "X-Id", ID: "1",
 		})
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -42,6 +42,7 @@
 type Conn struct {
 	net.Conn
 	br       *bufio.Reader
+	limit    *headLimit
 	endpoint string
 	address  netip.AddrPort
 	isReused bool
@@ -63,9 +64,15 @@
 	if err != nil {
 		return nil, &ConnectError{Address: addr, After: time.Since(start), Cause: err}
 	}
+	return newConn(conn, id, addr), nil
+}
+
+func newConn(conn net.Conn, endpoint string, addr netip.AddrPort) *Conn {
+	limit := &headLimit{r: conn}
 	return &Conn{
-		Conn: conn, br: bufio.NewReaderSize(conn, readBufferBytes), endpoint: id, address: addr, idleTimeout: defaultIdleTimeout,
-	}, nil
+		Conn: conn, limit: limit, br: bufio.NewReaderSize(limit, readBufferBytes), endpoint: endpoint, address: addr,
+		idleTimeout: defaultIdleTimeout,
+	}
 }
 
 // takeIdle returns the connection that was used last and is still usable, or nil; it closes unusable ones.
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -23,6 +23,9 @@
 	// stallTimeout is the maximum time without an event from an endpoint; it is well over the pause after which a stream counts as
 	// late.
 	stallTimeout = 2 * time.Second
+	// maxOutputBytes bounds the output of an item: a longer result could not be read in one answer, and an endpoint that sends
+	// events without end would fill the memory.
+	maxOutputBytes = 1 << 20
 	// maxErrorBody is the maximum number of bytes that are read of an error response.
 	maxErrorBody = 64 << 10
 )
@@ -129,11 +132,14 @@
 		return err
 	}
 	defer x.Close()
+	if x.Response.Header.Get(r.headers.Leaving) != "" {
+		r.onLeaving(run.endpoint)
+	}
 	if err := r.checkResponse(x, t, run); err != nil {
 		return err
 	}
 	events := relayer.NewEventReader(x)
-	for hasFirstEvent := false; ; hasFirstEvent = true {
+	for hasFirstEvent := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -144,8 +150,12 @@
 			}
 			return err
 		}
+		if !e.IsProgress() {
+			continue
+		}
 		stall.Reset(stallTimeout)
 		if !hasFirstEvent {
+			hasFirstEvent = true
 			r.balancer.FirstByte(run.ticket, true)
 		}
 		if err := r.appendEvent(t, run, e); err != nil {
@@ -196,6 +206,9 @@
 	if e.ID >= 0 && t.lastEvent >= 0 && e.ID != t.lastEvent+1 {
 		return errors.Errorf("gap in the event stream: event %d follows event %d", e.ID, t.lastEvent)
 	}
+	if len(t.output)+len(e.Data) > maxOutputBytes {
+		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
+	}
 	if e.Data != nil {
 		if t.hasOutput {
 			t.output = append(t.output, '\n')
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -87,7 +87,7 @@
 func (q *request) forwardStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	events := NewEventReader(x)
 	flush := http.NewResponseController(q.w)
-	for hasBegun := false; ; hasBegun = true {
+	for hasBegun := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if !q.hasAnswer {
@@ -99,7 +99,8 @@
 		if err != nil {
 			return q.endBrokenStream(err, s)
 		}
-		if !hasBegun {
+		if !hasBegun && e.IsProgress() {
+			hasBegun = true
 			q.balancer.FirstByte(ticket, s.NeedsPreemption)
 			q.recordFirstByte()
 		}
--- a/pkg/relayer/events.go
+++ b/pkg/relayer/events.go
@@ -22,6 +22,10 @@
 	Data []byte
 }
 
+// IsProgress reports whether the event carries an id or data. Comments and empty lines keep a connection open, but say nothing
+// about the work.
+func (e Event) IsProgress() bool { return e.ID >= 0 || e.Data != nil }
+
 // EventReader splits a stream into complete events.
 type EventReader struct {
 	br *bufio.Reader
