--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/itemrunner"
@@ -114,21 +115,34 @@
 	return watcher.New(t, watcher.Decoder{
 		ConfigTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, EndpointTable: platform.EndpointTable,
 		Config: platform.DecodeConfig, Endpoint: platform.DecodeEndpoint,
-	}, b.Retain, log)
+	}, b.Configure, log)
 }
 
-func newBalancer(s platform.Settings, source func() *rand.Rand) *balancer.Balancer {
-	t := placer.Topology{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions}
-	return balancer.New(s.VM.ID, t, source())
+func newBalancer(
+	s platform.Settings, g *gossiper.Gossiper, source func() *rand.Rand, log logrus.FieldLogger,
+) *balancer.Balancer {
+	return balancer.New(balancer.Config{
+		VM: s.VM.ID, Incarnation: g.Incarnation(),
+		Topology: placer.Topology{AvailabilityZone: s.VM.AvailabilityZone, Regions: s.Regions},
+	}, g, source(), log)
 }
 
 func newGossiper(
-	s platform.Settings, t storer.Table, b *balancer.Balancer, log logrus.FieldLogger,
+	s platform.Settings, t storer.Table, source func() *rand.Rand, log logrus.FieldLogger,
 ) *gossiper.Gossiper {
 	return gossiper.New(gossiper.Config{
 		VM: s.VM.ID, Incarnation: time.Now().UnixMicro(), Address: netip.AddrPortFrom(s.IP, s.FirstPort),
-		Region: s.VM.Region,
-	}, t, b, log)
+		Region: s.VM.Region, Capacity: s.Cores,
+	}, t, source(), log)
+}
+
+// leavingNotifier marks endpoints that said that they leave, and notifies the peers of those that it had not marked before.
+func leavingNotifier(w *watcher.Watcher, g *gossiper.Gossiper) func(registrar.Endpoint) {
+	return func(e registrar.Endpoint) {
+		if w.MarkLeaving(e.LeavingKey()) {
+			g.AnnounceLeaving(e.LeavingKey())
+		}
+	}
 }
 
 func newPeerSyncer(
@@ -149,9 +163,9 @@
 }
 
 func newRelayer(
-	w *watcher.Watcher, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter, log logrus.FieldLogger,
+	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter, log logrus.FieldLogger,
 ) *relayer.Relayer {
-	return relayer.New(platform.Headers(), w.Current, b, p, m, log)
+	return relayer.New(platform.Headers(), w.Current, b, p, leavingNotifier(w, g), m, log)
 }
 
 func newJobManager(
@@ -164,10 +178,10 @@
 }
 
 func newItemRunner(
-	jm *jobmanager.Manager, w *watcher.Watcher, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter,
-	log logrus.FieldLogger,
+	jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
+	m *tracer.Meter, log logrus.FieldLogger,
 ) *itemrunner.Runner {
-	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, m, log)
+	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, leavingNotifier(w, g), m, log)
 }
 
 func newListener(
@@ -198,7 +212,12 @@
 }
 
 func (g *gateway) start(context.Context) error {
+	g.Gossiper.SetHandler(gossiper.Handler{
+		Payload:         g.Balancer.Receive,
+		EndpointLeaving: func(key string) { g.Watcher.MarkLeaving(key) },
+	})
 	g.Watcher.Start(g.ctx)
+	g.Balancer.Start(g.ctx)
 	if err := g.Gossiper.Start(g.ctx); err != nil {
 		return err
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -1,172 +1,239 @@
 package balancer
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
+// Network reaches the other VMs.
+type Network interface {
+	// Rank returns the live VMs that may assign a group of endpoints in the region, in order of preference; this VM may be one.
+	Rank(group, region string) []string
+	// Send sends a payload to a VM once; a lost one is not resent.
+	Send(vm string, payload []byte)
+}
+
+// Config identifies this VM.
+type Config struct {
+	VM          string
+	Incarnation int64
+	Topology    placer.Topology
+}
+
 // Balancer places requests at endpoints and counts those in flight; it is safe for concurrent use.
 type Balancer struct {
-	vm string
-
-	mu     sync.Mutex
+	cfg     Config
+	network Network
+	log     logrus.FieldLogger
+	random  *rand.Rand
+	// nearTimeout and farTimeout bound the wait for a reply, within the region and from another one.
+	nearTimeout, farTimeout time.Duration
+
+	mu sync.Mutex
+	// placer holds the counts of this VM, and decides alone when no assigner replies.
 	placer *placer.Placer
-	nextID uint64
-	// pending is the number of waiting batch items.
-	pending int
-	// due is when the most urgent waiting batch item is due.
-	due time.Time
-	// preemptAt holds the endpoints at which batch items have to be preempted, until TakePreemptedVMs returns their VMs.
-	preemptAt []placer.Key
-
-	// changed signals the gossiper that counts changed, urgent that batch items of a peer have to be preempted.
-	changed chan struct{}
-	urgent  chan struct{}
-	// slotsChanged signals the item runner that a slot may be free or has to be released.
+	// groups holds the groups of each service, byGroup and byEndpoint the same groups by their keys.
+	groups     map[string][]*group
+	byGroup    map[assigner.GroupKey]*group
+	byEndpoint map[placer.Key]*group
+	nextID     uint64
+	sequence   uint64
+	// asks holds the questions to other VMs that wait for a reply, by number.
+	asks map[uint64]*ask
+	// pending holds the batch items that wait at this VM, by service.
+	pending map[string]Pending
+	// offers holds the slots offered to batch items of this VM, by service.
+	offers map[string][]offer
+	// preempt is the number of batch items to stop at each endpoint.
+	preempt map[placer.Key]int
+
+	// changed signals the reporter that counts changed, slotsChanged the item runner that a slot was offered or has to be freed.
+	changed      chan struct{}
 	slotsChanged chan struct{}
+
+	// Counters can be read from any goroutine.
+	Counters Counters
 }
 
-// New returns a balancer for the VM.
-func New(vm string, t placer.Topology, random *rand.Rand) *Balancer {
+// Pending describes the batch items of one service that wait for a slot.
+type Pending struct {
+	Items int
+	// Due is when the most urgent of them is due.
+	Due time.Time
+}
+
+// offer is a slot that an assigner offered to a batch item; it counts as taken from its receipt on.
+type offer struct {
+	endpoint registrar.Endpoint
+	ticket   *placer.Ticket
+	at       time.Time
+}
+
+// New returns a balancer for the VM. It reports to other VMs once started, and decides alone until then.
+func New(cfg Config, n Network, random *rand.Rand, log logrus.FieldLogger) *Balancer {
 	return &Balancer{
-		vm: vm, placer: placer.New(t, random),
-		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), slotsChanged: make(chan struct{}, 1),
+		cfg: cfg, network: n, log: log, random: random, placer: placer.New(cfg.Topology, random),
+		nearTimeout: nearReplyTimeout, farTimeout: farReplyTimeout,
+		groups: map[string][]*group{}, byGroup: map[assigner.GroupKey]*group{}, byEndpoint: map[placer.Key]*group{},
+		asks: map[uint64]*ask{}, pending: map[string]Pending{}, offers: map[string][]offer{}, preempt: map[placer.Key]int{},
+		changed: make(chan struct{}, 1), slotsChanged: make(chan struct{}, 1),
 	}
 }
 
-// Changed signals that counts changed since the last report.
-func (b *Balancer) Changed() <-chan struct{} { return b.changed }
+// SlotsChanged signals that batch items may find an offered slot or have to release theirs.
+func (b *Balancer) SlotsChanged() <-chan struct{} { return b.slotsChanged }
 
-// Urgent signals that batch items at some endpoint have to be preempted.
-func (b *Balancer) Urgent() <-chan struct{} { return b.urgent }
+// start counts a request at the endpoint; the lock is held.
+func (b *Balancer) start(now time.Time, e registrar.Endpoint, class placer.Class) *placer.Ticket {
+	b.nextID++
+	t := b.placer.Start(now, e.ID, class, b.nextID)
+	b.markDirty(t.Key())
+	return t
+}
 
-// SlotsChanged signals that batch items may find a free slot or have to release theirs.
-func (b *Balancer) SlotsChanged() <-chan struct{} { return b.slotsChanged }
+// markDirty makes the reporter report on the group of the endpoint; the lock is held.
+func (b *Balancer) markDirty(k placer.Key) {
+	if g, ok := b.byEndpoint[k]; ok {
+		g.isDirty = true
+		notify(b.changed)
+	}
+}
 
-// Place chooses an endpoint for an online request and counts the request there, or refuses it; the ticket is nil then.
-func (b *Balancer) Place(r placer.Request) (placer.Decision, *placer.Ticket) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	d := b.placer.Place(now, r)
-	s, ok := d.(placer.Send)
+// observe keeps an observation for the next report; the lock is held.
+func (b *Balancer) observe(o option.Option[placer.Observation]) {
+	seen, ok := o.Get()
 	if !ok {
-		return d, nil
+		return
 	}
-	b.nextID++
-	t := b.placer.Start(now, s.Endpoint.ID, placer.Online, b.nextID)
-	notify(b.changed)
-	if s.NeedsPreemption {
-		b.preemptAt = append(b.preemptAt, placer.KeyOf(s.Endpoint.ID))
-		notify(b.urgent)
-		notify(b.slotsChanged)
+	if g, ok := b.byEndpoint[seen.Key]; ok && len(g.observations) < maxObservations {
+		g.observations = append(g.observations, seen)
 	}
-	return d, t
 }
 
-// StartBatch takes a slot for a batch item at one of the endpoints; it returns false if this VM may use none.
-func (b *Balancer) StartBatch(endpoints []registrar.Endpoint) (registrar.Endpoint, *placer.Ticket, bool) {
+// TakeOffer returns a slot that was offered to a batch item of the service, and counts the item there; false if there is none.
+func (b *Balancer) TakeOffer(service string) (registrar.Endpoint, *placer.Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	e, ok := b.placer.ChooseBatchEndpoint(now, b.vm, b.due.Sub(now), endpoints)
-	if !ok {
-		return e, nil, false
+	b.expireOffers(time.Now())
+	list := b.offers[service]
+	if len(list) == 0 {
+		return registrar.Endpoint{}, nil, false
+	}
+	b.offers[service] = list[1:]
+	return list[0].endpoint, list[0].ticket, true
+}
+
+// expireOffers releases the slots that no item took in time; the lock is held.
+func (b *Balancer) expireOffers(now time.Time) {
+	for service, list := range b.offers {
+		for len(list) > 0 && now.Sub(list[0].at) >= assigner.OfferTime {
+			b.end(now, list[0].ticket, placer.EndedLocally)
+			list = list[1:]
+		}
+		b.offers[service] = list
 	}
-	b.nextID++
-	t := b.placer.Start(now, e.ID, placer.Batch, b.nextID)
-	notify(b.changed)
-	return e, t, true
 }
 
 // ExcessBatch returns how many of this VM's batch items at the endpoint have to be preempted.
 func (b *Balancer) ExcessBatch(e registrar.Endpoint) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.placer.ExcessBatch(time.Now(), b.vm, e)
+	return b.preempt[placer.KeyOf(e.ID)]
 }
 
 // FirstByte records that the answer to a request has begun; wasQueued says that the request first waited for a slot.
 func (b *Balancer) FirstByte(t *placer.Ticket, wasQueued bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.placer.FirstByte(time.Now(), t, wasQueued)
+	b.observe(b.placer.FirstByte(time.Now(), t, wasQueued))
 }
 
 // End removes a request from the counts and records how it ended.
 func (b *Balancer) End(t *placer.Ticket, how placer.Ending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.placer.End(time.Now(), t, how)
-	notify(b.changed)
-	notify(b.slotsChanged)
+	b.end(time.Now(), t, how)
 }
 
-// SetPending sets the number of batch items that wait at this VM, and when the most urgent one is due.
-func (b *Balancer) SetPending(n int, due time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if (b.pending == 0) != (n == 0) {
-		notify(b.changed)
+// end is End with the lock held.
+func (b *Balancer) end(now time.Time, t *placer.Ticket, how placer.Ending) {
+	if t.HasEnded() {
+		return
 	}
-	b.pending, b.due = n, due
-}
-
-// Report returns this VM's current report for its peers.
-func (b *Balancer) Report() placer.Report {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	return placer.Report{
-		VM: b.vm, Pending: b.pending, Urgency: b.due.Sub(now), Loads: b.placer.Own(), Faults: b.placer.Faults(now),
-		Hidden: b.placer.Hidden(now),
+	b.observe(b.placer.End(now, t, how))
+	k := t.Key()
+	if t.IsBatch() && b.preempt[k] > 0 {
+		// The end of any batch item frees the slot that was asked for.
+		if b.preempt[k]--; b.preempt[k] == 0 {
+			delete(b.preempt, k)
+		}
 	}
+	b.markDirty(k)
 }
 
-// TakePreemptedVMs returns the peers whose batch items have to be preempted for the online requests placed since the last call.
-func (b *Balancer) TakePreemptedVMs() map[string]bool {
+// SetPending sets the batch items that wait at this VM, by service.
+func (b *Balancer) SetPending(pending map[string]Pending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	vms := map[string]bool{}
-	for _, k := range b.preemptAt {
-		for _, vm := range b.placer.BatchHolders(k) {
-			vms[vm] = true
+	for service, groups := range b.groups {
+		if b.pending[service].Items == pending[service].Items {
+			continue
 		}
+		for _, g := range groups {
+			g.isDirty = true
+		}
+		notify(b.changed)
 	}
-	b.preemptAt = b.preemptAt[:0]
-	return vms
+	b.pending = pending
 }
 
-// ReceiveReport applies a peer's report.
-func (b *Balancer) ReceiveReport(r placer.Report) {
+// ObserveEngineLoad passes the total number of requests at an engine, as the engine itself reports it, to the engine's assigner.
+func (b *Balancer) ObserveEngineLoad(k placer.Key, requests int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.placer.ObserveReport(time.Now(), r)
-	notify(b.slotsChanged)
+	if g, ok := b.byEndpoint[k]; ok {
+		g.engines[k] = requests
+		b.markDirty(k)
+	}
 }
 
-// ObserveEngineLoad records the total number of requests at an engine, as the engine itself reports it.
-func (b *Balancer) ObserveEngineLoad(k placer.Key, requests int) {
+// Configure makes the registry's endpoints those in use.
+func (b *Balancer) Configure(r *registrar.Registry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.placer.ObserveEngineLoad(time.Now(), k, requests)
-	notify(b.changed)
-	notify(b.slotsChanged)
-}
-
-// Retain discards the state of endpoints that are not in the registry.
-func (b *Balancer) Retain(r *registrar.Registry) {
 	known := make(map[placer.Key]bool, len(r.Endpoints))
 	for id := range r.Endpoints {
 		known[placer.KeyOf(id)] = true
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.placer.Retain(known)
+	old := b.byGroup
+	b.groups, b.byGroup, b.byEndpoint = map[string][]*group{}, map[assigner.GroupKey]*group{}, map[placer.Key]*group{}
+	for _, service := range r.Services() {
+		for _, def := range assigner.GroupsOf(service, r.EndpointsOf(service), b.cfg.Topology.Regions) {
+			g, ok := old[def.Key()]
+			if !ok {
+				g = newGroup()
+			}
+			g.define(def)
+			if g.host != nil {
+				g.host.Handle(time.Now(), assigner.Configured{Endpoints: g.Endpoints})
+			}
+			b.groups[service] = append(b.groups[service], g)
+			b.byGroup[g.key] = g
+			for _, e := range g.Endpoints {
+				b.byEndpoint[placer.KeyOf(e.ID)] = g
+			}
+		}
+	}
 	notify(b.slotsChanged)
 }
 
@@ -177,3 +244,9 @@
 	default:
 	}
 }
+
+// Start reports to assigners and runs those that this VM hosts, until ctx ends.
+func (b *Balancer) Start(ctx context.Context) {
+	go b.runReport(ctx)
+	go b.runHost(ctx)
+}
--- /dev/null
+++ b/pkg/balancer/message.go
@@ -0,0 +1,315 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+)
+
+const (
+	// reportType and ordersType are the first byte of a message of this version.
+	reportType = 0x71
+	ordersType = 0x72
+	// maxMessageBytes is the size limit of a message, so that it fits into one packet on every link.
+	maxMessageBytes = 1300
+	// tenthsPerFailure is the number of units of faultMessage.Tenths in one failure.
+	tenthsPerFailure = 10
+	// maxDuration bounds the durations in a message.
+	maxDuration = 24 * time.Hour
+)
+
+// reportMessage is a VM's report to the assigner of a group, with a question if Number is not zero.
+type reportMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Group        uint64
+	VM           string
+	Zone         string
+	Incarnation  int64
+	Sequence     uint64
+	Acknowledged uint64
+	Pending      uint16
+	UrgencyMs    int64
+	Loads        []loadMessage
+	Faults       []faultMessage
+	Slow         []uint64
+	Observations []observationMessage
+	Engines      []engineMessage
+
+	// The fields below are those of a question.
+
+	Number      uint64
+	Route       string
+	ObjectiveMs int64
+	LeftMs      int64
+	WaitedMs    int64
+	Excluded    []uint64
+}
+
+// loadMessage holds the number of the sender's requests in flight at an endpoint.
+type loadMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key    uint64
+	Online uint16
+	Batch  uint16
+}
+
+// faultMessage holds the recent failures of an endpoint that the sender observed; a failure weighs less the older it is.
+type faultMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key    uint64
+	Tenths uint16
+}
+
+type observationMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key                    uint64
+	FirstByteMs, ServiceMs int64
+	HasFailed              bool
+}
+
+// engineMessage holds the number of requests that an engine reported when the sender polled it.
+type engineMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key      uint64
+	Requests uint16
+}
+
+// ordersMessage holds the orders and replies of a group's assigner to one VM.
+type ordersMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Group uint64
+	// VM is the sender.
+	VM     string
+	Orders []orderMessage
+}
+
+// The kinds of orderMessage.
+const (
+	kindSend = iota + 1
+	kindRefuse
+	kindOffer
+	kindPreempt
+)
+
+// orderMessage is one order or reply; which fields are set depends on its kind.
+type orderMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Kind   uint8
+	Order  uint64
+	Number uint64
+	Key    uint64
+	// Items is the number of batch items to stop.
+	Items           uint16
+	Online, Batch   uint16
+	EstimateMs      int64
+	NeedsPreemption bool
+	RetryAfterMs    int64
+	Reason          string
+}
+
+func encodeReport(group assigner.GroupKey, in assigner.Reported, question *assigner.Asked) ([]byte, error) {
+	m := reportMessage{
+		Group: uint64(group), VM: in.VM, Zone: in.AvailabilityZone, Incarnation: in.Incarnation,
+		Sequence: in.Sequence, Acknowledged: in.Acknowledged, Pending: clampCount(in.Report.Pending),
+		UrgencyMs: in.Report.Urgency.Milliseconds(),
+	}
+	for k, l := range in.Report.Loads {
+		m.Loads = append(m.Loads, loadMessage{Key: uint64(k), Online: clampCount(l.Online), Batch: clampCount(l.Batch)})
+	}
+	for k, f := range in.Report.Faults {
+		m.Faults = append(m.Faults, faultMessage{Key: uint64(k), Tenths: uint16(min(f*tenthsPerFailure, math.MaxUint16))})
+	}
+	for _, k := range in.Report.Slow {
+		m.Slow = append(m.Slow, uint64(k))
+	}
+	for _, o := range in.Observations {
+		m.Observations = append(m.Observations, observationMessage{
+			Key: uint64(o.Key), FirstByteMs: o.FirstByte.Milliseconds(), ServiceMs: o.ServiceTime.Milliseconds(), HasFailed: o.HasFailed,
+		})
+	}
+	for k, n := range in.Engines {
+		m.Engines = append(m.Engines, engineMessage{Key: uint64(k), Requests: clampCount(n)})
+	}
+	if question != nil {
+		r := question.Request
+		m.Number, m.Route, m.ObjectiveMs = question.Number, r.Route.Name, r.Route.Objective.Milliseconds()
+		m.LeftMs, m.WaitedMs = r.Left.Milliseconds(), r.Waited.Milliseconds()
+		for _, k := range question.Excluded {
+			m.Excluded = append(m.Excluded, uint64(k))
+		}
+	}
+	return m.encode()
+}
+
+// encode leaves out what a report can do without, in the order of what is missed least, until the message fits a packet.
+func (m reportMessage) encode() ([]byte, error) {
+	for {
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode report")
+		}
+		if len(b) <= maxMessageBytes {
+			return append([]byte{reportType}, b...), nil
+		}
+		switch {
+		case len(m.Observations) > 0:
+			m.Observations = nil
+		case len(m.Faults) > 0:
+			m.Faults = nil
+		case len(m.Engines) > 0:
+			m.Engines = nil
+		case len(m.Slow) > 0:
+			m.Slow = nil
+		case len(m.Loads) > 0:
+			m.Loads = m.Loads[:len(m.Loads)*9/10]
+		default:
+			return nil, errors.Errorf("report of %d bytes exceeds the limit of %d, even without loads", len(b), maxMessageBytes)
+		}
+	}
+}
+
+func encodeOrders(group assigner.GroupKey, vm string, outputs []assigner.Output) ([]byte, error) {
+	m := ordersMessage{Group: uint64(group), VM: vm}
+	for _, out := range outputs {
+		m.Orders = append(m.Orders, orderOf(out))
+	}
+	b, err := cbor.Marshal(m)
+	return append([]byte{ordersType}, b...), errors.Wrap(err, "encode orders")
+}
+
+func orderOf(out assigner.Output) orderMessage {
+	switch out := out.(type) {
+	case assigner.Placed:
+		m := orderMessage{Order: out.Order, Number: out.Number}
+		switch d := out.Decision.(type) {
+		case placer.Send:
+			m.Kind, m.Key = kindSend, uint64(placer.KeyOf(d.Endpoint.ID))
+			m.Online, m.Batch = clampCount(d.Load.Online), clampCount(d.Load.Batch)
+			m.EstimateMs, m.NeedsPreemption = d.Estimate.Milliseconds(), d.NeedsPreemption
+		case placer.Refuse:
+			m.Kind, m.Reason = kindRefuse, d.Reason
+			m.EstimateMs, m.RetryAfterMs = d.Estimate.Milliseconds(), d.RetryAfter.Milliseconds()
+		}
+		return m
+	case assigner.BatchOffered:
+		return orderMessage{Kind: kindOffer, Order: out.Order, Key: uint64(placer.KeyOf(out.Endpoint.ID))}
+	case assigner.PreemptionOrdered:
+		return orderMessage{Kind: kindPreempt, Order: out.Order, Key: uint64(out.Key), Items: clampCount(out.Items)}
+	}
+	return orderMessage{}
+}
+
+// output returns the order as the assigner gave it; false if it names an unknown endpoint or kind.
+func (m orderMessage) output(vm string, endpoints map[placer.Key]registrar.Endpoint) (assigner.Output, bool) {
+	e, isKnown := endpoints[placer.Key(m.Key)]
+	switch {
+	case m.Kind == kindRefuse:
+		return assigner.Placed{VM: vm, Number: m.Number, Decision: placer.Refuse{
+			Reason: m.Reason, RetryAfter: duration(m.RetryAfterMs), Estimate: duration(m.EstimateMs),
+		}}, true
+	case !isKnown:
+		return nil, false
+	case m.Kind == kindSend:
+		return assigner.Placed{VM: vm, Number: m.Number, Order: m.Order, Decision: placer.Send{
+			Endpoint: e, Load: placer.Load{Online: int(m.Online), Batch: int(m.Batch)}, Estimate: duration(m.EstimateMs),
+			NeedsPreemption: m.NeedsPreemption,
+		}}, true
+	case m.Kind == kindOffer:
+		return assigner.BatchOffered{VM: vm, Order: m.Order, Endpoint: e}, true
+	case m.Kind == kindPreempt:
+		return assigner.PreemptionOrdered{VM: vm, Order: m.Order, Key: placer.Key(m.Key), Items: int(m.Items)}, true
+	}
+	return nil, false
+}
+
+// duration returns a duration of a message within sensible bounds.
+func duration(ms int64) time.Duration {
+	limit := maxDuration.Milliseconds()
+	return time.Duration(max(-limit, min(ms, limit))) * time.Millisecond
+}
+
+// message is a reportMessage or an ordersMessage.
+type message interface{ isMessage() }
+
+func (reportMessage) isMessage() {}
+func (ordersMessage) isMessage() {}
+
+// decode returns the message that the bytes hold; the first one says its type.
+func decode(b []byte) (message, error) {
+	if len(b) == 0 || len(b) > maxMessageBytes+1 {
+		return nil, errors.Errorf("message of %d bytes; it must have 1 to %d", len(b), maxMessageBytes+1)
+	}
+	switch b[0] {
+	case reportType:
+		m := reportMessage{}
+		if err := cbor.Unmarshal(b[1:], &m); err != nil || m.VM == "" {
+			return nil, errors.Errorf("report can't be decoded: %v", err)
+		}
+		return m, nil
+	case ordersType:
+		m := ordersMessage{}
+		if err := cbor.Unmarshal(b[1:], &m); err != nil || m.VM == "" {
+			return nil, errors.Errorf("orders can't be decoded: %v", err)
+		}
+		return m, nil
+	}
+	return nil, errors.Errorf("message of unknown type %#x", b[0])
+}
+
+// reported returns the report as the assigner takes it.
+func (m reportMessage) reported() assigner.Reported {
+	r := placer.Report{
+		VM: m.VM, Pending: int(m.Pending), Urgency: duration(m.UrgencyMs), Loads: make(map[placer.Key]placer.Load, len(m.Loads)),
+		Faults: make(map[placer.Key]float64, len(m.Faults)),
+	}
+	for _, l := range m.Loads {
+		r.Loads[placer.Key(l.Key)] = placer.Load{Online: int(l.Online), Batch: int(l.Batch)}
+	}
+	for _, f := range m.Faults {
+		r.Faults[placer.Key(f.Key)] = float64(f.Tenths) / tenthsPerFailure
+	}
+	for _, k := range m.Slow {
+		r.Slow = append(r.Slow, placer.Key(k))
+	}
+	in := assigner.Reported{
+		VM: m.VM, AvailabilityZone: m.Zone, Incarnation: m.Incarnation, Sequence: m.Sequence, Acknowledged: m.Acknowledged,
+		Report: r, Engines: make(map[placer.Key]int, len(m.Engines)),
+	}
+	for _, o := range m.Observations {
+		in.Observations = append(in.Observations, placer.Observation{
+			Key: placer.Key(o.Key), FirstByte: duration(o.FirstByteMs), ServiceTime: duration(o.ServiceMs), HasFailed: o.HasFailed,
+		})
+	}
+	for _, e := range m.Engines {
+		in.Engines[placer.Key(e.Key)] = int(e.Requests)
+	}
+	return in
+}
+
+// asked returns the question that the message holds, if there is one.
+func (m reportMessage) asked() (assigner.Asked, bool) {
+	if m.Number == 0 {
+		return assigner.Asked{}, false
+	}
+	in := assigner.Asked{VM: m.VM, Number: m.Number, Request: placer.Request{
+		Route:            registrar.Route{Name: m.Route, Objective: duration(m.ObjectiveMs)},
+		AvailabilityZone: m.Zone, Left: duration(m.LeftMs), Waited: duration(m.WaitedMs),
+	}}
+	for _, k := range m.Excluded {
+		in.Excluded = append(in.Excluded, placer.Key(k))
+	}
+	return in, true
+}
--- /dev/null
+++ b/pkg/balancer/message_test.go
@@ -0,0 +1,121 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+)
+
+func sampleReport() assigner.Reported {
+	return assigner.Reported{
+		VM: "v1", AvailabilityZone: "a", Incarnation: 7, Sequence: 3, Acknowledged: 5,
+		Report: placer.Report{
+			VM: "v1", Pending: 2, Urgency: 1500 * time.Millisecond, Loads: map[placer.Key]placer.Load{9: {Online: 3, Batch: 4}},
+			Faults: map[placer.Key]float64{9: 1.5}, Slow: []placer.Key{8},
+		},
+		Observations: []placer.Observation{{Key: 9, FirstByte: 30 * time.Millisecond, HasFailed: true}},
+		Engines:      map[placer.Key]int{9: 6},
+	}
+}
+
+func sampleQuestion() assigner.Asked {
+	return assigner.Asked{VM: "v1", Number: 4, Excluded: []placer.Key{2}, Request: placer.Request{
+		Route: registrar.Route{Name: "r", Objective: 300 * time.Millisecond}, AvailabilityZone: "a", Left: 5 * time.Second,
+		Waited: 2 * time.Millisecond,
+	}}
+}
+
+func TestReportRoundTrip(t *testing.T) {
+	in, question := sampleReport(), sampleQuestion()
+	b, err := encodeReport(11, in, &question)
+	require.NoError(t, err)
+	m, err := decode(b)
+	require.NoError(t, err)
+	r := m.(reportMessage)
+	assert.Equal(t, uint64(11), r.Group)
+	assert.Equal(t, in, r.reported())
+	got, ok := r.asked()
+	assert.True(t, ok)
+	assert.Equal(t, question, got)
+}
+
+func TestOrdersRoundTrip(t *testing.T) {
+	e := registrar.Endpoint{ID: "e", Slots: 8}
+	k := placer.KeyOf("e")
+	outputs := []assigner.Output{
+		assigner.Placed{VM: "v1", Number: 4, Order: 6, Decision: placer.Send{
+			Endpoint: e, Load: placer.Load{Online: 2, Batch: 1}, Estimate: 70 * time.Millisecond, NeedsPreemption: true,
+		}},
+		assigner.Placed{VM: "v1", Number: 5, Decision: placer.Refuse{Reason: "full", RetryAfter: time.Second}},
+		assigner.BatchOffered{VM: "v1", Order: 7, Endpoint: e},
+		assigner.PreemptionOrdered{VM: "v1", Order: 8, Key: k, Items: 2},
+	}
+	b, err := encodeOrders(11, "v2", outputs)
+	require.NoError(t, err)
+	m, err := decode(b)
+	require.NoError(t, err)
+	endpoints := map[placer.Key]registrar.Endpoint{k: e}
+	for i, o := range m.(ordersMessage).Orders {
+		got, ok := o.output("v1", endpoints)
+		assert.True(t, ok)
+		assert.Equal(t, outputs[i], got)
+	}
+	_, ok := orderOf(outputs[2]).output("v1", nil)
+	assert.False(t, ok, "an order about an unknown endpoint has no effect")
+}
+
+// TestLargestMessagesFitAPacket encodes a VM's report on a group in which it uses every endpoint, and a full chunk of orders.
+func TestLargestMessagesFitAPacket(t *testing.T) {
+	in, question := sampleReport(), sampleQuestion()
+	for i := range 128 {
+		in.Report.Loads[placer.Key(uint64(1<<63)+uint64(i))] = placer.Load{Online: 300, Batch: 30}
+		in.Report.Faults[placer.Key(uint64(1<<63)+uint64(i))] = 2
+	}
+	b, err := encodeReport(11, in, &question)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(b), maxMessageBytes+1)
+	m, err := decode(b)
+	require.NoError(t, err)
+	_, ok := m.(reportMessage).asked()
+	assert.True(t, ok, "the question is kept")
+	var outputs []assigner.Output
+	for range maxOrdersPerMessage {
+		outputs = append(outputs, assigner.BatchOffered{VM: "v1", Order: 1 << 62, Endpoint: registrar.Endpoint{ID: "e"}})
+	}
+	b, err = encodeOrders(11, "v2", outputs)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(b), maxMessageBytes+1)
+}
+
+func FuzzDecode(f *testing.F) {
+	in, question := sampleReport(), sampleQuestion()
+	report, err := encodeReport(11, in, &question)
+	require.NoError(f, err)
+	orders, err := encodeOrders(11, "v2", []assigner.Output{assigner.PreemptionOrdered{VM: "v1", Order: 8, Key: 9, Items: 2}})
+	require.NoError(f, err)
+	f.Add(report)
+	f.Add(orders)
+	f.Add([]byte{})
+	f.Add([]byte{reportType, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		m, err := decode(b)
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case reportMessage:
+			_ = m.reported()
+			_, _ = m.asked()
+		case ordersMessage:
+			for _, o := range m.Orders {
+				_, _ = o.output("v", nil)
+			}
+		}
+	})
+}
--- a/pkg/bencher/gossip.go
+++ b/pkg/bencher/gossip.go
@@ -11,7 +11,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
-	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
+	"github.com/dogwoodledge/dogwoodledge/pkg/packer"
 )
 
 // gossipNet delivers datagrams between failure detectors in virtual time and counts their bytes.
@@ -76,7 +76,7 @@
 }
 
 func (g *gossipNet) send(from netip.AddrPort, out detector.Send) {
-	raw, err := messenger.EncodeDatagram(out.Message)
+	raw, err := packer.EncodeDatagram(out.Message)
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/pkg/core/assigner/assigner.go
@@ -0,0 +1,260 @@
+package assigner
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+)
+
+// vmTimeout is the age of a VM's last report at which its counts are dropped: four of the intervals at which a VM with requests
+// reports when nothing changes.
+const vmTimeout = 1200 * time.Millisecond
+
+// takeOverTime is how long a new assigner offers no slots to batch items: the interval between the reports of a VM with requests,
+// and a message.
+const takeOverTime = 350 * time.Millisecond
+
+// Assigner assigns the slots of one group of endpoints. It is not safe for concurrent use.
+type Assigner struct {
+	placer    *placer.Placer
+	endpoints []registrar.Endpoint
+	ids       map[placer.Key]string
+	vms       map[string]*vm
+	// since is the time of the first input.
+	since time.Time
+	// lastOrder is the number of the newest order.
+	lastOrder uint64
+}
+
+// vm is a VM that has reported.
+type vm struct {
+	zone        string
+	incarnation int64
+	sequence    uint64
+	heardAt     time.Time
+	report      placer.Report
+	// orders are those that the VM's last report does not take account of.
+	orders []order
+}
+
+// order changes a VM's count of requests at an endpoint; its effect is counted before the VM reports it.
+type order struct {
+	number uint64
+	at     time.Time
+	key    placer.Key
+	change placer.Load
+	// isOffer says that the order is the offer of a slot to a batch item.
+	isOffer bool
+}
+
+// New returns an assigner without endpoints. The first order has a number higher than firstOrder.
+func New(regions map[string]string, random *rand.Rand, firstOrder uint64) *Assigner {
+	return &Assigner{
+		placer: placer.New(placer.Topology{Regions: regions}, random), vms: map[string]*vm{}, lastOrder: firstOrder,
+		ids: map[placer.Key]string{},
+	}
+}
+
+// IsIdle reports whether no VM has requests at the group's endpoints or batch items that wait for them.
+func (a *Assigner) IsIdle() bool { return len(a.vms) == 0 }
+
+// Handle processes one input and returns the orders and replies to send.
+func (a *Assigner) Handle(now time.Time, in Input) []Output {
+	if a.since.IsZero() {
+		a.since = now
+	}
+	switch in := in.(type) {
+	case Configured:
+		a.configure(in)
+	case Reported:
+		if !a.report(now, in) {
+			return nil
+		}
+		return a.balance(now, nil)
+	case Asked:
+		return a.balance(now, a.ask(now, in))
+	case Woken:
+		a.expire(now)
+		return a.balance(now, nil)
+	}
+	return nil
+}
+
+func (a *Assigner) configure(in Configured) {
+	a.endpoints = in.Endpoints
+	known := map[placer.Key]bool{}
+	a.ids = make(map[placer.Key]string, len(in.Endpoints))
+	for _, e := range in.Endpoints {
+		k := placer.KeyOf(e.ID)
+		a.ids[k], known[k] = e.ID, true
+	}
+	a.placer.Retain(known)
+}
+
+// report stores the report unless a newer one is known, and returns whether it did.
+func (a *Assigner) report(now time.Time, in Reported) bool {
+	v, ok := a.vms[in.VM]
+	if !ok {
+		v = &vm{}
+		a.vms[in.VM] = v
+	}
+	if in.Incarnation < v.incarnation || (in.Incarnation == v.incarnation && in.Sequence <= v.sequence) {
+		return false
+	}
+	if in.Incarnation > v.incarnation {
+		v.orders = nil
+	}
+	v.incarnation, v.sequence, v.heardAt, v.zone = in.Incarnation, in.Sequence, now, in.AvailabilityZone
+	v.report = in.Report
+	v.orders = slices.DeleteFunc(v.orders, func(o order) bool { return o.number <= in.Acknowledged })
+	for _, o := range in.Observations {
+		if _, ok := a.ids[o.Key]; ok {
+			a.placer.Observe(now, o)
+		}
+	}
+	a.count(now, in.VM, v)
+	for k, n := range in.Engines {
+		if _, ok := a.ids[k]; ok {
+			a.placer.ObserveEngineLoad(now, k, n)
+		}
+	}
+	return true
+}
+
+// count passes the VM's counts to the placer: those that it reported, changed by the orders that it has not acknowledged.
+func (a *Assigner) count(now time.Time, name string, v *vm) {
+	r := v.report
+	r.VM = name
+	if len(v.orders) > 0 {
+		r.Loads = maps.Clone(r.Loads)
+		if r.Loads == nil {
+			r.Loads = map[placer.Key]placer.Load{}
+		}
+		for _, o := range v.orders {
+			l := r.Loads[o.key]
+			r.Loads[o.key] = placer.Load{Online: l.Online + o.change.Online, Batch: max(l.Batch+o.change.Batch, 0)}
+		}
+	}
+	a.placer.ObserveReport(now, r)
+}
+
+func (a *Assigner) forget(name string) {
+	delete(a.vms, name)
+	a.placer.Forget(name)
+}
+
+// expire drops the orders that were not acknowledged in time, and the VMs that no longer report.
+func (a *Assigner) expire(now time.Time) {
+	for name, v := range a.vms {
+		if now.Sub(v.heardAt) >= vmTimeout {
+			a.forget(name)
+			continue
+		}
+		n := len(v.orders)
+		v.orders = slices.DeleteFunc(v.orders, func(o order) bool { return now.Sub(o.at) >= OfferTime })
+		if len(v.orders) < n {
+			a.count(now, name, v)
+		}
+	}
+}
+
+// give adds an order for the VM and returns its number.
+func (a *Assigner) give(now time.Time, name string, o order) uint64 {
+	v, ok := a.vms[name]
+	if !ok {
+		v = &vm{heardAt: now}
+		a.vms[name] = v
+	}
+	a.lastOrder++
+	o.number, o.at = a.lastOrder, now
+	v.orders = append(v.orders, o)
+	a.count(now, name, v)
+	return o.number
+}
+
+func (a *Assigner) ask(now time.Time, in Asked) []Output {
+	r := in.Request
+	r.Candidates = a.endpoints
+	r.Tried = make(map[string]bool, len(in.Excluded))
+	for _, k := range in.Excluded {
+		if id, ok := a.ids[k]; ok {
+			r.Tried[id] = true
+		}
+	}
+	d := a.placer.Place(now, r)
+	s, ok := d.(placer.Send)
+	if !ok {
+		return []Output{Placed{VM: in.VM, Number: in.Number, Decision: d}}
+	}
+	number := a.give(now, in.VM, order{key: placer.KeyOf(s.Endpoint.ID), change: placer.Load{Online: 1}})
+	return []Output{Placed{VM: in.VM, Number: in.Number, Order: number, Decision: s}}
+}
+
+// balance orders preemptions where online requests need slots, and then offers free slots to batch items.
+func (a *Assigner) balance(now time.Time, out []Output) []Output {
+	for _, e := range a.endpoints {
+		excess := a.placer.ExcessBatch(now, e)
+		for _, name := range slices.Sorted(maps.Keys(excess)) {
+			k, n := placer.KeyOf(e.ID), excess[name]
+			number := a.give(now, name, order{key: k, change: placer.Load{Batch: -n}})
+			out = append(out, PreemptionOrdered{VM: name, Order: number, Key: k, Items: n})
+		}
+	}
+	return a.offer(now, out)
+}
+
+// offer offers free slots to the VMs whose waiting items are due soonest.
+func (a *Assigner) offer(now time.Time, out []Output) []Output {
+	if now.Sub(a.since) < takeOverTime {
+		return out
+	}
+	for waiting := a.waiting(now); len(waiting) > 0; {
+		w := &waiting[0]
+		e, ok := a.placer.ChooseBatchEndpoint(now, a.vms[w.name].zone, a.endpoints)
+		if !ok {
+			return out
+		}
+		number := a.give(now, w.name, order{key: placer.KeyOf(e.ID), change: placer.Load{Batch: 1}, isOffer: true})
+		out = append(out, BatchOffered{VM: w.name, Order: number, Endpoint: e})
+		w.items--
+		if w.items == 0 {
+			waiting = waiting[1:]
+		}
+	}
+	return out
+}
+
+// waiter is a VM with batch items that wait for a slot.
+type waiter struct {
+	name    string
+	items   int
+	urgency time.Duration
+}
+
+// waiting returns the VMs with waiting batch items that have no offer yet, the one with the most urgent item first.
+func (a *Assigner) waiting(now time.Time) []waiter {
+	var list []waiter
+	for name, v := range a.vms {
+		items := v.report.Pending
+		for _, o := range v.orders {
+			if o.isOffer {
+				items--
+			}
+		}
+		if items > 0 {
+			list = append(list, waiter{name: name, items: items, urgency: v.report.Urgency - now.Sub(v.heardAt)})
+		}
+	}
+	slices.SortFunc(list, func(a, b waiter) int {
+		if c := cmp.Compare(a.urgency, b.urgency); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	return list
+}
--- a/pkg/core/detector/input.go
+++ b/pkg/core/detector/input.go
@@ -17,7 +17,7 @@
 	Message Message
 }
 
-// Listed is the platform's list of VMs, which may be out of date.
+// Listed is the platform's list of VMs, which may be out of date; the incarnations are zero if it does not hold them.
 type Listed struct {
 	Members []Member
 }
@@ -56,7 +56,7 @@
 	Message Message
 }
 
-// Changed says that a member is new, or that its state or address changed.
+// Changed says that a member is new, or that its state, address or incarnation changed.
 type Changed struct {
 	Member Member
 }
--- a/pkg/core/detector/receive.go
+++ b/pkg/core/detector/receive.go
@@ -65,7 +65,7 @@
 	}
 	d.members[m.VM] = &record{Member: m, since: now}
 	d.memberUpdates.add(m.VM, m)
-	if ok && old.State == m.State && old.Address == m.Address {
+	if ok && old.State == m.State && old.Address == m.Address && old.Incarnation == m.Incarnation {
 		return out
 	}
 	return append(out, Changed{Member: m})
@@ -91,14 +91,15 @@
 	d.memberUpdates.add(d.self.VM, d.self)
 }
 
-// addListed adds the listed members that are not known yet, as alive. A known member keeps its state: a lost one stays
-// lost until it refutes that itself.
+// addListed adds the listed members that are not known yet, as alive. A known member keeps its state, unless the list has a later
+// incarnation of it: a lost one stays lost until it refutes that itself.
 func (d *Detector) addListed(now time.Time, in Listed, out []Output) []Output {
 	for _, m := range in.Members {
-		if _, ok := d.members[m.VM]; ok || m.VM == d.self.VM {
+		old, ok := d.members[m.VM]
+		if m.VM == d.self.VM || (ok && m.Incarnation <= old.Incarnation) {
 			continue
 		}
-		m.Incarnation, m.State = 0, Alive
+		m.State = Alive
 		d.members[m.VM] = &record{Member: m, since: now}
 		out = append(out, Changed{Member: m})
 	}
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+)
 
 // Class is the class of work of a request.
 type Class int
@@ -32,9 +36,6 @@
 	}
 	c := p.conditionOf(t.key)
 	c.unanswered[id] = now
-	if class == Batch {
-		c.batchStarts = append(c.batchStarts, now)
-	}
 	p.recordFullness(now, t.key)
 	return t
 }
@@ -55,10 +56,10 @@
 }
 
 // FirstByte records that the first byte of the answer has arrived; wasQueued says that the request had to wait for a slot, so
-// that its time to the first byte is not a measurement of the endpoint.
-func (p *Placer) FirstByte(now time.Time, t *Ticket, wasQueued bool) {
+// that its time to the first byte is not a measurement of the endpoint. It returns what the peers are to learn of it.
+func (p *Placer) FirstByte(now time.Time, t *Ticket, wasQueued bool) option.Option[Observation] {
 	if !t.firstByteAt.IsZero() {
-		return
+		return option.None[Observation]()
 	}
 	t.firstByteAt = now
 	c := p.conditionOf(t.key)
@@ -66,7 +67,9 @@
 	c.recordSuccess()
 	if !wasQueued && t.class == Online {
 		c.firstByte = smooth(c.firstByte, now.Sub(t.sentAt))
+		return option.Some(Observation{Key: t.key, FirstByte: now.Sub(t.sentAt)})
 	}
+	return option.Some(Observation{Key: t.key})
 }
 
 // Ending is how a request at an endpoint ended.
@@ -85,10 +88,10 @@
 )
 
 // End removes the request from the counts and updates the endpoint's condition by how it ended; later calls for the same
-// ticket have no effect.
-func (p *Placer) End(now time.Time, t *Ticket, how Ending) {
+// ticket have no effect. It returns what the peers are to learn of it.
+func (p *Placer) End(now time.Time, t *Ticket, how Ending) option.Option[Observation] {
 	if t.hasEnded {
-		return
+		return option.None[Observation]()
 	}
 	t.hasEnded = true
 	p.recordFullness(now, t.key)
@@ -107,11 +110,14 @@
 	case EndedComplete:
 		if t.class == Online && !t.firstByteAt.IsZero() {
 			c.serviceTime = smooth(c.serviceTime, now.Sub(t.sentAt))
+			return option.Some(Observation{Key: t.key, ServiceTime: now.Sub(t.sentAt)})
 		}
 	case EndedFull, EndedFailed:
 		c.recordFailure(now)
+		return option.Some(Observation{Key: t.key, HasFailed: true})
 	case EndedLocally:
 	}
+	return option.None[Observation]()
 }
 
 // ObserveReport stores a peer's report in place of its last one.
@@ -122,15 +128,45 @@
 		}
 	}
 	p.view.setReport(now, r)
-	for k, n := range r.Hidden {
-		c := p.conditionOf(k)
-		c.hidden, c.hiddenAt, c.isOwnHidden = n, now, false
-	}
 	for k := range r.Loads {
 		p.recordFullness(now, k)
 	}
 }
 
+// Observe records how a peer's request fared at an endpoint.
+func (p *Placer) Observe(now time.Time, o Observation) {
+	c := p.conditionOf(o.Key)
+	if o.HasFailed {
+		c.recordFailure(now)
+		return
+	}
+	c.recordSuccess()
+	if o.FirstByte > 0 {
+		c.firstByte = smooth(c.firstByte, o.FirstByte)
+	}
+	if o.ServiceTime > 0 {
+		c.serviceTime = smooth(c.serviceTime, o.ServiceTime)
+	}
+}
+
+// Slow returns the endpoints at which a request of this VM has waited for its first byte longer than suspicionFactor times
+// objective.
+func (p *Placer) Slow(now time.Time, objective time.Duration) []Key {
+	var slow []Key
+	for k, c := range p.conditions {
+		for _, sent := range c.unanswered {
+			if now.Sub(sent) > suspicionFactor*objective {
+				slow = append(slow, k)
+				break
+			}
+		}
+	}
+	return slow
+}
+
+// LoadAt returns the number of requests at the endpoint by the counts of all VMs, and by what its engine reported.
+func (p *Placer) LoadAt(now time.Time, k Key) Load { return p.loadAt(now, k) }
+
 // loadAt returns the sum of the counts that all VMs have for the endpoint; hidden requests count as online.
 func (p *Placer) loadAt(now time.Time, k Key) Load {
 	load := p.view.at(now, k)
@@ -144,18 +180,6 @@
 func (p *Placer) ObserveEngineLoad(now time.Time, k Key, requests int) {
 	c := p.conditionOf(k)
 	c.hidden, c.hiddenAt = max(requests-p.view.at(now, k).sum()-hiddenSlack, 0), now
-	c.isOwnHidden = true
-}
-
-// Hidden returns the number of hidden requests by endpoint, as far as this VM queried the engines itself.
-func (p *Placer) Hidden(now time.Time) map[Key]int {
-	hidden := map[Key]int{}
-	for k, c := range p.conditions {
-		if c.isOwnHidden && c.hidden > 0 && now.Sub(c.hiddenAt) < hiddenTimeout {
-			hidden[k] = c.hidden
-		}
-	}
-	return hidden
 }
 
 // Faults returns the number of recent failures that this VM observed, by endpoint.
@@ -169,17 +193,6 @@
 	return faults
 }
 
-// BatchHolders returns the names of the peers that run batch items at the endpoint.
-func (p *Placer) BatchHolders(k Key) []string {
-	var vms []string
-	for vm, peer := range p.view.peers {
-		if peer.report.Loads[k].Batch > 0 {
-			vms = append(vms, vm)
-		}
-	}
-	return vms
-}
-
 // Own returns a copy of this VM's counts by endpoint.
 func (p *Placer) Own() map[Key]Load {
 	own := make(map[Key]Load, len(p.view.own))
@@ -197,3 +210,15 @@
 		}
 	}
 }
+
+// Key returns the endpoint of the ticket's request.
+func (t *Ticket) Key() Key { return t.key }
+
+// Forget drops a peer's report.
+func (p *Placer) Forget(vm string) { p.view.removePeer(vm) }
+
+// IsBatch reports whether the ticket's request is a batch item.
+func (t *Ticket) IsBatch() bool { return t.class == Batch }
+
+// HasEnded reports whether the ticket's request has ended.
+func (t *Ticket) HasEnded() bool { return t.hasEnded }
--- a/pkg/core/placer/health.go
+++ b/pkg/core/placer/health.go
@@ -10,6 +10,9 @@
 	// trip between regions, up to the time within which a crashed endpoint's registration expires.
 	minAvoidance = 250 * time.Millisecond
 	maxAvoidance = 4 * time.Second
+	// trialTime is the interval between requests to an endpoint that has failed, until one succeeds: an endpoint that fails fast
+	// looks empty, and without the interval it would get every request. It covers a round trip between regions and a first byte.
+	trialTime = 250 * time.Millisecond
 	// suspicionFactor times the objective passed to isSuspect is the wait for a first byte after which an endpoint is suspect:
 	// the route's objective, but at least initialFirstByte, to place an online request; initialServiceTime to place a batch item.
 	suspicionFactor = 3
@@ -37,6 +40,8 @@
 	// failures is the number of failures since the last success.
 	failures   int
 	avoidUntil time.Time
+	// trialUntil is when the next request may be sent to an endpoint that has not succeeded since its last failure.
+	trialUntil time.Time
 	// unanswered holds the send times of requests that have not received a first byte.
 	unanswered map[uint64]time.Time
 	// firstByte is the moving average of the time to the first byte, serviceTime of the time that a request takes in all.
@@ -53,10 +58,6 @@
 	// hidden is the number of requests at the engine, as of hiddenAt, that no VM has reported.
 	hidden   int
 	hiddenAt time.Time
-	// isOwnHidden reports that hidden comes from this VM's own query of the engine, not from a peer's report.
-	isOwnHidden bool
-	// batchStarts holds the times at which this VM recently started batch items there.
-	batchStarts []time.Time
 }
 
 func newCondition() *condition {
@@ -79,21 +80,24 @@
 	return c.faults * math.Exp2(-float64(now.Sub(c.faultsAt))/float64(faultHalfLife))
 }
 
-// recentStarts returns the number of batch starts within the last settle, of which peers may not have learned yet, and
-// drops older ones.
-func (c *condition) recentStarts(now time.Time, settle time.Duration) int {
-	for len(c.batchStarts) > 0 && now.Sub(c.batchStarts[0]) > settle {
-		c.batchStarts = c.batchStarts[1:]
-	}
-	return len(c.batchStarts)
-}
-
 // recordSuccess resets the count of failures and ends the avoidance of the endpoint.
 func (c *condition) recordSuccess() {
 	c.failures = 0
 	c.avoidUntil = time.Time{}
 }
 
+// beginTrial records that a request was assigned to the endpoint. If the endpoint has failed since its last success, it gets no
+// other request for trialTime, unless this one succeeds first.
+func (c *condition) beginTrial(now time.Time) {
+	if c.failures > 0 {
+		c.trialUntil = now.Add(trialTime)
+	}
+}
+
+// isOnTrial reports whether the endpoint has failed since its last success and a recent request will show whether it has
+// recovered.
+func (c *condition) isOnTrial(now time.Time) bool { return c.failures > 0 && now.Before(c.trialUntil) }
+
 // isSuspect reports whether the endpoint is avoided after a failure, or a request has waited for its first byte for longer
 // than suspicionFactor times the objective.
 func (c *condition) isSuspect(now time.Time, objective time.Duration) bool {
--- a/pkg/core/placer/load.go
+++ b/pkg/core/placer/load.go
@@ -31,10 +31,20 @@
 	// Urgency is the time until the first of them is due.
 	Urgency time.Duration
 	Loads   map[Key]Load
-	// Hidden holds, for each endpoint, the number of requests at the engine that no VM has reported.
-	Hidden map[Key]int
 	// Faults holds the number of recent failures at each endpoint; the weight of a failure falls with its age.
 	Faults map[Key]float64
+	// Slow lists the endpoints at which a request has waited too long for its first byte.
+	Slow []Key
+}
+
+// Observation is how one request fared at an endpoint, as the VM that sent it measured it.
+type Observation struct {
+	Key Key
+	// FirstByte is the time to the first byte and ServiceTime the time in all; zero if there is no measurement. An observation
+	// without either, and without a failure, says that an answer began.
+	FirstByte, ServiceTime time.Duration
+	// HasFailed says that the endpoint failed or refused the request.
+	HasFailed bool
 }
 
 // peer is a peer's last report and the time at which it arrived.
@@ -49,14 +59,16 @@
 	peers  map[string]*peer
 	sums   map[Key]Load
 	faults map[Key]float64
-	// pendingPeers is the number of peers with waiting batch items.
-	pendingPeers int
+	// slow counts the peers that report an endpoint as slow.
+	slow map[Key]int
 	// expiredAt is the time of the last check for expired reports.
 	expiredAt time.Time
 }
 
 func newView() view {
-	return view{own: map[Key]*Load{}, peers: map[string]*peer{}, sums: map[Key]Load{}, faults: map[Key]float64{}}
+	return view{
+		own: map[Key]*Load{}, peers: map[string]*peer{}, sums: map[Key]Load{}, faults: map[Key]float64{}, slow: map[Key]int{},
+	}
 }
 
 func (v *view) ownAt(k Key) *Load {
@@ -112,8 +124,10 @@
 			delete(v.faults, k)
 		}
 	}
-	if r.Pending > 0 {
-		v.pendingPeers += sign
+	for _, k := range r.Slow {
+		if v.slow[k] += sign; v.slow[k] <= 0 {
+			delete(v.slow, k)
+		}
 	}
 }
 
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -70,6 +70,8 @@
 	Candidates []registrar.Endpoint
 	// Tried holds the ids of endpoints that earlier attempts of this request were sent to.
 	Tried map[string]bool
+	// AvailabilityZone is the zone of the VM that sends the request; empty means this VM's own.
+	AvailabilityZone string
 	// Left is the time until the caller's deadline; Waited is how long ago the request reached this VM.
 	Left, Waited time.Duration
 }
@@ -97,6 +99,15 @@
 func (Send) isDecision()   {}
 func (Refuse) isDecision() {}
 
+// topologyOf returns the topology as seen from the zone, or from this VM's own if the zone is empty.
+func (p *Placer) topologyOf(zone string) Topology {
+	t := p.topology
+	if zone != "" {
+		t.AvailabilityZone = zone
+	}
+	return t
+}
+
 func (p *Placer) conditionOf(k Key) *condition {
 	c, ok := p.conditions[k]
 	if !ok {
@@ -122,6 +133,7 @@
 	if r.Route.Objective > 0 && isQueued && best.Estimate > limit {
 		return Refuse{Reason: "no endpoint answers in time", RetryAfter: p.retryAfter(r), Estimate: best.Estimate}
 	}
+	p.conditionOf(KeyOf(best.Endpoint.ID)).beginTrial(now)
 	return best
 }
 
@@ -161,71 +173,37 @@
 	isNearAndFree bool
 }
 
-// best returns the endpoint with the lowest cost among a random sample of nearby endpoints with free slots, or among all
-// endpoints if no nearby one has a free slot.
-//
-// The sample applies the power of two choices (Mitzenmacher, "How Useful Is Old Information?", 2000): many VMs decide from
-// the same outdated counts, and without the sample they would all choose the same endpoint and overload it.
+// best returns the endpoint with the lowest cost among the nearby endpoints with free slots, or among all endpoints if no nearby
+// one has a free slot.
 func (p *Placer) best(now time.Time, r Request) (Send, bool) {
-	candidates := make([]candidate, 0, len(r.Candidates))
-	free := 0
+	topology := p.topologyOf(r.AvailabilityZone)
+	best, found := candidate{}, false
 	for _, e := range r.Candidates {
 		if r.Tried[e.ID] {
 			continue
 		}
-		c := p.estimate(now, r.Route, e)
-		candidates = append(candidates, c)
-		if c.isNearAndFree {
-			// The nearby endpoints with free slots stay at the front of the slice.
-			last := len(candidates) - 1
-			candidates[free], candidates[last] = candidates[last], candidates[free]
-			free++
-		}
-	}
-	if len(candidates) == 0 {
-		return Send{}, false
-	}
-	if n := p.sampleSize(free); free > 0 {
-		for i := range n {
-			j := i + p.random.IntN(free-i)
-			candidates[i], candidates[j] = candidates[j], candidates[i]
+		c := p.estimate(now, topology, r.Route, e)
+		isBetter := c.isNearAndFree && !best.isNearAndFree
+		if c.isNearAndFree == best.isNearAndFree {
+			isBetter = c.cost < best.cost
 		}
-		candidates = candidates[:n]
-	}
-	best := candidates[0]
-	for _, c := range candidates[1:] {
-		if c.cost < best.cost {
-			best = c
+		if !found || isBetter {
+			best, found = c, true
 		}
 	}
-	return best.send, true
-}
-
-// sampleSize returns how many of n endpoints to compare: all of them with few peers, and fewer as the number of peers grows.
-func (p *Placer) sampleSize(n int) int {
-	peers := len(p.view.peers)
-	if peers <= maxFreshPeers {
-		return n
-	}
-	return min(max(n*maxFreshPeers/peers, minSample), n)
+	return best.send, found
 }
 
-const (
-	// maxFreshPeers is the largest number of peers whose reports arrive often enough to treat their counts as current.
-	maxFreshPeers = 8
-	minSample     = 2
-)
-
 // suspectCost ranks suspect endpoints behind all others that can serve the request.
 const suspectCost = 10 * time.Second
 
 // estimate returns the expected time until the first byte at the endpoint, and the cost by which endpoints are compared.
-func (p *Placer) estimate(now time.Time, r registrar.Route, e registrar.Endpoint) candidate {
+func (p *Placer) estimate(now time.Time, t Topology, r registrar.Route, e registrar.Endpoint) candidate {
 	k := KeyOf(e.ID)
 	c := p.conditionOf(k)
 	c.slots = e.Slots
 	load := p.loadAt(now, k)
-	s := Send{Endpoint: e, Load: load, Estimate: c.firstByte + roundTrips[p.topology.To(e.AvailabilityZone)]}
+	s := Send{Endpoint: e, Load: load, Estimate: c.firstByte + roundTrips[t.To(e.AvailabilityZone)]}
 	cost := s.Estimate
 	switch {
 	case load.sum() < e.Slots:
@@ -241,13 +219,13 @@
 		cost = s.Estimate + preemptionTime
 	}
 	cost += time.Duration(min(c.recentFaults(now)+p.view.faults[k], maxFaults) * float64(faultCost))
-	isSuspect := c.isSuspect(now, max(r.Objective, initialFirstByte))
+	isSuspect := c.isSuspect(now, max(r.Objective, initialFirstByte)) || c.isOnTrial(now) || p.view.slow[k] > 0
 	if isSuspect {
 		cost += suspectCost
 	}
 	return candidate{
 		send: s, cost: cost + time.Duration(p.random.Int64N(int64(jitter))),
-		isNearAndFree: !isSuspect && load.sum() < e.Slots && p.topology.To(e.AvailabilityZone) != OtherRegion,
+		isNearAndFree: !isSuspect && load.sum() < e.Slots && t.To(e.AvailabilityZone) != OtherRegion,
 	}
 }
 
--- a/pkg/core/registrar/endpoint.go
+++ b/pkg/core/registrar/endpoint.go
@@ -1,6 +1,10 @@
 package registrar
 
-import "net/netip"
+import (
+	"maps"
+	"net/netip"
+	"slices"
+)
 
 // Endpoint is one incarnation of a model engine or of an instance of a plain service.
 type Endpoint struct {
@@ -41,6 +45,9 @@
 	return r.byService[service]
 }
 
+// Services returns the names of the services that have endpoints which are not draining.
+func (r *Registry) Services() []string { return slices.Sorted(maps.Keys(r.byService)) }
+
 // IsUsable reports whether requests may still be sent to this incarnation of the endpoint.
 func (r *Registry) IsUsable(e Endpoint) bool {
 	current, ok := r.Endpoints[e.ID]
--- a/pkg/gossiper/doc.go
+++ b/pkg/gossiper/doc.go
@@ -1,3 +1,3 @@
-// Package gossiper exchanges reports between VMs by datagram: each VM sends how many requests it has in flight and learns the
-// same of its peers. A VM that stops reporting counts as lost.
+// Package gossiper maintains the membership of VMs on the users' platform, by the failure detector of package detector, and
+// carries other components' payloads between VMs by datagram. The messages of a VM do not grow with the number of VMs.
 package gossiper
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -11,13 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
-	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
-	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
@@ -25,28 +21,31 @@
 const (
 	// VMTable is the store's table of VMs, with the VM's name as key.
 	VMTable = "vm"
-	// heartbeatInterval is the time between reports when nothing changes. Four reports fit within SilenceTimeout, so that a VM
-	// does not count as lost because of a few lost datagrams.
-	heartbeatInterval = 300 * time.Millisecond
-	// sameRegionBudget and otherRegionBudget limit the datagrams per second that a VM sends within its region and to other
-	// regions. The latter is lower, since the link to them is narrow and their endpoints are the second choice.
-	sameRegionBudget  = 600
-	otherRegionBudget = 200
-	// minReportGap is the shortest time between two reports, urgent ones included.
-	minReportGap = 3 * time.Millisecond
-	// SilenceTimeout is the age of the last report at which a VM counts as lost.
-	SilenceTimeout = 1500 * time.Millisecond
-	// partitionWindow is how long after its last report, or read of its row, a silent VM is assumed to be partitioned rather than
-	// stopped.
+	// probeInterval, ackTimeout and suspicionTimeout are those of the failure detector: a VM that stops is lost for its peers
+	// about SilenceTimeout later.
+	probeInterval    = 300 * time.Millisecond
+	ackTimeout       = 120 * time.Millisecond
+	suspicionTimeout = time.Second
+	// SilenceTimeout is about how long a VM must be silent before its peers call it lost.
+	SilenceTimeout = probeInterval + ackTimeout + suspicionTimeout
+	// storeReportTimeout is how long a peer's statement that it reaches the store counts.
+	storeReportTimeout = 1500 * time.Millisecond
+	// partitionWindow is how long a silent VM is assumed to be partitioned rather than stopped.
 	partitionWindow = 30 * time.Second
+	// refutationBits is the number of low bits of a detector's incarnation that count refutations; the others hold the time at
+	// which the VM's process started, in Unix microseconds.
+	refutationBits = 12
 )
 
 // Config identifies this VM.
 type Config struct {
-	VM          string
+	VM string
+	// Incarnation is the start of the process in Unix microseconds.
 	Incarnation int64
 	Address     netip.AddrPort
 	Region      string
+	// Capacity is the share of a core that the VM has.
+	Capacity float64
 }
 
 // vmRow is the value of a VM's row in the store.
@@ -54,66 +53,88 @@
 	Address     netip.AddrPort `json:"address"`
 	Incarnation int64          `json:"incarnation"`
 	Region      string         `json:"region"`
+	Capacity    float64        `json:"capacity"`
 }
 
-// Member is the state of another VM as known here.
-type Member struct {
-	VM          string
-	Address     netip.AddrPort
-	Incarnation int64
-	// Region is empty until the VM's row is known.
-	Region    string
-	IsLeaving bool
-	HasStore  bool
-	// ReportedAt is the time of its last report; zero if there was none.
-	ReportedAt time.Time
-	// sequence is the number of its last report.
-	sequence uint64
-	// listedAt is when its row was last read from the store, at version.
+// Handler is called with payloads and updates from other VMs; its methods must not block.
+type Handler struct {
+	// Payload is called with a payload that a peer passed to Send.
+	Payload func(payload []byte)
+	// EndpointLeaving is called when a peer has learned that an endpoint leaves.
+	EndpointLeaving func(endpoint string)
+}
+
+// member is what this VM knows of another one besides the detector's state.
+type member struct {
+	row vmRow
+	// listedAt is when its row was last read from the store, at version; zero if it has none.
 	listedAt time.Time
 	version  int64
+	// silentSince is when it became suspect or lost without having left; zero while it is live.
+	silentSince time.Time
+	// lostAt is when it was last declared lost.
+	lostAt time.Time
 }
 
-// isReporting reports whether the VM's last report is younger than SilenceTimeout.
-func (m *Member) isReporting(now time.Time) bool { return now.Sub(m.ReportedAt) < SilenceTimeout }
-
-// Gossiper exchanges reports with the other VMs.
+// Gossiper maintains the membership of VMs and carries payloads between them.
 type Gossiper struct {
-	cfg      Config
-	store    storer.Table
-	balancer *balancer.Balancer
-	feed     *watcher.Feed
-	conn     *net.UDPConn
-	log      logrus.FieldLogger
+	cfg     Config
+	store   storer.Table
+	feed    *watcher.Feed
+	conn    *net.UDPConn
+	log     logrus.FieldLogger
+	started time.Time
+
+	mu       sync.Mutex
+	handler  Handler
+	detector *detector.Detector
+	// states is the detector's newest state of each other VM, members what else is known of them.
+	states  map[string]detector.Member
+	members map[string]*member
+	// ranks caches the results of Rank until the states or the rows change.
+	ranks map[string][]string
+	// storeSeenAt is when a live peer last said that it reaches the store.
+	storeSeenAt time.Time
 
-	mu        sync.Mutex
-	members   map[string]*Member
 	isLeaving atomic.Bool
-	sequence  uint64
-	started   time.Time
-	// farSentAt is when the last report was sent to all other regions.
-	farSentAt time.Time
 	// isRegistered says that this VM's row was written; unlisted signals that it was deleted since.
 	isRegistered atomic.Bool
 	unlisted     chan struct{}
+
+	// Counters can be read from any goroutine.
+	Counters Counters
+}
+
+// Counters count datagrams; Malformed ones were received, could not be decoded and were dropped.
+type Counters struct {
+	Sent, Received, Malformed atomic.Int64
 }
 
 // New returns a gossiper that is not started.
-func New(
-	cfg Config, store storer.Table, b *balancer.Balancer, log logrus.FieldLogger,
-) *Gossiper {
+func New(cfg Config, store storer.Table, random *rand.Rand, log logrus.FieldLogger) *Gossiper {
+	self := detector.Member{
+		VM: cfg.VM, Address: cfg.Address, Region: cfg.Region, Incarnation: uint64(cfg.Incarnation) << refutationBits,
+	}
+	settings := detector.DefaultConfig(self)
+	settings.ProbeInterval, settings.AckTimeout, settings.SuspicionTimeout = probeInterval, ackTimeout, suspicionTimeout
+	settings.ForgetLostAfter = 2 * forgetAfter
 	g := &Gossiper{
-		cfg: cfg, store: store, balancer: b, log: log, members: map[string]*Member{}, unlisted: make(chan struct{}, 1),
+		cfg: cfg, store: store, log: log, detector: detector.New(settings, random),
+		states: map[string]detector.Member{}, members: map[string]*member{}, ranks: map[string][]string{},
+		unlisted: make(chan struct{}, 1), started: time.Now(),
 	}
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.applyTable, log)
 	return g
 }
 
-// Start listens, registers this VM and exchanges reports until ctx ends.
+// SetHandler sets what is called with payloads and updates; call it before Start.
+func (g *Gossiper) SetHandler(h Handler) { g.handler = h }
+
+// Start listens, registers this VM and probes the others until ctx ends.
 func (g *Gossiper) Start(ctx context.Context) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(g.cfg.Address))
 	if err != nil {
-		return errors.Wrap(err, "listen for reports")
+		return errors.Wrap(err, "listen for datagrams of other VMs")
 	}
 	g.conn = conn
 	g.started = time.Now()
@@ -121,7 +142,7 @@
 	go g.runRegister(ctx)
 	g.feed.Start(ctx)
 	go g.runReceive()
-	go g.runSend(ctx)
+	go g.runProbe(ctx)
 	go g.runForget(ctx)
 	return nil
 }
@@ -129,340 +150,147 @@
 // Leave notifies the peers that this VM stops.
 func (g *Gossiper) Leave() {
 	g.isLeaving.Store(true)
-	g.send(true, true)
-}
-
-// State is the membership state of one incarnation of a VM.
-type State int
-
-// The states of a VM: Live reports, Leaving reports that it stops, and Lost is silent or was replaced by a later incarnation.
-const (
-	Live State = iota
-	Leaving
-	Lost
-)
-
-// StateOf returns the state of a VM's incarnation. A VM without a recent report counts as live until SilenceTimeout has passed
-// since this gossiper's start.
-func (g *Gossiper) StateOf(vm string, incarnation int64) State {
-	if vm == g.cfg.VM {
-		switch {
-		case incarnation != g.cfg.Incarnation:
-			return Lost
-		case g.isLeaving.Load():
-			return Leaving
-		default:
-			return Live
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m, ok := g.members[vm]
-	now := time.Now()
-	switch {
-	case ok && m.Incarnation > incarnation:
-		return Lost
-	case ok && m.isReporting(now) && m.IsLeaving:
-		return Leaving
-	case ok && m.isReporting(now):
-		return Live
-	case now.Sub(g.started) < SilenceTimeout:
-		return Live
-	default:
-		return Lost
-	}
+	g.handle(time.Now(), detector.LeaveOrdered{})
 }
 
-// VMIncarnation is one incarnation of a VM.
-type VMIncarnation struct {
-	Name        string
-	Incarnation int64
+// AnnounceLeaving notifies the peers that the endpoint leaves.
+func (g *Gossiper) AnnounceLeaving(endpoint string) {
+	g.handle(time.Now(), detector.EndpointChanged{Update: detector.EndpointUpdate{
+		Endpoint: endpoint, IsLeaving: true, Number: uint64(time.Now().UnixNano()),
+	}})
 }
 
 // Incarnation returns this VM's incarnation.
 func (g *Gossiper) Incarnation() int64 { return g.cfg.Incarnation }
 
-// LiveVMs returns the VMs that accept work: those that are live, this one included, and not leaving.
-func (g *Gossiper) LiveVMs() []VMIncarnation {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var vms []VMIncarnation
-	if !g.isLeaving.Load() {
-		vms = append(vms, VMIncarnation{Name: g.cfg.VM, Incarnation: g.cfg.Incarnation})
-	}
-	now := time.Now()
-	for _, m := range g.members {
-		if m.isReporting(now) && !m.IsLeaving {
-			vms = append(vms, VMIncarnation{Name: m.VM, Incarnation: m.Incarnation})
-		}
-	}
-	return vms
-}
-
-// HasSilentVM reports whether a VM is silent but possibly only partitioned, so that it may still send requests to endpoints.
-func (g *Gossiper) HasSilentVM() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	for _, m := range g.members {
-		lastObserved := m.ReportedAt
-		if m.listedAt.After(lastObserved) {
-			lastObserved = m.listedAt
-		}
-		if age := now.Sub(lastObserved); age >= SilenceTimeout && age < partitionWindow {
-			return true
-		}
-	}
-	return false
-}
-
-// Assign assigns key to one of the live VMs by rendezvous hashing, so that VMs with the same list choose the same one. It
-// returns false if live is empty.
-func Assign(key string, live []VMIncarnation) (VMIncarnation, bool) {
-	best, found := VMIncarnation{}, false
-	highest := uint64(0)
-	for _, vm := range live {
-		if h := xxhash.Sum64String(key + "\x00" + vm.Name); !found || h > highest {
-			best, highest, found = vm, h, true
-		}
-	}
-	return best, found
-}
-
-// VMCount returns the number of known VMs, this one included.
-func (g *Gossiper) VMCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.members) + 1
-}
-
-// HasStoreElsewhere reports whether another live VM reaches the store.
-func (g *Gossiper) HasStoreElsewhere() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	for _, m := range g.members {
-		if m.HasStore && !m.IsLeaving && m.isReporting(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// HasVMList reports whether the list of VMs has been read from the store, so that this VM and its peers exchange reports.
+// HasVMList reports whether the list of VMs has been read from the store.
 func (g *Gossiper) HasVMList() bool { return g.feed.Version() > 0 }
 
-// AnyPeer returns the address of a random peer that reports, live or leaving, preferably in the same region; false if there is
-// none.
-func (g *Gossiper) AnyPeer() (netip.AddrPort, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	var near, far []netip.AddrPort
-	for _, m := range g.members {
-		switch {
-		case !m.isReporting(now):
-		case m.Region == g.cfg.Region:
-			near = append(near, m.Address)
-		default:
-			far = append(far, m.Address)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return near[rand.IntN(len(near))], true
-}
-
-// applyTable applies an update of the table of VMs, and signals if this VM's row is missing.
-func (g *Gossiper) applyTable(u watcher.Update) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	isListed := !u.IsFull
-	for _, e := range u.Entries {
-		if e.Key == g.cfg.VM {
-			isListed = !e.IsRemoved
-			continue
-		}
-		if e.IsRemoved {
-			delete(g.members, e.Key)
-			continue
-		}
-		r := vmRow{}
-		if err := json.Unmarshal(e.Value, &r); err != nil {
-			g.log.WithError(err).WithField("vm", e.Key).Warn("row of VM can't be decoded; update ignored")
-			continue
+// runProbe wakes the failure detector at the times that it asks for.
+func (g *Gossiper) runProbe(ctx context.Context) {
+	// VMs that start together probe at different times.
+	timer := time.NewTimer(rand.N(probeInterval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
 		}
-		m, ok := g.members[e.Key]
+		g.handle(time.Now(), detector.Woken{})
+		g.mu.Lock()
+		wake, ok := g.detector.NextWake().Get()
+		g.mu.Unlock()
 		if !ok {
-			m = &Member{VM: e.Key}
-			g.members[e.Key] = m
-		}
-		if r.Incarnation >= m.Incarnation {
-			m.Address, m.Incarnation, m.Region, m.listedAt, m.version = r.Address, r.Incarnation, r.Region, now, e.Version
-		}
-	}
-	if !isListed && g.isRegistered.Load() {
-		select {
-		case g.unlisted <- struct{}{}:
-		default:
+			wake = time.Now().Add(probeInterval)
 		}
+		timer.Reset(max(time.Until(wake), time.Millisecond))
 	}
 }
 
-func (g *Gossiper) runReceive() {
-	buf := make([]byte, maxDatagramBytes+1)
-	for {
-		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			g.log.WithError(err).Warn("report could not be received from the socket")
-			continue
+// handle passes an input to the failure detector and carries out what it requests.
+func (g *Gossiper) handle(now time.Time, in detector.Input) {
+	g.mu.Lock()
+	var leaving []string
+	for _, out := range g.detector.Handle(now, in) {
+		switch out := out.(type) {
+		case detector.Send:
+			g.sendMessage(out)
+		case detector.Changed:
+			g.recordChange(now, out.Member)
+		case detector.EndpointLearned:
+			if out.Update.IsLeaving {
+				leaving = append(leaving, out.Update.Endpoint)
+			}
+		case detector.HeadLearned:
 		}
-		m, err := decode(buf[:n])
-		if err != nil {
-			g.log.WithError(err).WithField("from", from.String()).Warn("datagram is not a valid report; dropped")
-			continue
+	}
+	handler := g.handler
+	g.mu.Unlock()
+	for _, e := range leaving {
+		if handler.EndpointLeaving != nil {
+			handler.EndpointLeaving(e)
 		}
-		g.receive(m, from)
 	}
 }
 
-// receive applies a report unless a newer one of the same VM was received.
-func (g *Gossiper) receive(m message, from netip.AddrPort) {
-	if m.VM == g.cfg.VM {
-		return
-	}
-	g.mu.Lock()
+// recordChange records the new state of a VM; the lock is held.
+func (g *Gossiper) recordChange(now time.Time, m detector.Member) {
+	old, isKnown := g.states[m.VM]
+	g.states[m.VM] = m
+	clear(g.ranks)
 	known, ok := g.members[m.VM]
 	if !ok {
-		known = &Member{VM: m.VM, Address: netip.AddrPortFrom(from.Addr().Unmap(), from.Port())}
+		known = &member{}
 		g.members[m.VM] = known
 	}
-	if m.Incarnation < known.Incarnation || (m.Incarnation == known.Incarnation && m.Sequence <= known.sequence) {
-		g.mu.Unlock()
-		return
+	if m.State == detector.Lost {
+		known.lostAt = now
 	}
-	now := time.Now()
-	known.Incarnation, known.sequence = m.Incarnation, m.Sequence
-	known.IsLeaving, known.HasStore, known.ReportedAt = m.IsLeaving, m.HasStore, now
-	g.mu.Unlock()
-	g.balancer.ReceiveReport(m.report())
-}
-
-func (g *Gossiper) runSend(ctx context.Context) {
-	heartbeat := time.NewTimer(0)
-	defer heartbeat.Stop()
-	for {
-		isUrgent, isHeartbeat := false, false
-		select {
-		case <-ctx.Done():
-			return
-		case <-heartbeat.C:
-			isHeartbeat = true
-		case <-g.balancer.Changed():
-			isUrgent = g.awaitBudget(ctx)
-		case <-g.balancer.Urgent():
-			isUrgent = true
-		}
-		g.send(isUrgent, isHeartbeat)
-		heartbeat.Reset(heartbeatInterval)
-		if !sleeper.Sleep(ctx, minReportGap) {
-			return
-		}
+	isSilent := m.State == detector.Suspect || m.State == detector.Lost
+	switch {
+	case !isSilent:
+		known.silentSince = time.Time{}
+	case known.silentSince.IsZero() && isKnown && old.State == detector.Alive:
+		known.silentSince = now
 	}
-}
-
-// awaitBudget waits until the budget within the region allows another report. It returns true at once if an urgent one is due.
-func (g *Gossiper) awaitBudget(ctx context.Context) bool {
-	near, _ := g.reportGaps()
-	t := time.NewTimer(near)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-g.balancer.Urgent():
-		return true
+	if !isKnown || old.State != m.State {
+		g.log.WithFields(logrus.Fields{
+			"peer": m.VM, "state": m.State.String(), "incarnation": processOf(m), "known": len(g.states),
+		}).Info("peer changed")
 	}
-	return false
 }
 
-// reportGaps returns the least time between reports, within the region and to other regions, that keeps to the budgets.
-func (g *Gossiper) reportGaps() (near, far time.Duration) {
+// processOf returns the incarnation of the VM's process.
+func processOf(m detector.Member) int64 { return int64(m.Incarnation >> refutationBits) }
+
+// Rank returns the live VMs that may assign a group of endpoints in the region, in order of preference. They are at most
+// maxRanked VMs of the region with at least half of the highest capacity there, or of all regions if the region has none.
+func (g *Gossiper) Rank(group, region string) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 0
-	for _, m := range g.members {
-		if m.Region == g.cfg.Region {
-			n++
-		}
+	key := group + "\x00" + region
+	if ranked, ok := g.ranks[key]; ok {
+		return ranked
+	}
+	vms := g.capable(region)
+	if len(vms) == 0 {
+		vms = g.capable("")
 	}
-	return time.Duration(n) * time.Second / sameRegionBudget, time.Duration(len(g.members)-n) * time.Second / otherRegionBudget
+	ranked := hasher.Rank("group "+group, vms)
+	ranked = ranked[:min(len(ranked), maxRanked)]
+	g.ranks[key] = ranked
+	return ranked
 }
 
-// send sends a report to the VMs of the region. VMs of other regions get it if the gap for them has passed, if it is a
-// heartbeat, or if it is urgent and their batch items have to be preempted.
-func (g *Gossiper) send(isUrgent, isHeartbeat bool) {
-	report := g.balancer.Report()
-	preempted := g.balancer.TakePreemptedVMs()
-	_, far := g.reportGaps()
-	g.mu.Lock()
-	g.sequence++
-	m := message{
-		VM: g.cfg.VM, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, IsLeaving: g.isLeaving.Load(),
-		HasStore: !g.feed.IsLost(),
-		Pending:  report.Pending, UrgencyMs: report.Urgency.Milliseconds(),
-		Loads: loadMessages(report), Faults: faultMessages(report), Hidden: hiddenMessages(report),
-	}
-	now := time.Now()
-	isFarDue := isHeartbeat || now.Sub(g.farSentAt) >= far
-	if isFarDue {
-		g.farSentAt = now
+// maxRanked is the number of VMs that Rank returns: the assigner and those that replace it.
+const maxRanked = 4
+
+// capable returns the live VMs of the region, or of all regions if it is empty, whose capacity is at least half of the highest;
+// the lock is held.
+func (g *Gossiper) capable(region string) []string {
+	capacities := map[string]float64{}
+	if !g.isLeaving.Load() && (region == "" || region == g.cfg.Region) {
+		capacities[g.cfg.VM] = g.cfg.Capacity
 	}
-	targets := make([]netip.AddrPort, 0, len(g.members))
-	for name, member := range g.members {
-		if member.Region == g.cfg.Region || isFarDue || (isUrgent && preempted[name]) {
-			targets = append(targets, member.Address)
+	for vm, m := range g.states {
+		if isLive(m) && (region == "" || m.Region == region) {
+			capacities[vm] = g.members[vm].row.Capacity
 		}
 	}
-	g.mu.Unlock()
-	b, err := encodeWithin(m, maxDatagramBytes)
-	if err != nil {
-		g.log.WithError(err).Error("report could not be encoded; not sent")
-		return
-	}
-	for _, to := range targets {
-		// A lost report needs no resend: the next one carries all counts again.
-		_, _ = g.conn.WriteToUDPAddrPort(b, to)
-	}
-}
-
-func hiddenMessages(r placer.Report) []hiddenMessage {
-	hidden := make([]hiddenMessage, 0, len(r.Hidden))
-	for k, n := range r.Hidden {
-		hidden = append(hidden, hiddenMessage{Key: uint64(k), Requests: uint16(min(n, math.MaxUint16))})
+	highest := 0.0
+	for _, c := range capacities {
+		highest = max(highest, c)
 	}
-	return hidden
-}
-
-func faultMessages(r placer.Report) []faultMessage {
-	faults := make([]faultMessage, 0, len(r.Faults))
-	for k, f := range r.Faults {
-		faults = append(faults, faultMessage{Key: uint64(k), Tenths: uint16(min(f*tenthsPerFailure, math.MaxUint16))})
+	var vms []string
+	for vm, c := range capacities {
+		if c >= highest/2 {
+			vms = append(vms, vm)
+		}
 	}
-	return faults
+	return vms
 }
 
-func loadMessages(r placer.Report) []loadMessage {
-	loads := make([]loadMessage, 0, len(r.Loads))
-	for k, l := range r.Loads {
-		loads = append(loads, loadMessage{Key: uint64(k), Online: uint16(l.Online), Batch: uint16(l.Batch)})
-	}
-	return loads
+func isLive(m detector.Member) bool {
+	return m.State == detector.Alive || m.State == detector.Suspect
 }
--- a/pkg/gossiper/register.go
+++ b/pkg/gossiper/register.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
@@ -14,15 +15,17 @@
 const (
 	// registerRetry is the pause after a failed registration: several times the duration of a store call.
 	registerRetry = 200 * time.Millisecond
-	// forgetAfter is how long a silent VM stays listed: longer than the outages from which VMs recover.
+	// forgetAfter is how long a lost VM stays listed: longer than the outages from which VMs recover.
 	forgetAfter = 60 * time.Second
-	// forgetInterval is the time between two checks for silent VMs.
+	// forgetInterval is the time between two checks for lost VMs.
 	forgetInterval = 10 * time.Second
 )
 
 // runRegister writes this VM's row, and writes it again whenever another VM has deleted it.
 func (g *Gossiper) runRegister(ctx context.Context) {
-	value, err := json.Marshal(vmRow{Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region})
+	value, err := json.Marshal(vmRow{
+		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region, Capacity: g.cfg.Capacity,
+	})
 	if err != nil {
 		g.log.WithError(err).Error("row of this VM can't be encoded; the VM stays unlisted")
 		return
@@ -60,52 +63,52 @@
 	sleeper.Every(ctx, forgetInterval, func(now time.Time) { g.forget(ctx, now) })
 }
 
-// forget removes VMs that have been silent for longer than forgetAfter. The VM that Assign picks for a silent VM deletes its row
+// forget removes VMs that have been lost for longer than forgetAfter. The VM that Assign picks for a lost VM deletes its row
 // first.
 //
-// The name of a replaced VM is never used again. Without forget, the list of VMs and the number of datagrams per report would
-// grow with each replacement.
+// The name of a replaced VM is never used again. Without forget, the list of VMs would grow with each replacement.
 func (g *Gossiper) forget(ctx context.Context, now time.Time) {
 	live := g.LiveVMs()
-	for _, m := range g.silentFor(now, forgetAfter) {
-		successor, ok := Assign(m.VM, live)
-		if m.version > 0 && ok && successor.Name == g.cfg.VM && !g.dropRow(ctx, m) {
+	for vm, m := range g.lostFor(now, forgetAfter) {
+		successor, ok := Assign(vm, live)
+		if m.version > 0 && ok && successor.Name == g.cfg.VM && !g.dropRow(ctx, vm, m.version) {
 			continue
 		}
 		g.mu.Lock()
-		if known, ok := g.members[m.VM]; ok && known.ReportedAt.Equal(m.ReportedAt) && known.version == m.version {
-			delete(g.members, m.VM)
+		if known, ok := g.members[vm]; ok && known.version == m.version && g.states[vm].State == detector.Lost {
+			delete(g.members, vm)
+			delete(g.states, vm)
 		}
 		g.mu.Unlock()
 	}
 }
 
-// dropRow deletes the VM's row. It returns true if the row was deleted or has changed since it was read, and false if the
-// deletion has to be retried.
-func (g *Gossiper) dropRow(ctx context.Context, m Member) bool {
-	row := storer.Entry{Table: VMTable, Key: m.VM, Version: m.version}
+// dropRow deletes the VM's row. It returns true if the row was deleted or has changed since it was read at the version, and
+// false if the deletion has to be retried.
+func (g *Gossiper) dropRow(ctx context.Context, vm string, version int64) bool {
+	row := storer.Entry{Table: VMTable, Key: vm, Version: version}
 	_, err := g.store.Apply(ctx, storer.Change{Expect: []storer.Entry{row}, Deletes: []storer.Entry{row}})
 	stale := (*storer.StaleError)(nil)
 	switch {
 	case errors.As(err, &stale):
 		return true
 	case err != nil:
-		g.log.WithError(err).WithField("peer", m.VM).Warn("silent VM's row not dropped, trying again")
+		g.log.WithError(err).WithField("peer", vm).Warn("lost VM's row not dropped, trying again")
 		return false
 	}
-	g.log.WithField("peer", m.VM).WithField("silentFor", forgetAfter.String()).Info("silent VM's row dropped")
+	g.log.WithField("peer", vm).WithField("lostFor", forgetAfter.String()).Info("lost VM's row dropped")
 	return true
 }
 
-// silentFor returns the VMs that neither sent a report nor had their row read from the store within d.
-func (g *Gossiper) silentFor(now time.Time, d time.Duration) []Member {
+// lostFor returns the VMs that have been lost, and their rows unchanged, for longer than d.
+func (g *Gossiper) lostFor(now time.Time, d time.Duration) map[string]member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var silent []Member
-	for _, m := range g.members {
-		if now.Sub(m.ReportedAt) > d && now.Sub(m.listedAt) > d {
-			silent = append(silent, *m)
+	lost := map[string]member{}
+	for vm, m := range g.members {
+		if g.states[vm].State == detector.Lost && now.Sub(m.lostAt) > d && now.Sub(m.listedAt) > d {
+			lost[vm] = *m
 		}
 	}
-	return silent
+	return lost
 }
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -43,8 +43,10 @@
 	registry func() *registrar.Registry
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
-	metrics  Metrics
-	log      logrus.FieldLogger
+	// onLeaving is called for each answer whose endpoint says that it leaves.
+	onLeaving func(registrar.Endpoint)
+	metrics   Metrics
+	log       logrus.FieldLogger
 
 	mu        sync.Mutex
 	jobs      map[string]*jobState
@@ -104,14 +106,14 @@
 	started  time.Time
 }
 
-// New returns a runner; Start starts it.
+// New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	m Metrics, log logrus.FieldLogger,
+	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
-		headers: h, manager: jm, registry: registry, balancer: b, pool: p, metrics: m, log: log, jobs: map[string]*jobState{},
-		estimator: scheduler.NewEstimator(),
+		headers: h, manager: jm, registry: registry, balancer: b, pool: p, onLeaving: onLeaving, metrics: m, log: log,
+		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(),
 	}
 }
 
@@ -135,7 +137,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.balancer.SetPending(0, time.Time{})
+	r.balancer.SetPending(nil)
 	r.manager.HandOver(r.ctx, running)
 }
 
@@ -303,55 +305,49 @@
 	t.run = nil
 }
 
-// startItems starts waiting items in the order of the plan while slots are free; the lock is held.
+// startItems starts waiting items, in the order of the plan, in the slots that were offered to them; the lock is held.
 func (r *Runner) startItems(ctx context.Context, now time.Time) {
 	r.planItems(now)
-	waiting := r.waiting(now)
-	r.setPending(waiting)
-	full := map[string]bool{}
-	started := 0
-	for _, t := range waiting {
-		reg := r.registry()
+	reg := r.registry()
+	pending := map[string]balancer.Pending{}
+	for _, t := range r.waiting(now) {
 		route, ok := reg.Config.Match(t.job.host, t.item.Path)
 		if !ok || route.Kind != registrar.KindBatch {
 			r.abandonIfGone(t, reg)
 			continue
 		}
 		service := route.ServiceFor(t.item.ID)
-		if full[service] {
+		if pending[service].Items == 0 && r.startItem(ctx, now, t, route, service) {
 			continue
 		}
-		e, ticket, ok := r.balancer.StartBatch(reg.EndpointsOf(service))
-		if !ok {
-			full[service] = true
-			continue
+		p := pending[service]
+		if p.Items == 0 {
+			p.Due = t.job.due
+			if t.isLate {
+				p.Due = now.Add(lateUrgency)
+			}
 		}
-		runCtx, cancel := context.WithCancelCause(ctx)
-		t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
-		started++
-		go r.runItem(runCtx, t, t.run, route)
+		p.Items++
+		pending[service] = p
 	}
-	if started > 0 {
-		r.setPending(r.waiting(now))
+	r.balancer.SetPending(pending)
+}
+
+// startItem starts the item in a slot that was offered to the service's items; false if there is none. The lock is held.
+func (r *Runner) startItem(ctx context.Context, now time.Time, t *task, route registrar.Route, service string) bool {
+	e, ticket, ok := r.balancer.TakeOffer(service)
+	if !ok {
+		return false
 	}
+	runCtx, cancel := context.WithCancelCause(ctx)
+	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
+	go r.runItem(runCtx, t, t.run, route)
+	return true
 }
 
 // lateUrgency is the time until due that the balancer receives for items that can no longer meet their due time.
 const lateUrgency = time.Minute
 
-// setPending passes the number of waiting items and the due time of the first to the balancer.
-func (r *Runner) setPending(waiting []*task) {
-	if len(waiting) == 0 {
-		r.balancer.SetPending(0, time.Time{})
-		return
-	}
-	due := waiting[0].job.due
-	if waiting[0].isLate {
-		due = time.Now().Add(lateUrgency)
-	}
-	r.balancer.SetPending(len(waiting), due)
-}
-
 // planInterval is the minimum time between two plans; an item's run spans many of them.
 const planInterval = 50 * time.Millisecond
 
--- a/pkg/messenger/membership.go
+++ b/pkg/messenger/membership.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
+	"github.com/dogwoodledge/dogwoodledge/pkg/packer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
@@ -206,8 +207,8 @@
 }
 
 func (m *Membership) send(out detector.Send) {
-	raw, err := EncodeDatagram(out.Message)
-	if err != nil || len(raw)+macBytes > MaxDatagramBytes {
+	raw, err := packer.EncodeDatagram(out.Message)
+	if err != nil || len(raw)+macBytes > packer.MaxDatagramBytes {
 		m.log.WithError(err).WithField("bytes", len(raw)).Warn("datagram not sent: it can't be encoded or is too long")
 		return
 	}
@@ -239,7 +240,7 @@
 	if !ok {
 		return
 	}
-	msg, err := DecodeDatagram(raw)
+	msg, err := packer.DecodeDatagram(raw)
 	if err != nil {
 		m.Counters.Malformed.Add(1)
 		return
--- a/pkg/messenger/datagram.go
+++ b/pkg/packer/datagram.go
@@ -1,4 +1,4 @@
-package messenger
+package packer
 
 import (
 	"net/netip"
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -8,6 +8,8 @@
 // Headers holds the names of the headers that the relayer reads and sets; Timeout is that of the milliseconds that are left.
 type Headers struct {
 	RequestID, Timeout, ExpectInstance, NotExecuted, Signature, LastEventID string
+	// Leaving is set in the answers of an endpoint that is about to stop.
+	Leaving string
 }
 
 // IsSigned reports whether the answer carries an endpoint's signature header and names the request with the id.
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -42,16 +42,18 @@
 	registry func() *registrar.Registry
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
-	metrics  Metrics
-	log      logrus.FieldLogger
+	// onLeaving is called for each answer whose endpoint says that it leaves.
+	onLeaving func(registrar.Endpoint)
+	metrics   Metrics
+	log       logrus.FieldLogger
 }
 
-// New returns a relayer.
+// New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
-	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, m Metrics,
-	log logrus.FieldLogger,
+	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool,
+	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
-	return &Relayer{headers: h, registry: registry, balancer: b, pool: pool, metrics: m, log: log}
+	return &Relayer{headers: h, registry: registry, balancer: b, pool: pool, onLeaving: onLeaving, metrics: m, log: log}
 }
 
 // errTimeout is the cancellation cause of a request whose deadline has passed.
@@ -222,7 +224,7 @@
 	}
 	q.route = route
 	now := time.Now()
-	d, ticket := q.balancer.Place(placer.Request{
+	d, ticket := q.balancer.Place(q.ctx, placer.Request{
 		Route: route, Candidates: reg.EndpointsOf(route.ServiceFor(q.id)), Tried: q.tried, Left: q.deadline.Sub(now),
 		Waited: now.Sub(q.start),
 	})
@@ -247,6 +249,12 @@
 		}
 		return false
 	}
+	if !q.registry().IsUsable(s.Endpoint) {
+		// The endpoint began to drain, or left, while the connection was opened.
+		_ = conn.Close()
+		ending = placer.EndedLocally
+		return false
+	}
 	left := time.Until(q.deadline)
 	if left < minTimeLeft || q.r.Context().Err() != nil {
 		_ = conn.Close()
@@ -266,6 +274,9 @@
 		return q.endUnlessRetryable(err)
 	}
 	defer x.Close()
+	if x.Response.Header.Get(q.headers.Leaving) != "" {
+		q.onLeaving(s.Endpoint)
+	}
 	isOver, how := q.handleAnswer(x, ticket, s)
 	ending = how
 	return isOver
@@ -320,7 +331,7 @@
 		q.runs--
 		q.refusals++
 		q.cause = errors.Errorf("endpoint %s refused with status %d", s.Endpoint.ID, status)
-		_, _ = io.Copy(io.Discard, io.LimitReader(x, maxEventBytes))
+		x.Drain()
 		if q.refusals < maxRefusals && q.ctx.Err() == nil {
 			return false, placer.EndedFull
 		}
--- a/pkg/server/vms.go
+++ b/pkg/server/vms.go
@@ -10,8 +10,8 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
 	"github.com/dogwoodledge/dogwoodledge/pkg/granter"
-	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
+	"github.com/dogwoodledge/dogwoodledge/pkg/packer"
 )
 
 // VMHandler handles the gRPC calls of other VMs.
@@ -48,7 +48,7 @@
 
 // Status returns the head of the active configuration.
 func (v *VMHandler) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
-	return &wire.StatusReply{Vm: v.vm, Head: messenger.HeadToWire(v.follower.Current().Head)}, nil
+	return &wire.StatusReply{Vm: v.vm, Head: packer.HeadToWire(v.follower.Current().Head)}, nil
 }
 
 // Snapshot returns the active snapshot if it has the requested hash.
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -36,7 +36,9 @@
 
 	mu sync.Mutex
 	// rows holds the newest known row of each endpoint, including removed ones.
-	rows          map[string]endpointRow
+	rows map[string]endpointRow
+	// leaving holds the endpoints that said in an answer that they leave.
+	leaving       registrar.Leaving
 	configRow     storer.Entry
 	cfg           *registrar.Config
 	pendingExpiry *time.Timer
@@ -55,7 +57,7 @@
 func New(
 	store storer.Table, d Decoder, onChange func(*registrar.Registry), log logrus.FieldLogger,
 ) *Watcher {
-	w := &Watcher{decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}}
+	w := &Watcher{decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{}}
 	w.config = NewFeed(store, d.ConfigTable, []string{""}, w.applyConfigUpdate, log)
 	w.endpoints = NewFeed(store, d.EndpointTable, []string{""}, w.applyEndpointUpdate, log)
 	w.current.Store(registrar.NewRegistry(nil, nil))
@@ -191,6 +193,19 @@
 	w.rows[e.Key] = endpointRow{entry: e, endpoint: endpoint, isUsable: true}
 }
 
+// MarkLeaving records that the incarnation of an endpoint with the key, see registrar.Endpoint.LeavingKey, has said that it
+// leaves. It returns whether this was new.
+func (w *Watcher) MarkLeaving(key string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.leaving.Add(key) {
+		return false
+	}
+	w.log.WithField("endpoint", key).Info("endpoint said that it leaves; no further requests are sent to it")
+	w.publish()
+	return true
+}
+
 // scheduleExpiry runs expire after outageGrace unless it is scheduled already; the lock is held.
 func (w *Watcher) scheduleExpiry() {
 	if w.pendingExpiry != nil {
@@ -224,7 +239,7 @@
 	endpoints := make(map[string]registrar.Endpoint, len(w.rows))
 	for id, row := range w.rows {
 		if row.isUsable {
-			endpoints[id] = row.endpoint
+			endpoints[id] = w.leaving.Apply(row.endpoint)
 		}
 	}
 	r := registrar.NewRegistry(w.cfg, endpoints)
