Prefer endpoints with an idle connection; fewer calls of the feeds

Each change of an endpoint's row, and each VM that starts, woke the feed of every VM. Change: a question names the endpoints to which the VM has idle connections; a new one costs as much as 15 ms of wait. The feeds of endpoints and VMs pause 200 and 500 ms between calls, so that one call returns several changes.

--- a/pkg/assembler/gateway_leaving_test.go
+++ b/pkg/assembler/gateway_leaving_test.go
@@ -14,7 +14,14 @@
 func TestEndpointThatSaysItLeavesGetsNoFurtherRequests(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
+	id := newID("l")
+	require.Equal(t, http.StatusOK, f.call(t.Context(), f.vms[0], http.MethodPost, "/book/1", id, "body").status)
+	// A VM prefers the endpoint to which it has a connection.
 	leaving := f.endpoint("i-app-1")
+	if len(leaving.Runs()) == 0 {
+		leaving = f.endpoint("i-app-2")
+	}
+	require.Len(t, leaving.Runs(), 1)
 	leaving.Leave()
 	// runs sends 10 requests through the VM and returns how many of them the endpoint ran.
 	runs := func(vm *testVM) int {
--- a/pkg/balancer/message.go
+++ b/pkg/balancer/message.go
@@ -18,6 +18,8 @@
 	ordersType = 0x72
 	// maxMessageBytes is the size limit of a message, so that it fits into one packet on every link.
 	maxMessageBytes = 1300
+	// maxConnected bounds the endpoints with an idle connection that a question names.
+	maxConnected = 16
 	// tenthsPerFailure is the number of units of faultMessage.Tenths in one failure.
 	tenthsPerFailure = 10
 	// maxDuration bounds the durations in a message.
@@ -50,6 +52,7 @@
 	LeftMs      int64
 	WaitedMs    int64
 	Excluded    []uint64
+	Connected   []uint64
 }
 
 // loadMessage holds the number of the sender's requests in flight at an endpoint.
@@ -150,6 +153,11 @@
 		for _, k := range question.Excluded {
 			m.Excluded = append(m.Excluded, uint64(k))
 		}
+		for k := range r.Connected {
+			if len(m.Connected) < maxConnected {
+				m.Connected = append(m.Connected, uint64(k))
+			}
+		}
 	}
 	return m.encode()
 }
@@ -308,6 +316,12 @@
 		Route:            registrar.Route{Name: m.Route, Objective: duration(m.ObjectiveMs)},
 		AvailabilityZone: m.Zone, Left: duration(m.LeftMs), Waited: duration(m.WaitedMs),
 	}}
+	if len(m.Connected) > 0 {
+		in.Request.Connected = make(map[placer.Key]bool, len(m.Connected))
+	}
+	for _, k := range m.Connected {
+		in.Request.Connected[placer.Key(k)] = true
+	}
 	for _, k := range m.Excluded {
 		in.Excluded = append(in.Excluded, placer.Key(k))
 	}
--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -112,6 +112,7 @@
 // if there was no reply.
 func (b *Balancer) placeIn(ctx context.Context, g *group, r placer.Request) (placement, bool) {
 	excluded := b.excluded(g, r)
+	r.Connected = b.connected(g, r)
 	for range 2 {
 		p, ok := b.ask(ctx, g, r, excluded)
 		if !ok {
@@ -149,6 +150,19 @@
 	return keys
 }
 
+// connected returns the endpoints of the group to which this VM has an idle connection.
+func (b *Balancer) connected(g *group, r placer.Request) map[placer.Key]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	connected := map[placer.Key]bool{}
+	for k := range r.Connected {
+		if _, ok := g.endpoints[k]; ok {
+			connected[k] = true
+		}
+	}
+	return connected
+}
+
 // ask asks the group's assigner for an endpoint; it returns false if there was no reply in time.
 func (b *Balancer) ask(ctx context.Context, g *group, r placer.Request, excluded []placer.Key) (placement, bool) {
 	b.mu.Lock()
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -70,6 +70,8 @@
 	Candidates []registrar.Endpoint
 	// Tried holds the ids of endpoints that earlier attempts of this request were sent to.
 	Tried map[string]bool
+	// Connected holds the endpoints to which the VM that sends the request has an idle connection.
+	Connected map[Key]bool
 	// AvailabilityZone is the zone of the VM that sends the request; empty means this VM's own.
 	AvailabilityZone string
 	// Left is the time until the caller's deadline; Waited is how long ago the request reached this VM.
@@ -183,6 +185,9 @@
 			continue
 		}
 		c := p.estimate(now, topology, r.Route, e)
+		if !r.Connected[KeyOf(e.ID)] {
+			c.cost += connectionCost
+		}
 		isBetter := c.isNearAndFree && !best.isNearAndFree
 		if c.isNearAndFree == best.isNearAndFree {
 			isBetter = c.cost < best.cost
@@ -233,6 +238,9 @@
 	// faultCost is the additional wait that is preferable to an endpoint with one recent failure: a failed request that may
 	// not be repeated is lost.
 	faultCost = 60 * time.Millisecond
+	// connectionCost is the additional wait that is preferable to a new connection. The handshake takes less, but an endpoint that
+	// accepts connections from hundreds of VMs has to limit them.
+	connectionCost = 15 * time.Millisecond
 	// maxFaults bounds the failures that count, so that endpoints with many failures remain comparable.
 	maxFaults = 20
 	// maxCrowdingCost is the wait expected at an endpoint whose last free slot another VM may have taken since its last report:
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -75,6 +75,20 @@
 	}
 }
 
+// Connected returns the endpoints to which the pool has an idle connection, by the key that keyOf returns for their ids.
+func Connected[K comparable](p *Pool, keyOf func(endpoint string) K) map[K]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	connected := make(map[K]bool, len(p.idle))
+	for id, list := range p.idle {
+		if n := len(list); n > 0 && now.Sub(list[n-1].idleSince) < list[n-1].idleTimeout {
+			connected[keyOf(id)] = true
+		}
+	}
+	return connected
+}
+
 // takeIdle returns the connection that was used last and is still usable, or nil; it closes unusable ones.
 func (p *Pool) takeIdle(id string, addr netip.AddrPort) *Conn {
 	p.mu.Lock()
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -26,6 +26,9 @@
 	probeInterval    = 300 * time.Millisecond
 	ackTimeout       = 120 * time.Millisecond
 	suspicionTimeout = time.Second
+	// listGap is the pause between calls of the feed of VMs: when all VMs start at once, each reads the list a few times and not
+	// once for each other VM.
+	listGap = 500 * time.Millisecond
 	// SilenceTimeout is about how long a VM must be silent before its peers call it lost.
 	SilenceTimeout = probeInterval + ackTimeout + suspicionTimeout
 	// storeReportTimeout is how long a peer's statement that it reaches the store counts.
@@ -124,6 +127,7 @@
 		unlisted: make(chan struct{}, 1), started: time.Now(),
 	}
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.applyTable, log)
+	g.feed.SetGap(listGap)
 	return g
 }
 
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -226,7 +226,7 @@
 	now := time.Now()
 	d, ticket := q.balancer.Place(q.ctx, placer.Request{
 		Route: route, Candidates: reg.EndpointsOf(route.ServiceFor(q.id)), Tried: q.tried, Left: q.deadline.Sub(now),
-		Waited: now.Sub(q.start),
+		Waited: now.Sub(q.start), Connected: dialer.Connected(q.pool, placer.KeyOf),
 	})
 	if s, isSend := d.(placer.Send); isSend {
 		q.endpoint, q.load, q.estimate, q.decision = s.Endpoint.ID, s.Load, s.Estimate, "send"
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -15,6 +15,9 @@
 const (
 	// outageGrace is the maximum time that a live endpoint takes to register again after an outage of the store.
 	outageGrace = 2 * time.Second
+	// endpointGap is the pause between calls of the endpoints' feed. While endpoints are replaced, one call then returns several
+	// changes; it adds little to the time within which a draining endpoint must get no more requests.
+	endpointGap = 200 * time.Millisecond
 )
 
 // Decoder names the tables and the configuration's key, and decodes their rows.
@@ -60,6 +63,7 @@
 	w := &Watcher{decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{}}
 	w.config = NewFeed(store, d.ConfigTable, []string{""}, w.applyConfigUpdate, log)
 	w.endpoints = NewFeed(store, d.EndpointTable, []string{""}, w.applyEndpointUpdate, log)
+	w.endpoints.SetGap(endpointGap)
 	w.current.Store(registrar.NewRegistry(nil, nil))
 	return w
 }
