Batch slots go to the items that are due soonest, over all VMs and regions; no random spread where counts are exact

Change: reports name the due time of each waiting item (32 at most); the assigner orders them over all VMs, own region first. An offer for which no item waits is declined with the next report. The spread is a parameter of the placer.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -49,8 +49,8 @@
 	sequence   uint64
 	// asks holds the questions to other VMs that wait for a reply, by number.
 	asks map[uint64]*ask
-	// pending holds the batch items that wait at this VM, by service.
-	pending map[string]Pending
+	// waiting holds the due times of the batch items that wait at this VM, the soonest first, by service.
+	waiting map[string][]time.Time
 	// offers holds the slots offered to batch items of this VM, by service.
 	offers map[string][]offer
 	// preempt is the number of batch items to stop at each endpoint.
@@ -64,13 +64,6 @@
 	Counters Counters
 }
 
-// Pending describes the batch items of one service that wait for a slot.
-type Pending struct {
-	Items int
-	// Due is when the most urgent of them is due.
-	Due time.Time
-}
-
 // offer is a slot that an assigner offered to a batch item; it counts as taken from its receipt on.
 type offer struct {
 	endpoint registrar.Endpoint
@@ -81,10 +74,10 @@
 // New returns a balancer for the VM. It reports to other VMs once started, and decides alone until then.
 func New(cfg Config, n Network, random *rand.Rand, log logrus.FieldLogger) *Balancer {
 	return &Balancer{
-		cfg: cfg, network: n, log: log, random: random, placer: placer.New(cfg.Topology, random),
+		cfg: cfg, network: n, log: log, random: random, placer: placer.New(cfg.Topology, placer.SpreadAlone, random),
 		nearTimeout: nearReplyTimeout, farTimeout: farReplyTimeout,
 		groups: map[string][]*group{}, byGroup: map[assigner.GroupKey]*group{}, byEndpoint: map[placer.Key]*group{},
-		asks: map[uint64]*ask{}, pending: map[string]Pending{}, offers: map[string][]offer{}, preempt: map[placer.Key]int{},
+		asks: map[uint64]*ask{}, waiting: map[string][]time.Time{}, offers: map[string][]offer{}, preempt: map[placer.Key]int{},
 		changed: make(chan struct{}, 1), slotsChanged: make(chan struct{}, 1),
 	}
 }
@@ -180,12 +173,12 @@
 	b.markDirty(k)
 }
 
-// SetPending sets the batch items that wait at this VM, by service.
-func (b *Balancer) SetPending(pending map[string]Pending) {
+// SetWaiting sets the due times of the batch items that wait at this VM, the soonest first, by service.
+func (b *Balancer) SetWaiting(waiting map[string][]time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service, groups := range b.groups {
-		if b.pending[service].Items == pending[service].Items {
+		if len(b.waiting[service]) == len(waiting[service]) {
 			continue
 		}
 		for _, g := range groups {
@@ -193,7 +186,7 @@
 		}
 		notify(b.changed)
 	}
-	b.pending = pending
+	b.waiting = waiting
 }
 
 // ObserveEngineLoad passes the total number of requests at an engine, as the engine itself reports it, to the engine's assigner.
--- a/pkg/balancer/doc.go
+++ b/pkg/balancer/doc.go
@@ -1,3 +1,3 @@
-// Package balancer makes core/placer safe for concurrent use: it holds the lock, supplies the current time, and signals
-// changes to the gossiper and to the item runner.
+// Package balancer asks the assigners of endpoint groups for slots, for online requests and batch items of this VM, and counts
+// those in flight. It hosts the assigners that run on this VM, and decides alone by core/placer when no assigner replies.
 package balancer
--- a/pkg/balancer/group.go
+++ b/pkg/balancer/group.go
@@ -36,8 +36,6 @@
 	engines      map[placer.Key]int
 	// isDirty says that there is something new to report, isReported that the last report was not empty.
 	isDirty, isReported bool
-	// offeredAt is when this VM last received an offer for a batch item.
-	offeredAt time.Time
 }
 
 func newGroup() *group {
--- a/pkg/balancer/message.go
+++ b/pkg/balancer/message.go
@@ -36,8 +36,8 @@
 	Incarnation  int64
 	Sequence     uint64
 	Acknowledged uint64
-	Pending      uint16
-	UrgencyMs    int64
+	// WaitingMs holds the times until the waiting batch items are due.
+	WaitingMs    []int64
 	Loads        []loadMessage
 	Faults       []faultMessage
 	Slow         []uint64
@@ -126,8 +126,10 @@
 func encodeReport(group assigner.GroupKey, in assigner.Reported, question *assigner.Asked) ([]byte, error) {
 	m := reportMessage{
 		Group: uint64(group), VM: in.VM, Zone: in.AvailabilityZone, Incarnation: in.Incarnation,
-		Sequence: in.Sequence, Acknowledged: in.Acknowledged, Pending: clampCount(in.Report.Pending),
-		UrgencyMs: in.Report.Urgency.Milliseconds(),
+		Sequence: in.Sequence, Acknowledged: in.Acknowledged,
+	}
+	for _, due := range in.Report.Waiting {
+		m.WaitingMs = append(m.WaitingMs, due.Milliseconds())
 	}
 	for k, l := range in.Report.Loads {
 		m.Loads = append(m.Loads, loadMessage{Key: uint64(k), Online: clampCount(l.Online), Batch: clampCount(l.Batch)})
@@ -181,6 +183,8 @@
 			m.Engines = nil
 		case len(m.Slow) > 0:
 			m.Slow = nil
+		case len(m.WaitingMs) > 1:
+			m.WaitingMs = m.WaitingMs[:len(m.WaitingMs)/2]
 		case len(m.Loads) > 0:
 			m.Loads = m.Loads[:len(m.Loads)*9/10]
 		default:
@@ -280,9 +284,12 @@
 // reported returns the report as the assigner takes it.
 func (m reportMessage) reported() assigner.Reported {
 	r := placer.Report{
-		VM: m.VM, Pending: int(m.Pending), Urgency: duration(m.UrgencyMs), Loads: make(map[placer.Key]placer.Load, len(m.Loads)),
+		VM: m.VM, Loads: make(map[placer.Key]placer.Load, len(m.Loads)),
 		Faults: make(map[placer.Key]float64, len(m.Faults)),
 	}
+	for _, ms := range m.WaitingMs[:min(len(m.WaitingMs), maxWaiting)] {
+		r.Waiting = append(r.Waiting, duration(ms))
+	}
 	for _, l := range m.Loads {
 		r.Loads[placer.Key(l.Key)] = placer.Load{Online: int(l.Online), Batch: int(l.Batch)}
 	}
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -22,8 +22,8 @@
 	hostInterval = 20 * time.Millisecond
 	// slowObjective is the objective by which an endpoint without a first byte is reported as slow.
 	slowObjective = 300 * time.Millisecond
-	// starvedAfter is the time without an offer from this VM's region after which its batch items also wait for slots elsewhere.
-	starvedAfter = 700 * time.Millisecond
+	// maxWaiting bounds the waiting batch items that a report names.
+	maxWaiting = 32
 )
 
 // maxOrdersPerMessage keeps the message within maxMessageBytes.
@@ -95,7 +95,7 @@
 		Acknowledged: g.acknowledged, Report: b.reportOf(now, g), Observations: g.observations, Engines: g.engines,
 	}
 	g.observations, g.engines, g.isDirty = nil, map[placer.Key]int{}, false
-	g.isReported = len(in.Report.Loads) > 0 || in.Report.Pending > 0 || len(in.Report.Faults) > 0
+	g.isReported = len(in.Report.Loads) > 0 || len(in.Report.Waiting) > 0 || len(in.Report.Faults) > 0
 	if g.target == b.cfg.VM {
 		b.handle(now, g, in)
 		if question != nil {
@@ -130,24 +130,14 @@
 			r.Slow = append(r.Slow, k)
 		}
 	}
-	if p := b.pending[g.Service]; p.Items > 0 && b.mayWaitAt(now, g) {
-		r.Pending, r.Urgency = max(p.Items-len(b.offers[g.Service]), 0), p.Due.Sub(now)
-	}
-	return r
-}
-
-// mayWaitAt reports whether this VM's batch items wait for slots of the group: in its own region always, elsewhere only while its
-// own region has offered none for a while. The lock is held.
-func (b *Balancer) mayWaitAt(now time.Time, g *group) bool {
-	if b.isNear(g) {
-		return true
-	}
-	for _, other := range b.groups[g.Service] {
-		if b.isNear(other) && now.Sub(other.offeredAt) < starvedAfter {
-			return false
+	waiting := b.waiting[g.Service]
+	for _, due := range waiting[min(len(b.offers[g.Service]), len(waiting)):] {
+		if len(r.Waiting) == maxWaiting {
+			break
 		}
+		r.Waiting = append(r.Waiting, due.Sub(now))
 	}
-	return true
+	return r
 }
 
 func (b *Balancer) runHost(ctx context.Context) {
@@ -215,7 +205,10 @@
 		b.receivePlacement(now, from, out)
 	case assigner.BatchOffered:
 		number = out.Order
-		g.offeredAt = now
+		if len(b.offers[g.Service]) >= len(b.waiting[g.Service]) {
+			// Another group was faster. The next report declines the offer: it acknowledges the order without a request.
+			break
+		}
 		t := b.start(now, out.Endpoint, placer.Batch)
 		b.offers[g.Service] = append(b.offers[g.Service], offer{endpoint: out.Endpoint, ticket: t, at: now})
 		notify(b.slotsChanged)
--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -22,6 +22,7 @@
 // Assigner assigns the slots of one group of endpoints. It is not safe for concurrent use.
 type Assigner struct {
 	placer    *placer.Placer
+	regions   map[string]string
 	endpoints []registrar.Endpoint
 	ids       map[placer.Key]string
 	vms       map[string]*vm
@@ -52,10 +53,10 @@
 	isOffer bool
 }
 
-// New returns an assigner without endpoints. The first order has a number higher than firstOrder.
+// New returns an assigner without endpoints; regions holds the region of each availability zone. The first order has a number higher than firstOrder.
 func New(regions map[string]string, random *rand.Rand, firstOrder uint64) *Assigner {
 	return &Assigner{
-		placer: placer.New(placer.Topology{Regions: regions}, random), vms: map[string]*vm{}, lastOrder: firstOrder,
+		placer: placer.New(placer.Topology{Regions: regions}, placer.SpreadExact, random), regions: regions, vms: map[string]*vm{}, lastOrder: firstOrder,
 		ids: map[placer.Key]string{},
 	}
 }
@@ -208,53 +209,59 @@
 	return a.offer(now, out)
 }
 
-// offer offers free slots to the VMs whose waiting items are due soonest.
+// offer offers free slots to the waiting batch items, those of the group's region first, and of these the ones that are due
+// soonest.
 func (a *Assigner) offer(now time.Time, out []Output) []Output {
 	if now.Sub(a.since) < takeOverTime {
 		return out
 	}
-	for waiting := a.waiting(now); len(waiting) > 0; {
-		w := &waiting[0]
-		e, ok := a.placer.ChooseBatchEndpoint(now, a.vms[w.name].zone, a.endpoints)
+	for _, w := range a.waiting(now) {
+		e, ok := a.placer.ChooseBatchEndpoint(now, a.vms[w.vm].zone, a.endpoints)
 		if !ok {
 			return out
 		}
-		number := a.give(now, w.name, order{key: placer.KeyOf(e.ID), change: placer.Load{Batch: 1}, isOffer: true})
-		out = append(out, BatchOffered{VM: w.name, Order: number, Endpoint: e})
-		w.items--
-		if w.items == 0 {
-			waiting = waiting[1:]
-		}
+		number := a.give(now, w.vm, order{key: placer.KeyOf(e.ID), change: placer.Load{Batch: 1}, isOffer: true})
+		out = append(out, BatchOffered{VM: w.vm, Order: number, Endpoint: e})
 	}
 	return out
 }
 
-// waiter is a VM with batch items that wait for a slot.
-type waiter struct {
-	name    string
-	items   int
+// waitingItem is a batch item of a VM that waits for a slot.
+type waitingItem struct {
+	vm string
+	// isFar says that the VM is in another region than the group.
+	isFar   bool
 	urgency time.Duration
 }
 
-// waiting returns the VMs with waiting batch items that have no offer yet, the one with the most urgent item first.
-func (a *Assigner) waiting(now time.Time) []waiter {
-	var list []waiter
+// waiting returns the waiting batch items that have no offer yet, in the order in which they get slots.
+func (a *Assigner) waiting(now time.Time) []waitingItem {
+	if len(a.endpoints) == 0 {
+		return nil
+	}
+	region := a.regions[a.endpoints[0].AvailabilityZone]
+	var list []waitingItem
 	for name, v := range a.vms {
-		items := v.report.Pending
+		offers := 0
 		for _, o := range v.orders {
 			if o.isOffer {
-				items--
+				offers++
 			}
 		}
-		if items > 0 {
-			list = append(list, waiter{name: name, items: items, urgency: v.report.Urgency - now.Sub(v.heardAt)})
+		for _, urgency := range v.report.Waiting[min(offers, len(v.report.Waiting)):] {
+			list = append(list, waitingItem{
+				vm: name, isFar: a.regions[v.zone] != region, urgency: urgency - now.Sub(v.heardAt),
+			})
 		}
 	}
-	slices.SortFunc(list, func(a, b waiter) int {
-		if c := cmp.Compare(a.urgency, b.urgency); c != 0 {
-			return c
+	slices.SortFunc(list, func(a, b waitingItem) int {
+		if a.isFar != b.isFar {
+			if b.isFar {
+				return -1
+			}
+			return 1
 		}
-		return cmp.Compare(a.name, b.name)
+		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.vm, b.vm))
 	})
 	return list
 }
--- a/pkg/core/placer/load.go
+++ b/pkg/core/placer/load.go
@@ -26,10 +26,8 @@
 // Report holds the counts that a VM sends to its peers.
 type Report struct {
 	VM string
-	// Pending is the number of batch items that wait for a slot at the VM.
-	Pending int
-	// Urgency is the time until the first of them is due.
-	Urgency time.Duration
+	// Waiting holds, for each batch item that waits for a slot at the VM, the time until it is due, the soonest first.
+	Waiting []time.Duration
 	Loads   map[Key]Load
 	// Faults holds the number of recent failures at each endpoint; the weight of a failure falls with its age.
 	Faults map[Key]float64
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -47,6 +47,7 @@
 // Placer assigns requests to endpoints; it is not safe for concurrent use.
 type Placer struct {
 	topology   Topology
+	spread     time.Duration
 	random     *rand.Rand
 	view       view
 	conditions map[Key]*condition
@@ -54,11 +55,18 @@
 	longestLeft map[string]time.Duration
 }
 
-// New returns a placer for the VM at the topology's availability zone; random draws samples, jitter
-// and retry-after times.
-func New(t Topology, random *rand.Rand) *Placer {
+// Values of spread, the range of costs within which a placer draws one of several endpoints.
+const (
+	// SpreadAlone makes VMs that know the same counts choose different endpoints; without it they would all choose one.
+	SpreadAlone = 15 * time.Millisecond
+	// SpreadExact only draws among endpoints of equal cost.
+	SpreadExact = 100 * time.Microsecond
+)
+
+// New returns a placer for the VM at the topology's availability zone; random draws costs within spread, and retry-after times.
+func New(t Topology, spread time.Duration, random *rand.Rand) *Placer {
 	return &Placer{
-		topology: t, random: random, view: newView(), conditions: map[Key]*condition{},
+		topology: t, spread: spread, random: random, view: newView(), conditions: map[Key]*condition{},
 		longestLeft: map[string]time.Duration{},
 	}
 }
@@ -229,7 +237,7 @@
 		cost += suspectCost
 	}
 	return candidate{
-		send: s, cost: cost + time.Duration(p.random.Int64N(int64(jitter))),
+		send: s, cost: cost + time.Duration(p.random.Int64N(int64(p.spread))),
 		isNearAndFree: !isSuspect && load.sum() < e.Slots && t.To(e.AvailabilityZone) != OtherRegion,
 	}
 }
@@ -246,8 +254,6 @@
 	// maxCrowdingCost is the wait expected at an endpoint whose last free slot another VM may have taken since its last report:
 	// about the time until a slot there becomes free.
 	maxCrowdingCost = 60 * time.Millisecond
-	// jitter makes VMs with the same counts choose different endpoints of similar cost; without it they would all choose one.
-	jitter = 15 * time.Millisecond
 )
 
 // crowdingCost returns the wait to expect at an endpoint with free slots. It grows with the square of the share of taken
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -137,7 +137,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.balancer.SetPending(nil)
+	r.balancer.SetWaiting(nil)
 	r.manager.HandOver(r.ctx, running)
 }
 
@@ -309,7 +309,7 @@
 func (r *Runner) startItems(ctx context.Context, now time.Time) {
 	r.planItems(now)
 	reg := r.registry()
-	pending := map[string]balancer.Pending{}
+	waiting := map[string][]time.Time{}
 	for _, t := range r.waiting(now) {
 		route, ok := reg.Config.Match(t.job.host, t.item.Path)
 		if !ok || route.Kind != registrar.KindBatch {
@@ -317,20 +317,16 @@
 			continue
 		}
 		service := route.ServiceFor(t.item.ID)
-		if pending[service].Items == 0 && r.startItem(ctx, now, t, route, service) {
+		if len(waiting[service]) == 0 && r.startItem(ctx, now, t, route, service) {
 			continue
 		}
-		p := pending[service]
-		if p.Items == 0 {
-			p.Due = t.job.due
-			if t.isLate {
-				p.Due = now.Add(lateUrgency)
-			}
+		due := t.job.due
+		if t.isLate {
+			due = now.Add(lateUrgency)
 		}
-		p.Items++
-		pending[service] = p
+		waiting[service] = append(waiting[service], due)
 	}
-	r.balancer.SetPending(pending)
+	r.balancer.SetWaiting(waiting)
 }
 
 // startItem starts the item in a slot that was offered to the service's items; false if there is none. The lock is held.
