--- a/pkg/balancer/message_test.go
+++ b/pkg/balancer/message_test.go
@@ -16,7 +16,8 @@
 	return assigner.Reported{
 		VM: "v1", AvailabilityZone: "a", Incarnation: 7, Sequence: 3, Acknowledged: 5,
 		Report: placer.Report{
-			VM: "v1", Waiting: []time.Duration{time.Second, 1500 * time.Millisecond}, Loads: map[placer.Key]placer.Load{9: {Online: 3, Batch: 4}},
+			VM: "v1", Waiting: []time.Duration{time.Second, 1500 * time.Millisecond},
+			Loads:  map[placer.Key]placer.Load{9: {Online: 3, Batch: 4}},
 			Faults: map[placer.Key]float64{9: 1.5}, Slow: []placer.Key{8},
 		},
 		Observations: []placer.Observation{{Key: 9, FirstByte: 30 * time.Millisecond, HasFailed: true}},
--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -53,11 +53,12 @@
 	isOffer bool
 }
 
-// New returns an assigner without endpoints; regions holds the region of each availability zone. The first order has a number higher than firstOrder.
+// New returns an assigner without endpoints; regions holds the region of each availability zone. The first order has a number
+// higher than firstOrder.
 func New(regions map[string]string, random *rand.Rand, firstOrder uint64) *Assigner {
 	return &Assigner{
-		placer: placer.New(placer.Topology{Regions: regions}, placer.SpreadExact, random), regions: regions, vms: map[string]*vm{}, lastOrder: firstOrder,
-		ids: map[placer.Key]string{},
+		placer:  placer.New(placer.Topology{Regions: regions}, placer.SpreadExact, random),
+		regions: regions, vms: map[string]*vm{}, ids: map[placer.Key]string{}, lastOrder: firstOrder,
 	}
 }
 
