Orders of former assigners and repeated orders are ignored; engines are polled for 10 s after a VM's start

Cause: around a hand-over of a group two VMs may act as its assigner for a moment, and a VM carried out the offers and preemptions of both; a repeated offer started a second item. After a loss of all VMs, engines still run requests that no VM knows, so that slots looked free. VMs that host no assigner woke 50 times a second for nothing. Change: offers and preemptions count only from the VM that this one reports to, and with a number above the last; the prober also polls in the first 10 s of a process; a VM wakes its assigners only while they are in use. Result: TestOrdersOfAFormerAssignerAreIgnored (fails without the check: 2 offers, then a preemption by the wrong VM).

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -56,7 +56,8 @@
 	// preempt is the number of batch items to stop at each endpoint.
 	preempt map[placer.Key]int
 
-	// changed signals the reporter that counts changed, slotsChanged the item runner that a slot was offered or has to be freed.
+	// hosting signals that a VM uses an assigner of this VM, changed the reporter that counts changed, slotsChanged the item runner that a slot was offered or has to be freed.
+	hosting      chan struct{}
 	changed      chan struct{}
 	slotsChanged chan struct{}
 
@@ -78,7 +79,7 @@
 		nearTimeout: nearReplyTimeout, farTimeout: farReplyTimeout,
 		groups: map[string][]*group{}, byGroup: map[assigner.GroupKey]*group{}, byEndpoint: map[placer.Key]*group{},
 		asks: map[uint64]*ask{}, waiting: map[string][]time.Time{}, offers: map[string][]offer{}, preempt: map[placer.Key]int{},
-		changed: make(chan struct{}, 1), slotsChanged: make(chan struct{}, 1),
+		hosting: make(chan struct{}, 1), changed: make(chan struct{}, 1), slotsChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 )
@@ -202,6 +203,30 @@
 	require.Eventually(t, func() bool { return !hasOffer() && len(b.ownCounts()) == 0 }, 5*time.Second, time.Millisecond)
 }
 
+// TestOrdersOfAFormerAssignerAreIgnored gives orders of a VM that no longer assigns the group, and one order twice: around a
+// hand-over, no item starts or stops twice.
+func TestOrdersOfAFormerAssignerAreIgnored(t *testing.T) {
+	f, reg := newTestFleet(t, 3, 1)
+	b, e := f.balancers["v2"], reg.Endpoints["e0"]
+	b.SetWaiting(map[string][]time.Time{"llm": make([]time.Time, 4)})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	g := b.byEndpoint[placer.KeyOf(e.ID)]
+	g.target, g.acknowledged = "v0", 5
+	b.receive(now, g, "v1", assigner.BatchOffered{VM: "v2", Order: 9, Endpoint: e})
+	assert.Empty(t, b.offers["llm"])
+	for range 2 {
+		b.receive(now, g, "v0", assigner.BatchOffered{VM: "v2", Order: 6, Endpoint: e})
+	}
+	assert.Len(t, b.offers["llm"], 1)
+	b.receive(now, g, "v1", assigner.PreemptionOrdered{VM: "v2", Order: 9, Key: placer.KeyOf(e.ID), Items: 1})
+	assert.Len(t, b.offers["llm"], 1)
+	b.receive(now, g, "v0", assigner.PreemptionOrdered{VM: "v2", Order: 7, Key: placer.KeyOf(e.ID), Items: 1})
+	assert.Empty(t, b.offers["llm"])
+	assert.Equal(t, int64(3), b.Counters.Ignored.Load())
+}
+
 func (b *Balancer) ownCounts() map[placer.Key]placer.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/balancer/message.go
+++ b/pkg/balancer/message.go
@@ -110,10 +110,10 @@
 type orderMessage struct {
 	_ struct{} `cbor:",toarray"`
 
-	Kind   uint8
-	Order  uint64
-	Number uint64
-	Key    uint64
+	Kind     uint8
+	Order    uint64
+	Question uint64
+	Key      uint64
 	// Items is the number of batch items to stop.
 	Items           uint16
 	Online, Batch   uint16
@@ -205,7 +205,7 @@
 func orderOf(out assigner.Output) orderMessage {
 	switch out := out.(type) {
 	case assigner.Placed:
-		m := orderMessage{Order: out.Order, Number: out.Number}
+		m := orderMessage{Order: out.Order, Question: out.Question}
 		switch d := out.Decision.(type) {
 		case placer.Send:
 			m.Kind, m.Key = kindSend, uint64(placer.KeyOf(d.Endpoint.ID))
@@ -229,13 +229,13 @@
 	e, isKnown := endpoints[placer.Key(m.Key)]
 	switch {
 	case m.Kind == kindRefuse:
-		return assigner.Placed{VM: vm, Number: m.Number, Decision: placer.Refuse{
+		return assigner.Placed{VM: vm, Question: m.Question, Decision: placer.Refuse{
 			Reason: m.Reason, RetryAfter: duration(m.RetryAfterMs), Estimate: duration(m.EstimateMs),
 		}}, true
 	case !isKnown:
 		return nil, false
 	case m.Kind == kindSend:
-		return assigner.Placed{VM: vm, Number: m.Number, Order: m.Order, Decision: placer.Send{
+		return assigner.Placed{VM: vm, Question: m.Question, Order: m.Order, Decision: placer.Send{
 			Endpoint: e, Load: placer.Load{Online: int(m.Online), Batch: int(m.Batch)}, Estimate: duration(m.EstimateMs),
 			NeedsPreemption: m.NeedsPreemption,
 		}}, true
--- a/pkg/balancer/message_test.go
+++ b/pkg/balancer/message_test.go
@@ -50,10 +50,10 @@
 	e := registrar.Endpoint{ID: "e", Slots: 8}
 	k := placer.KeyOf("e")
 	outputs := []assigner.Output{
-		assigner.Placed{VM: "v1", Number: 4, Order: 6, Decision: placer.Send{
+		assigner.Placed{VM: "v1", Question: 4, Order: 6, Decision: placer.Send{
 			Endpoint: e, Load: placer.Load{Online: 2, Batch: 1}, Estimate: 70 * time.Millisecond, NeedsPreemption: true,
 		}},
-		assigner.Placed{VM: "v1", Number: 5, Decision: placer.Refuse{Reason: "full", RetryAfter: time.Second}},
+		assigner.Placed{VM: "v1", Question: 5, Decision: placer.Refuse{Reason: "full", RetryAfter: time.Second}},
 		assigner.BatchOffered{VM: "v1", Order: 7, Endpoint: e},
 		assigner.PreemptionOrdered{VM: "v1", Order: 8, Key: k, Items: 2},
 	}
--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -219,11 +219,11 @@
 // receivePlacement gives the reply to the request that waits for it. The request is counted here, before the reply is
 // acknowledged, so that no report leaves it out. The lock is held.
 func (b *Balancer) receivePlacement(now time.Time, from string, in assigner.Placed) {
-	q, ok := b.asks[in.Number]
+	q, ok := b.asks[in.Question]
 	if !ok {
 		return
 	}
-	delete(b.asks, in.Number)
+	delete(b.asks, in.Question)
 	q.group.recordReply(now, from, true)
 	p := placement{decision: in.Decision}
 	if s, isSend := in.Decision.(placer.Send); isSend {
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -33,6 +33,8 @@
 type Counters struct {
 	// Reports and Orders are messages sent; Unanswered counts questions without a reply, Alone requests placed without one.
 	Reports, Orders, Unanswered, Alone atomic.Int64
+	// Ignored counts repeated orders and those of former assigners.
+	Ignored atomic.Int64
 	// Malformed counts received messages that can't be decoded or are about unknown groups.
 	Malformed atomic.Int64
 }
@@ -140,16 +142,34 @@
 	return r
 }
 
+// runHost wakes the assigners that this VM hosts, while VMs use any of them.
 func (b *Balancer) runHost(ctx context.Context) {
-	sleeper.Every(ctx, hostInterval, func(now time.Time) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		for _, g := range b.byGroup {
-			if g.host != nil && !g.host.IsIdle() {
-				b.handle(now, g, assigner.Woken{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.hosting:
+		}
+		for b.wakeHosts(time.Now()) {
+			if !sleeper.Sleep(ctx, hostInterval) {
+				return
 			}
 		}
-	})
+	}
+}
+
+// wakeHosts wakes the assigners that are in use and reports whether there is one.
+func (b *Balancer) wakeHosts(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	isInUse := false
+	for _, g := range b.byGroup {
+		if g.host != nil && !g.host.IsIdle() {
+			isInUse = true
+			b.handle(now, g, assigner.Woken{})
+		}
+	}
+	return isInUse
 }
 
 // handle passes an input to the group's assigner on this VM and carries out what it requests; the lock is held.
@@ -158,9 +178,10 @@
 		g.host = assigner.New(b.cfg.Topology.Regions, b.random, uint64(now.UnixMicro()))
 		g.host.Handle(now, assigner.Configured{Endpoints: g.Endpoints})
 	}
+	notify(b.hosting)
 	byVM := map[string][]assigner.Output{}
 	for _, out := range g.host.Handle(now, in) {
-		vm := recipient(out)
+		vm := out.Recipient()
 		if vm == b.cfg.VM {
 			b.receive(now, g, vm, out)
 			continue
@@ -184,27 +205,20 @@
 	b.network.Send(vm, payload)
 }
 
-func recipient(out assigner.Output) string {
-	switch out := out.(type) {
-	case assigner.Placed:
-		return out.VM
-	case assigner.BatchOffered:
-		return out.VM
-	case assigner.PreemptionOrdered:
-		return out.VM
-	}
-	return ""
-}
-
 // receive carries out an order of the group's assigner; the lock is held.
+//
+// Offers and preemptions of a VM that this VM does not report to are ignored, as are repeated ones: a former assigner, whose counts
+// no longer include this VM's, may act on for a while. A reply is carried out if its question still waits.
 func (b *Balancer) receive(now time.Time, g *group, from string, out assigner.Output) {
-	number := uint64(0)
+	number := out.Number()
+	if _, isReply := out.(assigner.Placed); !isReply && (from != g.target || number <= g.acknowledged) {
+		b.Counters.Ignored.Add(1)
+		return
+	}
 	switch out := out.(type) {
 	case assigner.Placed:
-		number = out.Order
 		b.receivePlacement(now, from, out)
 	case assigner.BatchOffered:
-		number = out.Order
 		if len(b.offers[g.Service]) >= len(b.waiting[g.Service]) {
 			// Another group was faster. The next report declines the offer: it acknowledges the order without a request.
 			break
@@ -213,7 +227,6 @@
 		b.offers[g.Service] = append(b.offers[g.Service], offer{endpoint: out.Endpoint, ticket: t, at: now})
 		notify(b.slotsChanged)
 	case assigner.PreemptionOrdered:
-		number = out.Order
 		b.receivePreemption(now, g, out)
 	}
 	if from == g.target && number > g.acknowledged {
--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -191,10 +191,10 @@
 	d := a.placer.Place(now, r)
 	s, ok := d.(placer.Send)
 	if !ok {
-		return []Output{Placed{VM: in.VM, Number: in.Number, Decision: d}}
+		return []Output{Placed{VM: in.VM, Question: in.Number, Decision: d}}
 	}
 	number := a.give(now, in.VM, order{key: placer.KeyOf(s.Endpoint.ID), change: placer.Load{Online: 1}})
-	return []Output{Placed{VM: in.VM, Number: in.Number, Order: number, Decision: s}}
+	return []Output{Placed{VM: in.VM, Question: in.Number, Order: number, Decision: s}}
 }
 
 // balance orders preemptions where online requests need slots, and then offers free slots to batch items.
--- a/pkg/core/assigner/input.go
+++ b/pkg/core/assigner/input.go
@@ -51,12 +51,17 @@
 func (Woken) isInput()      {}
 
 // Output is an order or a reply to one VM.
-type Output interface{ isOutput() }
+type Output interface {
+	// Recipient returns the VM to which the output is sent.
+	Recipient() string
+	// Number returns the number of the order; zero if a reply orders nothing.
+	Number() uint64
+}
 
-// Placed replies to an Asked. The number of its order is zero if the decision is a refusal.
+// Placed replies to the Asked with the number Question. Its Order is zero if the decision is a refusal.
 type Placed struct {
 	VM       string
-	Number   uint64
+	Question uint64
 	Order    uint64
 	Decision placer.Decision
 }
@@ -76,9 +81,23 @@
 	Items int
 }
 
-func (Placed) isOutput()            {}
-func (BatchOffered) isOutput()      {}
-func (PreemptionOrdered) isOutput() {}
+// Recipient implements Output.
+func (o Placed) Recipient() string { return o.VM }
+
+// Recipient implements Output.
+func (o BatchOffered) Recipient() string { return o.VM }
+
+// Recipient implements Output.
+func (o PreemptionOrdered) Recipient() string { return o.VM }
+
+// Number implements Output.
+func (o Placed) Number() uint64 { return o.Order }
+
+// Number implements Output.
+func (o BatchOffered) Number() uint64 { return o.Order }
+
+// Number implements Output.
+func (o PreemptionOrdered) Number() uint64 { return o.Order }
 
 // OfferTime is how long a VM may use an offer or the reply to a question: several round trips between regions. After
 // that, the assigner no longer counts it, unless a report of the VM does.
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -22,6 +22,9 @@
 	pollInterval   = 400 * time.Millisecond
 	pollTimeout    = 500 * time.Millisecond
 	maxReportBytes = 64 << 10
+	// startupWindow is how long a VM polls after its start. When all VMs have lost power at once, engines still run their requests,
+	// which no VM knows, and a stalled reader keeps a slot for seconds.
+	startupWindow = 10 * time.Second
 )
 
 // Members provides the state of the VMs.
@@ -49,6 +52,7 @@
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
 	log      logrus.FieldLogger
+	started  time.Time
 }
 
 // New returns a prober that is not started.
@@ -59,12 +63,15 @@
 	return &Prober{vm: vm, protocol: p, registry: registry, members: m, balancer: b, pool: pool, log: log}
 }
 
-// Start polls the engines at intervals, while a VM is silent, until ctx ends.
-func (p *Prober) Start(ctx context.Context) { go p.run(ctx) }
+// Start polls the engines at intervals until ctx ends: for startupWindow, and while a VM is silent.
+func (p *Prober) Start(ctx context.Context) {
+	p.started = time.Now()
+	go p.run(ctx)
+}
 
 func (p *Prober) run(ctx context.Context) {
 	sleeper.Every(ctx, pollInterval, func(time.Time) {
-		if p.members.HasSilentVM() {
+		if p.members.HasSilentVM() || time.Since(p.started) < startupWindow {
 			p.pollEngines(ctx)
 		}
 	})
