--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -56,7 +56,8 @@
 	// preempt is the number of batch items to stop at each endpoint.
 	preempt map[placer.Key]int
 
-	// hosting signals that a VM uses an assigner of this VM, changed the reporter that counts changed, slotsChanged the item runner that a slot was offered or has to be freed.
+	// hosting signals that VMs use an assigner of this VM, changed that counts changed, slotsChanged that a slot was offered to a
+	// batch item or has to be freed.
 	hosting      chan struct{}
 	changed      chan struct{}
 	slotsChanged chan struct{}
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -207,8 +207,8 @@
 
 // receive carries out an order of the group's assigner; the lock is held.
 //
-// Offers and preemptions of a VM that this VM does not report to are ignored, as are repeated ones: a former assigner, whose counts
-// no longer include this VM's, may act on for a while. A reply is carried out if its question still waits.
+// Offers and preemptions of a VM that this VM does not report to are ignored, as are repeated ones: a former assigner may act on
+// for a while, without this VM's counts. A reply is carried out if its question still waits.
 func (b *Balancer) receive(now time.Time, g *group, from string, out assigner.Output) {
 	number := out.Number()
 	if _, isReply := out.(assigner.Placed); !isReply && (from != g.target || number <= g.acknowledged) {
