--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -73,6 +73,7 @@
 	JobManager *jobmanager.Manager
 	ItemRunner *itemrunner.Runner
 	Listener   *listener.Listener
+	Meter      *tracer.Meter
 }
 
 // NewGateway returns the daemon for the users' platform with these settings, not yet started.
@@ -216,6 +217,9 @@
 		Payload:         g.Balancer.Receive,
 		EndpointLeaving: func(key string) { g.Watcher.MarkLeaving(key) },
 	})
+	if err := g.countMessages(); err != nil {
+		return err
+	}
 	g.Watcher.Start(g.ctx)
 	g.Balancer.Start(g.ctx)
 	if err := g.Gossiper.Start(g.ctx); err != nil {
@@ -239,6 +243,30 @@
 	return nil
 }
 
+// countMessages exports the counters of the messages between VMs.
+func (g *gateway) countMessages() error {
+	b, m := &g.Balancer.Counters, &g.Gossiper.Counters
+	for _, c := range []struct {
+		name, description string
+		counter           *atomic.Int64
+	}{
+		{"assigner_reports", "reports sent to assigners, with and without a question", &b.Reports},
+		{"assigner_orders", "messages with orders and replies sent by the assigners of this VM", &b.Orders},
+		{"assigner_unanswered", "questions to assigners without a reply in time", &b.Unanswered},
+		{"assigner_alone", "online requests placed without an assigner's reply", &b.Alone},
+		{"assigner_ignored", "orders ignored: repeated, or of a former assigner", &b.Ignored},
+		{"assigner_malformed", "messages that can't be decoded or are about unknown groups", &b.Malformed},
+		{"datagrams_sent", "datagrams sent to other VMs", &m.Sent},
+		{"datagrams_received", "datagrams received from other VMs", &m.Received},
+		{"datagrams_malformed", "datagrams dropped because they can't be decoded", &m.Malformed},
+	} {
+		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stop shuts the daemon down gracefully: it hands batch jobs over to other VMs and completes requests that have begun, until
 // shortly before the grace period ends.
 func (g *gateway) stop(context.Context) error {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -216,7 +216,10 @@
 		for _, def := range assigner.GroupsOf(service, r.EndpointsOf(service), b.cfg.Topology.Regions) {
 			g, ok := old[def.Key()]
 			if !ok {
+				// Batch items may wait for it already, and their number need not change again.
 				g = newGroup()
+				g.isDirty = true
+				notify(b.changed)
 			}
 			g.define(def)
 			if g.host != nil {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -227,6 +227,22 @@
 	assert.Equal(t, int64(3), b.Counters.Ignored.Load())
 }
 
+// TestItemsWaitForAGroupThatAppearsLater sets waiting items before any endpoint is known: once the endpoints are, the items get
+// offers, although their number does not change again.
+func TestItemsWaitForAGroupThatAppearsLater(t *testing.T) {
+	f, reg := newTestFleet(t, 2, 1)
+	b := f.balancers["v1"]
+	b.Configure(registrar.NewRegistry(&registrar.Config{}, nil))
+	b.SetWaiting(map[string][]time.Time{"llm": make([]time.Time, 1)})
+	// The reporter has handled the change.
+	time.Sleep(10 * minReportGap)
+	b.Configure(reg)
+	require.Eventually(t, func() bool {
+		_, _, ok := b.TakeOffer("llm")
+		return ok
+	}, 5*time.Second, time.Millisecond)
+}
+
 func (b *Balancer) ownCounts() map[placer.Key]placer.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
@@ -77,11 +79,15 @@
 
 // targetOf returns the VM that assigns the group; the lock is held.
 func (b *Balancer) targetOf(now time.Time, g *group) string {
+	former := g.target
 	target, isNew := g.chooseTarget(now, b.network.Rank(g.Name, g.Region))
 	if target == "" {
 		target = b.cfg.VM
 		g.target = target
 	}
+	if isNew && former != "" {
+		b.log.WithFields(logrus.Fields{"group": g.Name, "from": former, "to": target}).Info("assigner of the group changed")
+	}
 	if isNew {
 		g.isDirty = true
 		notify(b.changed)
