--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// IsIdle reports whether no VM has requests at the group's endpoints or batch items that wait for them.
+// IsIdle reports whether no VM has reported lately, so that the assigner need not be woken.
 func (a *Assigner) IsIdle() bool { return len(a.vms) == 0 }
 
 // Handle processes one input and returns the orders and replies to send.
--- a/pkg/core/hasher/hasher.go
+++ b/pkg/core/hasher/hasher.go
@@ -42,3 +42,12 @@
 	}
 	return best
 }
+
+// Pick returns one of the sorted ids for key, at the cost of one hash whatever their number; the empty string if there are none.
+// Most keys move when the ids change, so it suits work that keeps no state.
+func Pick(key string, sorted []string) string {
+	if len(sorted) == 0 {
+		return ""
+	}
+	return sorted[xxhash.Sum64String(key)%uint64(len(sorted))]
+}
--- a/pkg/dialer/endless_test.go
+++ b/pkg/dialer/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -64,3 +65,27 @@
 		})
 	}
 }
+
+// TestDrainGivesUpOnASlowRest reads the rest of a refusal whose body never ends: the caller gets its answer at once, and the
+// connection is not kept.
+func TestDrainGivesUpOnASlowRest(t *testing.T) {
+	addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		if _, err := readHead(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\nContent-Length: 100\r\n\r\nx")
+		_, _ = io.Copy(io.Discard, br)
+	})
+	p := NewPool(atMost(4))
+	conn, err := p.Get(t.Context(), "e", addr)
+	require.NoError(t, err)
+	x, err := p.Do(t.Context(), conn, Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"a"}}, IDHeader: "X-Id", ID: "a",
+	})
+	require.NoError(t, err)
+	start := time.Now()
+	x.Drain()
+	x.Close()
+	assert.Less(t, time.Since(start), 2*time.Second)
+	assert.Empty(t, p.idle)
+}
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
@@ -77,15 +79,20 @@
 	})
 }
 
-// pollEngines polls all engines that gossiper.Assign assigns to this VM, concurrently.
+// pollEngines polls all engines that hasher.Pick assigns to this VM, concurrently.
 func (p *Prober) pollEngines(ctx context.Context) {
 	live := p.members.LiveVMs()
+	names := make([]string, 0, len(live))
+	for _, vm := range live {
+		names = append(names, vm.Name)
+	}
+	slices.Sort(names)
 	reg := p.registry()
 	for _, e := range reg.Endpoints {
 		if reg.Config == nil || !reg.Config.Services[e.Service].IsEngine || e.IsDraining {
 			continue
 		}
-		if vm, ok := gossiper.Assign("engine "+e.ID, live); ok && vm.Name == p.vm {
+		if hasher.Pick(e.ID, names) == p.vm {
 			go p.runPoll(ctx, e)
 		}
 	}
--- a/pkg/relayer/events_test.go
+++ b/pkg/relayer/events_test.go
@@ -49,3 +49,13 @@
 		assert.True(t, bytes.HasPrefix(b, all), "the events joined are a prefix of the stream")
 	})
 }
+
+// TestCommentsAreNoProgress checks that what only keeps a connection open does not count as an event of the work.
+func TestCommentsAreNoProgress(t *testing.T) {
+	r := NewEventReader(strings.NewReader(": still here\n\n\nid: 0\n\ndata: a\n\n"))
+	for _, want := range []bool{false, false, true, true} {
+		e, err := r.Next()
+		require.NoError(t, err)
+		assert.Equal(t, want, e.IsProgress(), "%q", e.Raw)
+	}
+}
