--- a/pkg/balancer/message.go
+++ b/pkg/balancer/message.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -164,8 +166,12 @@
 	return m.encode()
 }
 
-// encode leaves out what a report can do without, in the order of what is missed least, until the message fits a packet.
+// encode leaves out what a report can do without, in the order of what is missed least, until the message fits a packet; of the
+// loads, those of the endpoints with the fewest requests.
 func (m reportMessage) encode() ([]byte, error) {
+	slices.SortFunc(m.Loads, func(a, b loadMessage) int {
+		return cmp.Compare(int(b.Online)+int(b.Batch), int(a.Online)+int(a.Batch))
+	})
 	for {
 		b, err := cbor.Marshal(m)
 		if err != nil {
--- a/pkg/balancer/message_test.go
+++ b/pkg/balancer/message_test.go
@@ -120,3 +120,20 @@
 		}
 	})
 }
+
+// TestReportOfManyEndpointsKeepsTheBusiest encodes more endpoints than fit a packet: those with the fewest requests are left out.
+func TestReportOfManyEndpointsKeepsTheBusiest(t *testing.T) {
+	in := sampleReport()
+	for i := range 600 {
+		in.Report.Loads[placer.Key(uint64(1<<63)+uint64(i))] = placer.Load{Online: 10 + i}
+	}
+	b, err := encodeReport(11, in, nil)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(b), maxMessageBytes+1)
+	m, err := decode(b)
+	require.NoError(t, err)
+	loads := m.(reportMessage).Loads
+	require.NotEmpty(t, loads)
+	assert.Equal(t, uint16(609), loads[0].Online)
+	assert.Equal(t, uint16(610-len(loads)), loads[len(loads)-1].Online)
+}
