listener: log requests that arrive while the VM leaves

The record of the incident can't tell whether a late request came on a new connection (the load balancer) or on a kept one (the caller), nor how long ago the VM had begun to leave.

--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -48,18 +48,19 @@
 
 // Listener owns the VM's servers for callers, readiness checks and metrics.
 type Listener struct {
-	cfg       Config
-	registry  func() *registrar.Registry
-	relayer   *relayer.Relayer
-	jobs      Jobs
-	metrics   http.Handler
-	log       logrus.FieldLogger
-	servers   []*http.Server
-	callers   *http.Server
-	idle      idleConns
-	stopIdle  context.CancelFunc
-	isLeaving atomic.Bool
-	inFlight  atomic.Int64
+	cfg      Config
+	registry func() *registrar.Registry
+	relayer  *relayer.Relayer
+	jobs     Jobs
+	metrics  http.Handler
+	log      logrus.FieldLogger
+	servers  []*http.Server
+	callers  *http.Server
+	idle     idleConns
+	stopIdle context.CancelFunc
+	// leftAt is when Leave was called; nil before.
+	leftAt   atomic.Pointer[time.Time]
+	inFlight atomic.Int64
 }
 
 // New returns a listener that is not started.
@@ -77,7 +78,7 @@
 func (l *Listener) Start() error {
 	l.callers = &http.Server{
 		Handler: http.HandlerFunc(l.serveCaller), IdleTimeout: defaultIdleTimeout, ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: l.idle.track,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: l.idle.track, ConnContext: withRequestCount,
 	}
 	listen := net.ListenConfig{}
 	ready := http.NewServeMux()
@@ -126,7 +127,8 @@
 
 // Leave fails readiness checks from now on, and has each caller's connection closed after its next answer.
 func (l *Listener) Leave() {
-	l.isLeaving.Store(true)
+	now := time.Now()
+	l.leftAt.Store(&now)
 }
 
 // InFlight returns the number of callers' requests in flight.
@@ -143,7 +145,7 @@
 }
 
 func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if l.isLeaving.Load() || !l.registry().IsReady() || !l.cfg.HasPeers() {
+	if l.leftAt.Load() != nil || !l.registry().IsReady() || !l.cfg.HasPeers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -157,8 +159,10 @@
 func (l *Listener) serveCaller(w http.ResponseWriter, r *http.Request) {
 	l.inFlight.Add(1)
 	defer l.inFlight.Add(-1)
-	if l.isLeaving.Load() {
+	n := countRequest(r)
+	if leftAt := l.leftAt.Load(); leftAt != nil {
 		w.Header().Set("Connection", "close")
+		l.relayer.LogWhileLeaving(r, time.Since(*leftAt), n)
 	}
 	reg := l.registry()
 	if !reg.IsReady() {
@@ -190,6 +194,23 @@
 	l.relayer.Serve(w, r, route)
 }
 
+// requestCount is the key of a connection's context for the number of its requests.
+type requestCount struct{}
+
+// withRequestCount is the server's ConnContext hook; it adds a counter of the connection's requests.
+func withRequestCount(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, requestCount{}, new(atomic.Int64))
+}
+
+// countRequest counts the request on its connection and returns the connection's number of requests so far.
+func countRequest(r *http.Request) int64 {
+	n, ok := r.Context().Value(requestCount{}).(*atomic.Int64)
+	if !ok {
+		return 1
+	}
+	return n.Add(1)
+}
+
 // headerBytes returns the approximate size of the request line and headers as sent.
 func headerBytes(r *http.Request) int {
 	n := len(r.RequestURI) + len(r.Host)
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -136,3 +136,34 @@
 	_, err = br.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// TestRequestsReceivedWhileLeavingAreLogged checks that the log tells requests on kept connections from those on new ones, and
+// how long ago the VM began to leave.
+func TestRequestsReceivedWhileLeavingAreLogged(t *testing.T) {
+	l, hook := newTestListener(t, &registrar.Config{})
+	require.NoError(t, l.Start())
+	defer l.Stop(context.Background())
+	ask := func(client *http.Client) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.cfg.Callers.String()+"/none", nil)
+		require.NoError(t, err)
+		r.Header.Set("X-Id", "r1")
+		res, err := client.Do(r)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		require.NoError(t, res.Body.Close())
+	}
+	keeping := &http.Client{Transport: &http.Transport{}}
+	ask(keeping)
+	l.Leave()
+	ask(keeping)
+	ask(&http.Client{Transport: &http.Transport{}})
+	var seen []any
+	for _, e := range hook.AllEntries() {
+		if e.Message == "request received while leaving" {
+			assert.Equal(t, "r1", e.Data["request"])
+			assert.Less(t, e.Data["leavingFor"], int64(5000))
+			seen = append(seen, e.Data["onConnection"])
+		}
+	}
+	assert.Equal(t, []any{int64(2), int64(1)}, seen)
+}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -126,6 +126,13 @@
 	WriteError(w, status, detail)
 }
 
+// LogWhileLeaving logs a request that arrived after the VM began to leave; n is the number of requests on its connection so far.
+func (l *Relayer) LogWhileLeaving(r *http.Request, leavingFor time.Duration, n int64) {
+	l.log.WithFields(logrus.Fields{
+		"request": r.Header.Get(l.headers.RequestID), "path": r.URL.Path, "leavingFor": ms(leavingFor), "onConnection": n,
+	}).Info("request received while leaving")
+}
+
 // WriteError answers with an error that comes from this VM and not from an endpoint.
 func WriteError(w http.ResponseWriter, status int, detail string) {
 	h := w.Header()
