--- a/pkg/assembler/gateway_stop_test.go
+++ b/pkg/assembler/gateway_stop_test.go
@@ -1,8 +1,10 @@
 package assembler_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -74,3 +76,50 @@
 	require.NoError(t, f.vms[0].app.Stop(context.Background()))
 	wg.Wait()
 }
+
+// TestPlannedStopAnswersAcceptedConnections sends requests on connections that a VM accepted just before it closed its port at the
+// end of a planned stop: one connection without a request until then, one kept since an earlier request.
+func TestPlannedStopAnswersAcceptedConnections(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	address := strings.TrimPrefix(f.vms[0].base, "http://")
+	ask := func(conn net.Conn, path string) (int, string) {
+		id := newID("end")
+		_, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: "+testHost+"\r\nX-Request-Id: "+id+
+			"\r\nX-Token-Count: 450,250\r\nX-Deadline-Ms: 5000\r\nContent-Length: 6\r\n\r\nprompt")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if !assert.NoError(t, err, "the connection ends without an answer") {
+			return 0, id
+		}
+		defer func() { _ = res.Body.Close() }()
+		_, err = io.ReadAll(res.Body)
+		assert.NoError(t, err)
+		return res.StatusCode, id
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	kept := dial()
+	status, _ := ask(kept, "/draft/1")
+	require.Equal(t, http.StatusOK, status)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.vms[0].app.Stop(context.Background()) }()
+	unused := dial()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp4", address)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, maxWait, time.Millisecond, "the port stays open")
+	for _, conn := range []net.Conn{unused, kept} {
+		status, id := ask(conn, "/draft/1")
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Empty(t, f.runsOf(id), "the request was passed on to an endpoint by a VM that ends")
+	}
+	require.NoError(t, <-stopped)
+}
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -59,7 +59,9 @@
 	log      logrus.FieldLogger
 	servers  []*http.Server
 	callers  *http.Server
-	idle     idleConns
+	// port accepts callers' connections.
+	port     net.Listener
+	conns    openConns
 	stopIdle context.CancelFunc
 	// drain is the planned stop that Leave was called with; nil before.
 	drain atomic.Pointer[drainer.Drain]
@@ -75,7 +77,7 @@
 ) *Listener {
 	return &Listener{
 		cfg: cfg, registry: registry, relayer: rl, jobs: jobs, metrics: metrics, log: log,
-		idle: idleConns{since: map[net.Conn]time.Time{}}, stopIdle: func() {},
+		conns: openConns{idleSince: map[net.Conn]time.Time{}}, stopIdle: func() {},
 	}
 }
 
@@ -83,7 +85,7 @@
 func (l *Listener) Start() error {
 	l.callers = &http.Server{
 		Handler: http.HandlerFunc(l.serveCaller), IdleTimeout: defaultIdleTimeout, ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: l.idle.track, ConnContext: withRequestCount,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: l.conns.track, ConnContext: withRequestCount,
 	}
 	listen := net.ListenConfig{}
 	ready := http.NewServeMux()
@@ -103,6 +105,9 @@
 			return errors.Wrapf(err, "listen on %s", s.addr)
 		}
 		l.servers = append(l.servers, s.server)
+		if s.server == l.callers {
+			l.port = socket
+		}
 		go l.runServer(s.server, socket)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -121,11 +126,11 @@
 	if !reg.IsReady() || reg.Config.Limits.IdleTimeout <= 0 {
 		return 0
 	}
-	return l.idle.closeOlder(now, reg.Config.Limits.IdleTimeout)
+	return l.conns.closeOlder(now, reg.Config.Limits.IdleTimeout)
 }
 
 func (l *Listener) runServer(s *http.Server, socket net.Listener) {
-	if err := s.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(socket); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		l.log.WithError(err).Error("HTTP server ended; its port accepts no more connections")
 	}
 }
@@ -143,16 +148,24 @@
 // InFlight returns the number of callers' requests in flight.
 func (l *Listener) InFlight() int64 { return l.inFlight.Load() }
 
-// Stop stops listening and waits for open requests until ctx ends; then it closes their connections.
+// Stop closes the callers' port, answers requests on open connections until ctx ends or none is open, and closes the servers.
+// Call Close before it, so that these requests are refused.
 func (l *Listener) Stop(ctx context.Context) {
 	l.stopIdle()
+	// http.Server.Shutdown would end the connections on which a request arrives from now on without an answer.
+	if l.port != nil {
+		_ = l.port.Close()
+	}
+	for l.conns.open() > 0 && sleeper.Sleep(ctx, stopPoll) {
+	}
 	for _, s := range l.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			_ = s.Close()
-		}
+		_ = s.Close()
 	}
 }
 
+// stopPoll is the time between two checks for open connections at the end of a stop.
+const stopPoll = 5 * time.Millisecond
+
 func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if l.drain.Load() != nil || !l.registry().IsReady() || !l.cfg.HasPeers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -124,9 +124,9 @@
 	require.NoError(t, ask())
 	awaitIdle := func(n int) {
 		require.Eventually(t, func() bool {
-			l.idle.mu.Lock()
-			defer l.idle.mu.Unlock()
-			return len(l.idle.since) == n
+			l.conns.mu.Lock()
+			defer l.conns.mu.Unlock()
+			return len(l.conns.idleSince) == n
 		}, 5*time.Second, time.Millisecond)
 	}
 	awaitIdle(1)
