--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -178,7 +179,8 @@
 
 func (f *testFleet) settings(name string) platform.Settings {
 	n := lastIP.Add(1)
-	ip := netip.AddrFrom4([4]byte{127, 9, byte(n >> 8), byte(n)})
+	// Each test process has addresses of its own, so that several can run at once.
+	ip := netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(n >> 8), byte(n)})
 	return platform.Settings{
 		VM: loader.VMSettings{ID: name, Region: "syd", AvailabilityZone: "syd-a"}, IP: ip,
 		Callers: netip.AddrPortFrom(ip, 18144), Ready: netip.AddrPortFrom(ip, 18140), FirstPort: 17660, LastPort: 17670,
