--- a/pkg/assembler/gateway_stop_test.go
+++ b/pkg/assembler/gateway_stop_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestPlannedStopCutsNoRequestTakenLate keeps callers busy at a VM that stops, so that a request is always in flight: each answer
-// must be complete, or say that the request has not run.
+// TestPlannedStopCutsNoRequestTakenLate keeps callers busy at a VM that stops, so that a request is always in flight: each
+// answer must be complete, or say that the request has not run.
 func TestPlannedStopCutsNoRequestTakenLate(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
@@ -77,8 +77,8 @@
 	wg.Wait()
 }
 
-// TestPlannedStopAnswersAcceptedConnections sends requests on connections that a VM accepted just before it closed its port at the
-// end of a planned stop: one connection without a request until then, one kept since an earlier request.
+// TestPlannedStopAnswersAcceptedConnections sends requests on connections that a VM accepted just before it closed its port at
+// the end of a planned stop: one connection without a request until then, one kept since an earlier request.
 func TestPlannedStopAnswersAcceptedConnections(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
