--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -10,6 +10,16 @@
 	RequestID, Timeout, ExpectInstance, NotExecuted, Signature, LastEventID string
 	// Leaving is set in the answers of an endpoint that is about to stop.
 	Leaving string
+	// SharedParts returns the ids of the parts of a request's prompt that it may share with other requests.
+	SharedParts func(http.Header) []string
+}
+
+// partsOf returns the ids of the shared parts of a request's prompt, if the headers define any.
+func (h Headers) partsOf(r http.Header) []string {
+	if h.SharedParts == nil {
+		return nil
+	}
+	return h.SharedParts(r)
 }
 
 // IsSigned reports whether the answer carries an endpoint's signature header and names the request with the id.
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -456,6 +456,7 @@
 	}
 	if q.cause != nil {
 		fields["cause"] = q.cause.Error()
+		fields["parts"] = q.headers.partsOf(q.r.Header)
 	}
 	q.log.WithFields(fields).Info("request ended")
 }
