--- /dev/null
+++ b/pkg/assembler/gateway_crash_test.go
@@ -0,0 +1,142 @@
+//go:build knownred
+
+package assembler_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
+)
+
+const (
+	callerPart   = "5c1e07a2"
+	crashingPart = "91bd3f06"
+	// timeToReact is the users' stableMs.
+	timeToReact = 4 * time.Second
+)
+
+// crashingFleet is a fleet whose engines crash when they begin to answer a request with the crashing part. Each is back after
+// 300 ms under another id.
+type crashingFleet struct {
+	*testFleet
+
+	mu      sync.Mutex
+	crashes int
+	lastAt  time.Time
+	// fifthAt is when the fifth engine ended.
+	fifthAt time.Time
+	reached atomic.Int64
+	// reachedLate counts the requests with the part that reached an engine later than timeToReact after the fifth crash.
+	reachedLate atomic.Int64
+}
+
+func newCrashingFleet(t *testing.T, vms, engines int) *crashingFleet {
+	f := &crashingFleet{testFleet: newFleet(t, vms)}
+	for _, e := range f.endpoints {
+		if e.Service == "llm" {
+			f.arm(e)
+		}
+	}
+	for n := range engines - 2 {
+		f.arm(f.addEndpoint(fmt.Sprintf("i-llm-%d", n+3), "llm"))
+	}
+	f.awaitEndpoints()
+	return f
+}
+
+// arm makes the engine crash under the crashing part.
+func (f *crashingFleet) arm(e *standin.Endpoint) {
+	e.SetFault(func(_ int, r *http.Request) standin.EndpointFault {
+		if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashingPart) {
+			return standin.NoEndpointFault
+		}
+		f.reached.Add(1)
+		f.mu.Lock()
+		isLate := !f.fifthAt.IsZero() && time.Since(f.fifthAt) > timeToReact
+		f.mu.Unlock()
+		if isLate {
+			f.reachedLate.Add(1)
+		}
+		return standin.Crash
+	})
+	e.OnCrash = func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.crashes++
+		f.lastAt = time.Now()
+		if f.crashes == 5 {
+			f.fifthAt = f.lastAt
+		}
+		next := fmt.Sprintf("%s-%d", e.ID, f.crashes)
+		time.AfterFunc(300*time.Millisecond, func() {
+			f.store.Remove("servers", "", e.ID)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.arm(f.addEndpoint(next, "llm"))
+		})
+	}
+}
+
+// ask sends a request whose prompt has the caller's part, the part given, and one of its own.
+func (f *crashingFleet) ask(vm *testVM, path, part string) answer {
+	id := newID("p")
+	return f.call(f.t.Context(), vm, http.MethodPost, path, id, "prompt", withHeader("X-Token-Count", "450,250"),
+		withHeader("X-Deadline-Ms", "5000"), withHeader("X-Prompt-Prefix", callerPart+":200,"+part+":100,"+id[1:]+":150"))
+}
+
+// TestPromptThatCrashesEndpointsIsNotSentOn sends requests with one part in common that crashes each engine, through all VMs and
+// on routes whose requests may and may not be repeated, beside sound requests of the same caller.
+func TestPromptThatCrashesEndpointsIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 3, 6)
+	var served, sent atomic.Int64
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := n; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+				sent.Add(1)
+				if a := f.ask(f.vms[i%3], "/draft/1", fmt.Sprintf("abc%d", i%7)); a.status == http.StatusOK && a.err == nil {
+					served.Add(1)
+				}
+			}
+		}()
+	}
+	statuses := map[int]int{}
+	for i := range 60 {
+		a := f.ask(f.vms[i%3], []string{"/draft/1", "/note/1"}[i%2], crashingPart)
+		statuses[a.status]++
+		if a.status == http.StatusServiceUnavailable {
+			assert.NotEmpty(t, a.header.Get("Retry-After"))
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	sentBefore, servedBefore := sent.Load(), served.Load()
+	time.Sleep(time.Second)
+	close(stop)
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("reached %d, late %d, crashes %d, statuses %v, sound requests: served %d of %d", f.reached.Load(), f.reachedLate.Load(),
+		f.crashes, statuses, served.Load(), sent.Load())
+	require.GreaterOrEqual(t, f.reached.Load(), int64(2), "no engine crashed")
+	assert.LessOrEqual(t, f.reachedLate.Load(), int64(3), "requests that crash engines still reach them")
+	assert.GreaterOrEqual(t, float64(served.Load()-servedBefore), 0.9*float64(sent.Load()-sentBefore),
+		"sound requests with the same first part are not served")
+}
