isolator: parts of prompts that crash endpoints are kept from further endpoints, on all VMs

Cause: health is kept for each endpoint alone. Nothing connected a crash with what the requests held, so each VM avoided the endpoint that had ended and sent the next such request to a sound one; a resumable one was even sent twice.

Items with such a part wait, and are abandoned once the route allows it.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/itemrunner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
 	"github.com/dogwoodledge/dogwoodledge/pkg/listener"
@@ -71,6 +72,7 @@
 	PeerSyncer *peersyncer.Syncer
 	Prober     *prober.Prober
 	Pool       *dialer.Pool
+	Isolator   *isolator.Isolator
 	JobManager *jobmanager.Manager
 	ItemRunner *itemrunner.Runner
 	Listener   *listener.Listener
@@ -89,7 +91,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newRelayer, newJobManager, newItemRunner, newListener,
+			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newRelayer, newJobManager, newItemRunner,
+			newListener,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -164,10 +167,19 @@
 	return dialer.NewPool(func(endpoint string) int { return w.Current().IdleShare(endpoint, g.VMCount()) })
 }
 
+func newIsolator(t storer.Table, p *dialer.Pool, g *gossiper.Gossiper, log logrus.FieldLogger) *isolator.Isolator {
+	isOnDuty := func(part string) bool {
+		vm, ok := gossiper.Assign(isolator.Table+" "+part, g.LiveVMs())
+		return ok && vm.Incarnation == g.Incarnation()
+	}
+	return isolator.New(t, p, isOnDuty, log)
+}
+
 func newRelayer(
-	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, m *tracer.Meter, log logrus.FieldLogger,
+	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator, m *tracer.Meter,
+	log logrus.FieldLogger,
 ) *relayer.Relayer {
-	return relayer.New(platform.Headers(), w.Current, b, p, leavingNotifier(w, g), m, log)
+	return relayer.New(platform.Headers(), w.Current, b, p, i, leavingNotifier(w, g), m, log)
 }
 
 func newJobManager(
@@ -181,9 +193,9 @@
 
 func newItemRunner(
 	jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
-	m *tracer.Meter, log logrus.FieldLogger,
+	i *isolator.Isolator, m *tracer.Meter, log logrus.FieldLogger,
 ) *itemrunner.Runner {
-	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, leavingNotifier(w, g), m, log)
+	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, leavingNotifier(w, g), m, log)
 }
 
 func newListener(
@@ -218,7 +230,7 @@
 		Payload:         g.Balancer.Receive,
 		EndpointLeaving: func(key string) { g.Watcher.MarkLeaving(key) },
 	})
-	if err := g.countMessages(); err != nil {
+	if err := g.exportCounters(); err != nil {
 		return err
 	}
 	g.Watcher.Start(g.ctx)
@@ -229,6 +241,7 @@
 	if err := g.PeerSyncer.Start(g.ctx); err != nil {
 		return err
 	}
+	g.Isolator.Start(g.ctx)
 	g.Prober.Start(g.ctx)
 	g.JobManager.Start(g.ctx)
 	g.ItemRunner.Start(g.ctx)
@@ -244,9 +257,9 @@
 	return nil
 }
 
-// countMessages exports the counters of the messages between VMs.
-func (g *gateway) countMessages() error {
-	b, m := &g.Balancer.Counters, &g.Gossiper.Counters
+// exportCounters exports the counters of the messages between VMs and of the quarantine.
+func (g *gateway) exportCounters() error {
+	b, m, i := &g.Balancer.Counters, &g.Gossiper.Counters, &g.Isolator.Counters
 	for _, c := range []struct {
 		name, description string
 		counter           *atomic.Int64
@@ -260,6 +273,8 @@
 		{"datagrams_sent", "datagrams sent to other VMs", &m.Sent},
 		{"datagrams_received", "datagrams received from other VMs", &m.Received},
 		{"datagrams_malformed", "datagrams dropped because they can't be decoded", &m.Malformed},
+		{"quarantine_strikes", "endpoints that ended under a request, by part of its prompt", &i.Strikes},
+		{"quarantine_parts", "parts of prompts that were quarantined", &i.Quarantined},
 	} {
 		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
 			return err
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -129,6 +129,7 @@
 	defer stall.Stop()
 	x, err := r.pool.Do(ctx, conn, r.outgoing(t, run))
 	if err != nil {
+		r.recordBreak(ctx, t, run, false)
 		return err
 	}
 	defer x.Close()
@@ -142,9 +143,11 @@
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			r.isolator.Completed(t.parts)
 			return nil
 		}
 		if err != nil {
+			r.recordBreak(ctx, t, run, hasFirstEvent)
 			if ctx.Err() != nil {
 				return context.Cause(ctx)
 			}
@@ -164,6 +167,13 @@
 	}
 }
 
+// recordBreak records that the run broke off at its endpoint, unless this VM ended it.
+func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
+	if ctx.Err() == nil {
+		r.isolator.BrokeOff(run.endpoint, t.parts, hadAnswer)
+	}
+}
+
 // outgoing returns the request for the item; if events are present, it asks the endpoint to resume after the last one.
 func (r *Runner) outgoing(t *task, run *itemRun) dialer.Request {
 	h := t.item.Header.Clone()
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -43,6 +43,7 @@
 	registry func() *registrar.Registry
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
+	isolator relayer.Isolator
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	metrics   Metrics
@@ -60,8 +61,9 @@
 
 // jobState is a job that this VM runs.
 type jobState struct {
-	id  string
-	due time.Time
+	id        string
+	submitted time.Time
+	due       time.Time
 	// host is the Host header of the items' requests.
 	host  string
 	items []jobmanager.Item
@@ -77,6 +79,8 @@
 	job   *jobState
 	index int
 	item  jobmanager.Item
+	// parts holds the ids of the shared parts of the item's prompt.
+	parts []string
 
 	// lastEvent is the id of the last event received, or -1.
 	lastEvent int64
@@ -109,10 +113,10 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
+	i relayer.Isolator, onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
-		headers: h, manager: jm, registry: registry, balancer: b, pool: p, onLeaving: onLeaving, metrics: m, log: log,
+		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, onLeaving: onLeaving, metrics: m, log: log,
 		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(),
 	}
 }
@@ -190,7 +194,10 @@
 	for _, h := range r.manager.Held() {
 		j, ok := r.jobs[h.Job.ID]
 		if !ok {
-			j = &jobState{id: h.Job.ID, due: h.Job.DueTime(), host: h.Job.Host, tasks: map[int]*task{}}
+			j = &jobState{
+				id: h.Job.ID, submitted: time.UnixMilli(h.Job.Submitted), due: h.Job.DueTime(), host: h.Job.Host,
+				tasks: map[int]*task{},
+			}
 			r.jobs[h.Job.ID] = j
 		}
 		if j.items == nil {
@@ -202,12 +209,16 @@
 		}
 		for _, i := range h.Items {
 			if _, ok := j.tasks[i]; !ok && i < len(j.items) {
-				j.tasks[i] = &task{job: j, index: i, item: j.items[i], lastEvent: -1, savedEvent: -1}
+				j.tasks[i] = r.newTask(j, i)
 			}
 		}
 	}
 }
 
+func (r *Runner) newTask(j *jobState, i int) *task {
+	return &task{job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: -1, savedEvent: -1}
+}
+
 // runLoad reads the items of a job and the checkpoints of their outputs.
 func (r *Runner) runLoad(ctx context.Context, j *jobState) {
 	items, err := r.manager.Items(ctx, j.id, true)
@@ -227,10 +238,10 @@
 	j.writer = uuid.NewString()
 	for i, c := range saved {
 		if i < len(items) {
-			j.tasks[i] = &task{
-				job: j, index: i, item: items[i], lastEvent: c.LastEvent, output: c.Output, hasOutput: true,
-				savedBytes: len(c.Output), savedEvent: c.LastEvent,
-			}
+			t := r.newTask(j, i)
+			t.lastEvent, t.output, t.hasOutput = c.LastEvent, c.Output, true
+			t.savedBytes, t.savedEvent = len(c.Output), c.LastEvent
+			j.tasks[i] = t
 		}
 	}
 }
@@ -316,6 +327,10 @@
 			r.abandonIfGone(t, reg)
 			continue
 		}
+		if part, _ := r.isolator.Check(t.parts); part != "" {
+			r.abandonIfOverdue(t, route, part, now)
+			continue
+		}
 		service := route.ServiceFor(t.item.ID)
 		if len(waiting[service]) == 0 && r.startItem(ctx, now, t, route, service) {
 			continue
@@ -408,6 +423,17 @@
 	r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
 }
 
+// abandonIfOverdue abandons an item with a quarantined part once its job is as old as the route allows; until then it waits.
+func (r *Runner) abandonIfOverdue(t *task, route registrar.Route, part string, now time.Time) {
+	if route.AbandonAfter <= 0 || now.Sub(t.job.submitted) < route.AbandonAfter {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"job": t.job.id, "item": t.item.ID, "part": part, "after": route.AbandonAfter.String(),
+	}).Warn("item abandoned: a part of its prompt crashes endpoints")
+	r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
+}
+
 // finish passes the final result of an item to the job manager; the lock is held.
 func (r *Runner) finish(t *task, result jobmanager.Result) {
 	t.isOver = true
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
 )
@@ -46,7 +47,8 @@
 	pool := dialer.NewPool(func(string) int { return 0 })
 	m, err := tracer.NewMeter(nil)
 	require.NoError(t, err)
-	rl := relayer.New(relayer.Headers{RequestID: "X-Id"}, registry, b, pool, func(registrar.Endpoint) {}, m, log)
+	i := isolator.New(nil, pool, nil, log)
+	rl := relayer.New(relayer.Headers{RequestID: "X-Id"}, registry, b, pool, i, func(registrar.Endpoint) {}, m, log)
 	return New(Config{
 		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics",
 		HasPeers: func() bool { return true },
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -27,6 +27,7 @@
 	case err == nil:
 		return q.forwardLargeBody(x, head.Bytes())
 	case !errors.Is(err, io.EOF):
+		q.recordBreak(s.Endpoint, head.Len() > 0)
 		q.cause = errors.Wrap(err, "read answer of endpoint "+s.Endpoint.ID)
 		return q.endUnlessRetryable(q.cause), placer.EndedFailed
 	}
@@ -97,6 +98,7 @@
 			return true, placer.EndedComplete
 		}
 		if err != nil {
+			q.recordBreak(s.Endpoint, hasBegun)
 			return q.endBrokenStream(err, s)
 		}
 		if !hasBegun && e.IsProgress() {
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -14,8 +14,8 @@
 	SharedParts func(http.Header) []string
 }
 
-// partsOf returns the ids of the shared parts of a request's prompt, if the headers define any.
-func (h Headers) partsOf(r http.Header) []string {
+// PartsOf returns the ids of the shared parts of a request's prompt, if the headers define any.
+func (h Headers) PartsOf(r http.Header) []string {
 	if h.SharedParts == nil {
 		return nil
 	}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -38,12 +38,23 @@
 	FirstByte(route string, took time.Duration)
 }
 
+// Isolator keeps requests that crash endpoints from further endpoints; its methods must not block.
+type Isolator interface {
+	// Check returns the quarantined one of the parts of a prompt and how long it stays so, or an empty string.
+	Check(parts []string) (string, time.Duration)
+	// Completed records that a request with the parts was completed.
+	Completed(parts []string)
+	// BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun.
+	BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool)
+}
+
 // Relayer serves the online requests of callers.
 type Relayer struct {
 	headers  Headers
 	registry func() *registrar.Registry
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
+	isolator Isolator
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	metrics   Metrics
@@ -54,10 +65,12 @@
 
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
-	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool,
+	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator,
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
-	return &Relayer{headers: h, registry: registry, balancer: b, pool: pool, onLeaving: onLeaving, metrics: m, log: log}
+	return &Relayer{
+		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, onLeaving: onLeaving, metrics: m, log: log,
+	}
 }
 
 // Leave refuses the requests that the drain doesn't accept from now on.
@@ -80,7 +93,7 @@
 	}
 	q := &request{
 		Relayer: l, w: w, r: r, route: route, body: body, start: start,
-		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, lastEvent: -1,
+		id: r.Header.Get(l.headers.RequestID), parts: l.headers.PartsOf(r.Header), tried: map[string]bool{}, lastEvent: -1,
 	}
 	q.deadline = start.Add(q.timeLimit())
 	// The body may have come slowly, so the time of its end counts.
@@ -172,11 +185,13 @@
 // request is one online request of a caller.
 type request struct {
 	*Relayer
-	w        http.ResponseWriter
-	r        *http.Request
-	ctx      context.Context
-	route    registrar.Route
-	id       string
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context
+	route registrar.Route
+	id    string
+	// parts holds the ids of the shared parts of the prompt.
+	parts    []string
 	body     []byte
 	start    time.Time
 	deadline time.Time
@@ -199,6 +214,8 @@
 	// attemptTimer aborts an attempt that has nothing to forward within its timeout; it is set only if another endpoint may be
 	// tried.
 	attemptTimer *time.Timer
+	// attemptCtx ends with the attempt, or when this VM or the caller ends it.
+	attemptCtx context.Context
 
 	// The fields below are logged when the request ends.
 
@@ -251,6 +268,9 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
+	if part, left := q.isolator.Check(q.parts); part != "" {
+		return placer.Refuse{Reason: "part " + part + " of the prompt crashes endpoints", RetryAfter: left}, nil
+	}
 	now := time.Now()
 	d, ticket := q.balancer.Place(q.ctx, placer.Request{
 		Route: route, Candidates: reg.EndpointsOf(route.ServiceFor(q.id)), Tried: q.tried, Left: q.deadline.Sub(now),
@@ -277,8 +297,8 @@
 		}
 		return false
 	}
-	if !q.registry().IsUsable(s.Endpoint) {
-		// The endpoint began to drain, or left, while the connection was opened.
+	if part, _ := q.isolator.Check(q.parts); part != "" || !q.registry().IsUsable(s.Endpoint) {
+		// The endpoint began to drain, or left, or a part was quarantined, while the connection was opened.
 		_ = conn.Close()
 		ending = placer.EndedLocally
 		return false
@@ -293,9 +313,11 @@
 	q.runs++
 	ctx, cancel := q.withAttemptTimeout()
 	defer cancel()
+	q.attemptCtx = ctx
 	x, err := q.pool.Do(ctx, conn, q.outgoing(s.Endpoint, left))
 	if err != nil {
 		q.cause = err
+		q.recordBreak(s.Endpoint, false)
 		if q.ctx.Err() != nil {
 			ending = placer.EndedLocally
 		}
@@ -307,9 +329,19 @@
 	}
 	isOver, how := q.handleAnswer(x, ticket, s)
 	ending = how
+	if how == placer.EndedComplete && x.Response.StatusCode < 300 {
+		q.isolator.Completed(q.parts)
+	}
 	return isOver
 }
 
+// recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
+func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
+	if q.attemptCtx.Err() == nil {
+		q.isolator.BrokeOff(e, q.parts, hadAnswer)
+	}
+}
+
 // attemptTimeoutFactor times the route's objective is the maximum wait for a stream's first event, or for a body up to
 // maxBufferedBytes, before another endpoint is tried.
 const attemptTimeoutFactor = 2
@@ -456,7 +488,7 @@
 	}
 	if q.cause != nil {
 		fields["cause"] = q.cause.Error()
-		fields["parts"] = q.headers.partsOf(q.r.Header)
+		fields["parts"] = q.parts
 	}
 	q.log.WithFields(fields).Info("request ended")
 }
