quarantiner: of several parts under which endpoints ended, the last one in the prompt explains them

Found by a test (TestQuarantineOutlivesAllVMs, failed: 'requests with the crashing part are not refused' as such): where no request is completed between three crashes, the part of the caller has as many strikes as the cause, and was quarantined with it. Its sound requests, refused from then on, could never refute that.

Change: strikes hold the part's position. Of the parts with enough strikes the last one in the prompt is quarantined, and the endpoints where it was are explained by it, for all other parts. A caller's part is quarantined only if endpoints still end under its other requests. Further tests: the quarantine outlives all VMs, answers that are lost by live endpoints quarantine nothing, a completed request refutes strikes on all VMs, an item waits and is abandoned.

--- a/pkg/assembler/gateway_crash_test.go
+++ b/pkg/assembler/gateway_crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -138,3 +139,114 @@
 	assert.GreaterOrEqual(t, float64(served.Load()-servedBefore), 0.9*float64(sent.Load()-sentBefore),
 		"sound requests with the same first part are not served")
 }
+
+// awaitRefused sends requests with the crashing part through the VM until one is refused, and returns how many were not.
+func (f *crashingFleet) awaitRefused(vm *testVM) int {
+	f.t.Helper()
+	n := 0
+	require.Eventually(f.t, func() bool {
+		a := f.ask(vm, "/draft/1", crashingPart)
+		if a.status != http.StatusServiceUnavailable {
+			n++
+		}
+		return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, crashingPart)
+	}, maxWait, 50*time.Millisecond, "requests with the crashing part are not refused")
+	return n
+}
+
+// TestQuarantineOutlivesAllVMs stops all VMs after a part was quarantined: a new VM must refuse it from the start.
+func TestQuarantineOutlivesAllVMs(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 2, 6)
+	f.awaitRefused(f.vms[0])
+	require.Eventually(t, func() bool { return f.store.Count("quarantine") > 0 }, maxWait, 10*time.Millisecond)
+	for _, vm := range f.vms {
+		require.NoError(t, vm.app.Stop(t.Context()))
+	}
+	before := f.reached.Load()
+	vm := f.addVM()
+	require.Eventually(t, func() bool { return f.ask(vm, "/draft/1", "abc1").status == http.StatusOK }, maxWait, 10*time.Millisecond)
+	f.awaitRefused(vm)
+	assert.LessOrEqual(t, f.reached.Load()-before, int64(1), "a new VM does not know the quarantined part")
+}
+
+// TestLostAnswersQuarantineNothing makes engines that live on lose all answers to requests with one part.
+func TestLostAnswersQuarantineNothing(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 2, 6)
+	const part = "abc1"
+	for _, e := range f.endpoints {
+		e.SetFault(func(n int, r *http.Request) standin.EndpointFault {
+			if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), part) {
+				return standin.NoEndpointFault
+			}
+			return []standin.EndpointFault{standin.LoseAll, standin.Truncate}[n%2]
+		})
+	}
+	for n := range 24 {
+		assert.NotEqual(t, http.StatusServiceUnavailable, f.ask(f.vms[n%2], "/draft/1", part).status)
+	}
+	assert.Never(t, func() bool { return f.store.Count("quarantine") > 0 }, 500*time.Millisecond, 20*time.Millisecond)
+}
+
+// TestCompletedRequestRefutesStrikes stores strikes against a part while a request with it runs, beside rows that can't be
+// decoded. The part is refused until that request is completed, on all VMs.
+func TestCompletedRequestRefutesStrikes(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 2, 6)
+	const part = "abc1"
+	for _, e := range f.endpoints {
+		e.Step = 300 * time.Millisecond
+	}
+	done := make(chan answer, 1)
+	go func() { done <- f.ask(f.vms[0], "/draft/1", part) }()
+	isRunning := func() bool {
+		return slices.ContainsFunc(f.allRuns(), func(r standin.Run) bool { return r.Header.Get("X-Prompt-Prefix") != "" })
+	}
+	require.Eventually(t, isRunning, maxWait, time.Millisecond)
+	value := fmt.Appendf(nil, "1@%d", time.Now().UnixMilli())
+	for _, key := range []string{"", "/", "x", "x/", "/x", part + "/", "/answer", part + "/old@1"} {
+		f.store.Put("quarantine", "", key, []byte("x@1"))
+	}
+	for n := range 3 {
+		f.store.Put("quarantine", "", fmt.Sprintf("%s/e-%d@1", part, n), value)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, vm := range f.vms {
+		assert.Equal(t, http.StatusServiceUnavailable, f.ask(vm, "/draft/1", part).status, "the stored strikes are not known")
+	}
+	assert.Equal(t, http.StatusOK, (<-done).status)
+	for _, vm := range f.vms {
+		require.Eventually(t, func() bool { return f.ask(vm, "/draft/1", part).status == http.StatusOK }, maxWait,
+			10*time.Millisecond, "a part of a completed request is still refused")
+	}
+}
+
+// TestItemThatCrashesEndpointsIsAbandoned submits a job of which one item has the crashing part: the item waits once the part is
+// quarantined, and is abandoned when the route allows it; the others succeed.
+func TestItemThatCrashesEndpointsIsAbandoned(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 1, 6)
+	f.batchRoute()["maxWaitS"] = 4
+	f.awaitConfig()
+	items := newItems(6)
+	for n := range items {
+		part := "abc1"
+		if n == 2 {
+			part = crashingPart
+		}
+		items[n].Headers["X-Prompt-Prefix"] = callerPart + ":200," + part + ":100,f0:150"
+	}
+	job := newID("job")
+	start := time.Now()
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	for _, r := range f.await(f.vms[0], job, len(items)).Results {
+		want := "succeeded"
+		if r.ID == items[2].ID {
+			want = "abandoned"
+		}
+		assert.Equal(t, want, r.State)
+	}
+	assert.GreaterOrEqual(t, time.Since(start), 4*time.Second)
+	assert.LessOrEqual(t, f.reached.Load(), int64(5))
+}
--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -20,6 +20,8 @@
 // Strike says that an endpoint ended while a request with the part was in flight there.
 type Strike struct {
 	Part string
+	// Position is the part's index in the prompt. Later parts are shared by fewer requests.
+	Position int
 	// Endpoint identifies one incarnation of an endpoint.
 	Endpoint string
 	// HadAnswer says that the request's answer had begun.
@@ -28,8 +30,10 @@
 
 // record holds the strikes of one part, as a weight by endpoint.
 type record struct {
-	weights map[string]int
-	lastAt  time.Time
+	weights       map[string]int
+	position      int
+	lastAt        time.Time
+	isQuarantined bool
 }
 
 // Quarantiner holds the strikes that this VM knows of. It is not safe for concurrent use.
@@ -56,9 +60,21 @@
 	return suspects
 }
 
-// Add records a strike that this VM learned at time now, and reports whether the part is quarantined by it. Strikes at the same
-// endpoint count once.
-func (q *Quarantiner) Add(now time.Time, s Strike) bool {
+// Add records strikes that this VM learned at time now, and returns the parts that are quarantined by them. Strikes against a
+// part at the same endpoint count once.
+func (q *Quarantiner) Add(now time.Time, strikes ...Strike) []string {
+	hasChanged := false
+	for _, s := range strikes {
+		hasChanged = q.addOne(now, s) || hasChanged
+	}
+	if !hasChanged {
+		return nil
+	}
+	return q.decide()
+}
+
+// addOne records a strike and reports whether it changes anything.
+func (q *Quarantiner) addOne(now time.Time, s Strike) bool {
 	r, ok := q.records[s.Part]
 	if !ok || now.Sub(r.lastAt) > Time {
 		if q.forget(now); len(q.records) >= maxParts {
@@ -74,10 +90,50 @@
 	if weight <= r.weights[s.Endpoint] {
 		return false
 	}
-	wasQuarantined := r.isQuarantined()
 	r.weights[s.Endpoint] = weight
+	r.position = max(r.position, s.Position)
 	r.lastAt = now
-	return !wasQuarantined && r.isQuarantined()
+	return true
+}
+
+// decide quarantines the parts that explain the ends of endpoints, and returns those that were not quarantined before.
+//
+// Of several parts with enough strikes it takes the last one in the prompt. The endpoints where that one was are explained by it:
+// the parts that its requests share with others, and those of requests that ran beside it, get no blame for them.
+func (q *Quarantiner) decide() []string {
+	explained := map[string]bool{}
+	left := map[string]*record{}
+	for p, r := range q.records {
+		left[p] = r
+	}
+	var added []string
+	for {
+		best := ""
+		for p, r := range left {
+			if r.weight(explained) < threshold {
+				continue
+			}
+			if best == "" || r.position > left[best].position || (r.position == left[best].position && p < best) {
+				best = p
+			}
+		}
+		if best == "" {
+			break
+		}
+		r := left[best]
+		delete(left, best)
+		for e := range r.weights {
+			explained[e] = true
+		}
+		if !r.isQuarantined {
+			added = append(added, best)
+		}
+		r.isQuarantined = true
+	}
+	for _, r := range left {
+		r.isQuarantined = false
+	}
+	return added
 }
 
 // Completed records that a request with the parts was completed, and returns those with strikes: they are not the cause, and
@@ -100,13 +156,18 @@
 }
 
 // Remove drops the strikes of a part.
-func (q *Quarantiner) Remove(part string) { delete(q.records, part) }
+func (q *Quarantiner) Remove(part string) {
+	if _, ok := q.records[part]; ok {
+		delete(q.records, part)
+		q.decide()
+	}
+}
 
 // Check returns the quarantined one of the parts and how long it stays so, or an empty string.
 func (q *Quarantiner) Check(now time.Time, parts []string) (string, time.Duration) {
 	for _, p := range parts {
 		r, ok := q.records[p]
-		if !ok || !r.isQuarantined() {
+		if !ok || !r.isQuarantined {
 			continue
 		}
 		if left := r.lastAt.Add(Time).Sub(now); left > 0 {
@@ -138,7 +199,7 @@
 
 func (q *Quarantiner) forget(now time.Time) {
 	for _, p := range q.Expired(now) {
-		q.Remove(p)
+		delete(q.records, p)
 	}
 }
 
@@ -150,10 +211,13 @@
 	}
 }
 
-func (r *record) isQuarantined() bool {
+// weight returns the weight of the strikes at endpoints that are not explained by another part.
+func (r *record) weight(explained map[string]bool) int {
 	n := 0
-	for _, w := range r.weights {
-		n += w
+	for e, w := range r.weights {
+		if !explained[e] {
+			n += w
+		}
 	}
-	return n >= threshold
+	return n
 }
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
@@ -18,7 +21,8 @@
 )
 
 const (
-	// Table is the store's table of strikes. A row's key is PART/ENDPOINT@STARTED, with suffix /answer for Strike.HadAnswer.
+	// Table is the store's table of strikes. A row's key is PART/ENDPOINT@STARTED, with suffix /answer for Strike.HadAnswer; its
+	// value is POSITION@TIME, the time in Unix milliseconds.
 	Table        = "quarantine"
 	answerSuffix = "/answer"
 	// confirmDelay is the pause before an endpoint is dialed: a process that ends closes its port and its connections one after the
@@ -52,13 +56,14 @@
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
-	// rows holds the keys of the known rows of each part.
-	rows map[string]map[string]bool
+	// rows holds the values of the known rows of each part, by key.
+	rows map[string]map[string][]byte
 	// broken holds the requests that broke off at endpoints whose end is being confirmed.
 	broken map[string]*suspicion
-	// puts and deletes hold the rows to write; changed signals that there are some.
-	puts, deletes map[string]bool
-	changed       chan struct{}
+	// puts and deletes hold the rows to write and to delete, by key; changed signals that there are some.
+	puts    map[string][]byte
+	deletes map[string]bool
+	changed chan struct{}
 
 	// hasStrikes keeps Check from taking the lock while there are none.
 	hasStrikes atomic.Bool
@@ -76,8 +81,8 @@
 func New(store storer.Table, d Dialer, isOnDuty func(part string) bool, log logrus.FieldLogger) *Isolator {
 	i := &Isolator{
 		store: store, dialer: d, isOnDuty: isOnDuty, log: log, quarantiner: quarantiner.New(),
-		rows: map[string]map[string]bool{}, broken: map[string]*suspicion{},
-		puts: map[string]bool{}, deletes: map[string]bool{}, changed: make(chan struct{}, 1),
+		rows: map[string]map[string][]byte{}, broken: map[string]*suspicion{},
+		puts: map[string][]byte{}, deletes: map[string]bool{}, changed: make(chan struct{}, 1),
 	}
 	i.feed = watcher.NewFeed(store, Table, []string{""}, i.apply, log)
 	return i
@@ -130,7 +135,9 @@
 		go i.runConfirm(s)
 	}
 	for _, p := range suspects {
-		s.strikes = append(s.strikes, quarantiner.Strike{Part: p, Endpoint: key, HadAnswer: hadAnswer})
+		s.strikes = append(s.strikes, quarantiner.Strike{
+			Part: p, Position: slices.Index(parts, p), Endpoint: key, HadAnswer: hadAnswer,
+		})
 	}
 }
 
@@ -151,30 +158,32 @@
 		return
 	}
 	now := time.Now()
+	var strikes []quarantiner.Strike
 	for _, strike := range s.strikes {
 		if len(i.quarantiner.Suspects(now, []string{strike.Part})) == 0 {
 			continue
 		}
+		strikes = append(strikes, strike)
 		i.Counters.Strikes.Add(1)
 		i.log.WithFields(logrus.Fields{
 			"part": strike.Part, "endpoint": strike.Endpoint, "hadAnswer": strike.HadAnswer,
 		}).Info("endpoint ended under a request with this part of a prompt")
-		i.add(now, strike)
-		if key := keyOf(strike); len(i.puts) < maxPending && !i.rows[strike.Part][key] {
-			i.puts[key] = true
+		if key := keyOf(strike); len(i.puts) < maxPending && i.rows[strike.Part][key] == nil {
+			i.puts[key] = valueOf(strike, now)
 			i.notify()
 		}
 	}
+	i.add(now, strikes)
 }
 
-// add records a strike; the lock is held.
-func (i *Isolator) add(now time.Time, s quarantiner.Strike) {
-	i.hasStrikes.Store(true)
-	if i.quarantiner.Add(now, s) {
+// add records strikes; the lock is held.
+func (i *Isolator) add(now time.Time, strikes []quarantiner.Strike) {
+	for _, p := range i.quarantiner.Add(now, strikes...) {
 		i.Counters.Quarantined.Add(1)
-		i.log.WithFields(logrus.Fields{"part": s.Part, "endpoint": s.Endpoint, "for": quarantiner.Time.String()}).
+		i.log.WithFields(logrus.Fields{"part": p, "for": quarantiner.Time.String()}).
 			Warn("requests with this part of a prompt crash endpoints; they are refused")
 	}
+	i.hasStrikes.Store(len(i.quarantiner.Parts()) > 0)
 }
 
 func (i *Isolator) notify() {
@@ -192,12 +201,37 @@
 	return key
 }
 
-// strikeOf returns the strike that a row's key names.
-func strikeOf(key string) (quarantiner.Strike, bool) {
-	key, hadAnswer := strings.CutSuffix(key, answerSuffix)
-	part, endpoint, ok := strings.Cut(key, "/")
-	return quarantiner.Strike{Part: part, Endpoint: endpoint, HadAnswer: hadAnswer}, ok && part != "" && endpoint != ""
+// valueOf returns the value of a strike's row.
+func valueOf(s quarantiner.Strike, at time.Time) []byte {
+	return fmt.Appendf(nil, "%d@%d", s.Position, at.UnixMilli())
 }
 
-// valueOf returns a row's value: the Unix milliseconds of its strike, for operators and to expire rows of former VMs.
-func valueOf(now time.Time) []byte { return []byte(strconv.FormatInt(now.UnixMilli(), 10)) }
+// strikeOf returns the strike that a row holds, with its time; the error says what of the row can't be decoded.
+func strikeOf(e storer.Entry) (quarantiner.Strike, time.Time, error) {
+	key, hadAnswer := strings.CutSuffix(e.Key, answerSuffix)
+	s := quarantiner.Strike{HadAnswer: hadAnswer}
+	isKey := false
+	if s.Part, s.Endpoint, isKey = strings.Cut(key, "/"); !isKey || s.Part == "" || s.Endpoint == "" {
+		return s, time.Time{}, errors.Errorf("key %q is not PART/ENDPOINT", e.Key)
+	}
+	if e.IsRemoved {
+		return s, time.Time{}, nil
+	}
+	position, at, _ := strings.Cut(string(e.Value), "@")
+	n, err := strconv.ParseUint(position, 10, 8)
+	if err != nil {
+		return s, time.Time{}, errors.Wrapf(err, "position of the strike %s", e.Key)
+	}
+	ms, err := strconv.ParseInt(at, 10, 64)
+	if err != nil {
+		return s, time.Time{}, errors.Wrapf(err, "time of the strike %s", e.Key)
+	}
+	s.Position = int(n)
+	return s, time.UnixMilli(ms), nil
+}
+
+// partOf returns the part that a row's key names.
+func partOf(key string) string {
+	part, _, _ := strings.Cut(key, "/")
+	return part
+}
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"slices"
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
@@ -26,39 +26,74 @@
 	defer i.mu.Unlock()
 	now := time.Now()
 	listed := map[string]bool{}
+	var strikes []quarantiner.Strike
 	for _, e := range u.Entries {
-		s, ok := strikeOf(e.Key)
+		s, at, err := strikeOf(e)
 		switch {
-		case !ok:
-			i.log.WithField("key", e.Key).Warn("row of the quarantine table can't be decoded; ignored")
+		case err != nil:
+			i.log.WithError(err).Warn("row of the quarantine table can't be decoded; ignored")
 		case e.IsRemoved:
 			delete(i.rows, s.Part)
 			i.quarantiner.Remove(s.Part)
-		case isOld(now, e.Value):
+			strikes = slices.DeleteFunc(strikes, func(o quarantiner.Strike) bool { return o.Part == s.Part })
+		case now.Sub(at) > quarantiner.Time:
 			if i.isOnDuty(s.Part) {
-				i.addRow(s.Part, e.Key)
+				i.addRow(s.Part, e)
 				i.deleteRows(s.Part)
 			}
 		default:
 			listed[s.Part] = true
-			if !i.rows[s.Part][e.Key] {
-				i.addRow(s.Part, e.Key)
-				i.add(now, s)
+			if i.rows[s.Part][e.Key] == nil {
+				i.addRow(s.Part, e)
+				strikes = append(strikes, s)
 			}
 		}
 	}
 	if u.IsFull {
 		i.keepOnly(listed)
 	}
-	i.hasStrikes.Store(len(i.quarantiner.Parts()) > 0)
+	i.add(now, strikes)
+}
+
+// Rows returns the known rows of the table and those that wait for the store.
+func (i *Isolator) Rows() []storer.Entry {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var entries []storer.Entry
+	for _, rows := range i.rows {
+		for key, value := range rows {
+			entries = append(entries, storer.Entry{Table: Table, Key: key, Value: value})
+		}
+	}
+	for key, value := range i.puts {
+		entries = append(entries, storer.Entry{Table: Table, Key: key, Value: value})
+	}
+	return entries
+}
+
+// ApplyPeerRows records the strikes of the rows received from another VM.
+func (i *Isolator) ApplyPeerRows(entries []storer.Entry) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	var strikes []quarantiner.Strike
+	for _, e := range entries {
+		if e.Table != Table {
+			continue
+		}
+		s, at, err := strikeOf(e)
+		if err == nil && now.Sub(at) <= quarantiner.Time && i.rows[s.Part][e.Key] == nil {
+			i.addRow(s.Part, e)
+			strikes = append(strikes, s)
+		}
+	}
+	i.add(now, strikes)
 }
 
 // keepOnly drops the parts that are neither listed nor about to be written; the lock is held.
 func (i *Isolator) keepOnly(listed map[string]bool) {
 	for key := range i.puts {
-		if s, ok := strikeOf(key); ok {
-			listed[s.Part] = true
-		}
+		listed[partOf(key)] = true
 	}
 	for _, p := range i.quarantiner.Parts() {
 		if !listed[p] {
@@ -68,22 +103,18 @@
 	}
 }
 
-func isOld(now time.Time, value []byte) bool {
-	at, err := strconv.ParseInt(string(value), 10, 64)
-	return err != nil || now.Sub(time.UnixMilli(at)) > quarantiner.Time
-}
-
-func (i *Isolator) addRow(part, key string) {
+// addRow keeps a row that is known to be in the table, or with a peer; the lock is held.
+func (i *Isolator) addRow(part string, e storer.Entry) {
 	if i.rows[part] == nil {
-		i.rows[part] = map[string]bool{}
+		i.rows[part] = map[string][]byte{}
 	}
-	i.rows[part][key] = true
+	i.rows[part][e.Key] = e.Value
 }
 
 // deleteRows deletes the rows of a part that is refuted or expired; the lock is held.
 func (i *Isolator) deleteRows(part string) {
 	for key := range i.puts {
-		if s, ok := strikeOf(key); ok && s.Part == part {
+		if partOf(key) == part {
 			delete(i.puts, key)
 		}
 	}
@@ -116,10 +147,9 @@
 func (i *Isolator) write(ctx context.Context) bool {
 	change := storer.Change{}
 	i.mu.Lock()
-	now := time.Now()
-	for key := range i.puts {
+	for key, value := range i.puts {
 		if len(change.Puts) < maxRowsPerCall {
-			change.Puts = append(change.Puts, storer.Entry{Table: Table, Key: key, Value: valueOf(now)})
+			change.Puts = append(change.Puts, storer.Entry{Table: Table, Key: key, Value: value})
 		}
 	}
 	for key := range i.deletes {
