peersyncer: VMs that can't reach the store learn of crashing prompts from a peer

While the store is away, or refuses a VM, each VM knew only the crashes that it saw itself, so with nine VMs it can take 27 crashes until a part is refused everywhere. TestQuarantineWithoutTheStore failed on: after one crash at each of three VMs, six more engines ended until all three refused the part (bound 1).

Change: the rows that a peer is asked for while the store is lost hold its strikes, the unwritten ones too.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -151,9 +151,9 @@
 }
 
 func newPeerSyncer(
-	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, log logrus.FieldLogger,
+	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, i *isolator.Isolator, log logrus.FieldLogger,
 ) *peersyncer.Syncer {
-	return peersyncer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log)
+	return peersyncer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log, i)
 }
 
 func newProber(
--- a/pkg/assembler/gateway_crash_test.go
+++ b/pkg/assembler/gateway_crash_test.go
@@ -170,6 +170,27 @@
 	assert.LessOrEqual(t, f.reached.Load()-before, int64(1), "a new VM does not know the quarantined part")
 }
 
+// TestQuarantineWithoutTheStore lets engines crash while the store refuses all calls: the VMs learn of the strikes from each
+// other, and the store has them when it is back.
+func TestQuarantineWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 3, 12)
+	f.store.SetFault(func(*http.Request) standin.StoreFault { return standin.Busy })
+	// VMs ask each other once they have noticed that the store is away.
+	time.Sleep(4 * time.Second)
+	for n := range 3 {
+		f.ask(f.vms[n], "/draft/1", crashingPart)
+	}
+	before := f.reached.Load()
+	time.Sleep(3 * time.Second)
+	for _, vm := range f.vms {
+		f.awaitRefused(vm)
+	}
+	assert.LessOrEqual(t, f.reached.Load()-before, int64(1), "the VMs don't know of each other's strikes")
+	f.store.SetFault(func(*http.Request) standin.StoreFault { return standin.NoFault })
+	require.Eventually(t, func() bool { return f.store.Count("quarantine") >= 3 }, maxWait, 10*time.Millisecond)
+}
+
 // TestLostAnswersQuarantineNothing makes engines that live on lose all answers to requests with one part.
 func TestLostAnswersQuarantineNothing(t *testing.T) {
 	t.Parallel()
--- a/pkg/peersyncer/service.go
+++ b/pkg/peersyncer/service.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
-	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
 const (
@@ -29,9 +28,9 @@
 	IsRemoved  bool
 }
 
-// Server serves the rows that the watcher holds to other VMs.
+// Server serves the rows of its sources to other VMs.
 type Server struct {
-	watcher *watcher.Watcher
+	sources []Source
 }
 
 // serviceDesc returns the gRPC service description. The request is empty and the reply is opaque bytes, so that no generated
@@ -53,7 +52,10 @@
 }
 
 func (s *Server) rows() (*wrapperspb.BytesValue, error) {
-	entries := s.watcher.Rows()
+	var entries []storer.Entry
+	for _, source := range s.sources {
+		entries = append(entries, source.Rows()...)
+	}
 	rows := make([]rowMessage, 0, len(entries))
 	for _, e := range entries {
 		rows = append(rows, rowMessage{
--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
@@ -30,18 +31,27 @@
 	AnyPeer() (netip.AddrPort, bool)
 }
 
+// Source holds rows of the store's tables that peers may need while they can't reach it.
+type Source interface {
+	// Rows returns the known rows.
+	Rows() []storer.Entry
+	// ApplyPeerRows takes over those of the rows received from a peer that are of the source's tables and new to it.
+	ApplyPeerRows(entries []storer.Entry)
+}
+
 // Syncer serves table rows to peers, and fetches them from a peer while the store is lost.
 type Syncer struct {
 	address netip.AddrPort
 	watcher *watcher.Watcher
+	sources []Source
 	peers   Peers
 	log     logrus.FieldLogger
 	server  *grpc.Server
 }
 
-// New returns a syncer that listens on the address once started.
-func New(address netip.AddrPort, w *watcher.Watcher, p Peers, log logrus.FieldLogger) *Syncer {
-	return &Syncer{address: address, watcher: w, peers: p, log: log}
+// New returns a syncer that listens on the address once started; it passes on the rows of the watcher and of the other sources.
+func New(address netip.AddrPort, w *watcher.Watcher, p Peers, log logrus.FieldLogger, others ...Source) *Syncer {
+	return &Syncer{address: address, watcher: w, sources: append([]Source{w}, others...), peers: p, log: log}
 }
 
 // Start serves peers, and fetches from them while the store is lost, until ctx ends. It returns an error if it can't listen.
@@ -52,7 +62,7 @@
 		return errors.Wrapf(err, "listen for peers on %s", s.address)
 	}
 	s.server = grpc.NewServer()
-	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher})
+	s.server.RegisterService(serviceDesc(), &Server{sources: s.sources})
 	go s.runServer(socket)
 	go s.runFetch(ctx)
 	context.AfterFunc(ctx, s.server.Stop)
@@ -99,6 +109,8 @@
 	if err != nil {
 		return err
 	}
-	s.watcher.ApplyPeerRows(entries)
+	for _, source := range s.sources {
+		source.ApplyPeerRows(entries)
+	}
 	return nil
 }
