jobrecorder: a job that is handed on again keeps the items of all former holders

Callers' items ran twice when the holder of a job stopped and its successor stopped before the first one had finished: the record held the kept items of one former holder, so the second hand-over dropped those of the first. That VM ended its runs, and the third ran the items again from the start.

Change: the record lists the former holders that still run items (key earlier; rows without it are read as before). An item that a former holder keeps is the new holder's only once that VM is lost, whatever the length of the chain.

Runnable takes a function instead of one bool; TestRunnable checks the former cases and those of two former holders.

--- /dev/null
+++ b/pkg/assembler/gateway_handover_test.go
@@ -0,0 +1,62 @@
+package assembler_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+)
+
+// begun returns how many of the items an endpoint has begun to run.
+func (f *testFleet) begun(items []jobItem) int {
+	n := 0
+	for _, i := range items {
+		if len(f.runsOf(i.ID)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// slowDown makes streams last 6 steps.
+func (f *testFleet) slowDown(step time.Duration) {
+	for _, e := range f.endpoints {
+		e.Step = step
+	}
+}
+
+// TestItemsOfAStoppingVMRunOnceWhenItsSuccessorStops stops the holder of a job whose items run, then its successor.
+func TestItemsOfAStoppingVMRunOnceWhenItsSuccessorStops(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.slowDown(600 * time.Millisecond)
+	job := newID("job")
+	for !isSuccessor(f.vms[1], job, f.vms[1:]) {
+		job = newID("job")
+	}
+	items := newItems(3)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	require.Eventually(t, func() bool { return f.begun(items) == len(items) }, maxWait, 10*time.Millisecond)
+	go func() { _ = f.vms[0].app.Stop(context.Background()) }()
+	time.Sleep(700 * time.Millisecond)
+	go func() { _ = f.vms[1].app.Stop(context.Background()) }()
+	f.await(f.vms[2], job, len(items))
+	for _, i := range items {
+		assert.Len(t, f.runsOf(i.ID), 1, "an item ran at its first holder and again at the third")
+	}
+}
+
+// isSuccessor reports whether the VM takes over the job if these VMs are live.
+func isSuccessor(vm *testVM, job string, live []*testVM) bool {
+	var vms []gossiper.VMIncarnation
+	for _, v := range live {
+		vms = append(vms, gossiper.VMIncarnation{Name: v.name})
+	}
+	successor, ok := gossiper.Assign(job, vms)
+	return ok && successor.Name == vm.name
+}
--- a/pkg/core/jobrecorder/job.go
+++ b/pkg/core/jobrecorder/job.go
@@ -45,6 +45,14 @@
 	Holder         VMRef `json:"holder"`
 	PreviousHolder VMRef `json:"leaver,omitzero"`
 	Kept           []int `json:"kept,omitempty"`
+	// Earlier lists the holders before PreviousHolder that handed the job over while stopping and still run items.
+	Earlier []KeptItems `json:"earlier,omitempty"`
+}
+
+// KeptItems are the items that a former holder still runs.
+type KeptItems struct {
+	By    VMRef `json:"by"`
+	Items []int `json:"items"`
 }
 
 // RecordError reports an inconsistent record: a field lists an item that does not exist, or lists it twice.
@@ -57,20 +65,40 @@
 	return fmt.Sprintf("inconsistent job record: %s lists item %d, which is out of range or a duplicate", e.Field, e.Item)
 }
 
-// Check returns a *RecordError unless Finished and Kept hold only items of the job, each at most once.
+// Check returns a *RecordError unless Finished, Kept and each list of Earlier hold only items of the job, each at most once.
 func (j Job) Check() error {
-	for field, list := range map[string][]int{"order": j.Finished, "kept": j.Kept} {
-		seen := make([]bool, len(j.Tokens))
-		for _, i := range list {
-			if i < 0 || i >= len(seen) || seen[i] {
-				return &RecordError{Field: field, Item: i}
-			}
-			seen[i] = true
+	if err := j.checkItems("order", j.Finished); err != nil {
+		return err
+	}
+	for _, k := range j.kept() {
+		if err := j.checkItems("kept", k.Items); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (j Job) checkItems(field string, items []int) error {
+	seen := make([]bool, len(j.Tokens))
+	for _, i := range items {
+		if i < 0 || i >= len(seen) || seen[i] {
+			return &RecordError{Field: field, Item: i}
 		}
+		seen[i] = true
 	}
 	return nil
 }
 
+// kept returns what each former holder still runs.
+func (j Job) kept() []KeptItems {
+	return append(slices.Clone(j.Earlier), KeptItems{By: j.PreviousHolder, Items: j.Kept})
+}
+
+// IsKeptBy reports whether the VM is a former holder that may still run items.
+func (j Job) IsKeptBy(vm VMRef) bool {
+	return slices.ContainsFunc(j.kept(), func(k KeptItems) bool { return k.By == vm })
+}
+
 // Total returns the number of items.
 func (j Job) Total() int { return len(j.Tokens) }
 
@@ -135,28 +163,43 @@
 	return j
 }
 
-// HandOver returns the job with a new holder, while the previous holder still runs the items in kept.
+// HandOver returns the job with a new holder, while the previous holder still runs the items in kept, and the holders before it
+// those that they kept.
 func (j Job) HandOver(to VMRef, kept []int) Job {
-	j.PreviousHolder, j.Kept, j.Holder = j.Holder, slices.Clone(kept), to
+	var earlier []KeptItems
+	for _, k := range j.kept() {
+		items := slices.DeleteFunc(slices.Clone(k.Items), func(i int) bool { return j.IsDone(i) || slices.Contains(kept, i) })
+		if k.By != j.Holder && len(items) > 0 {
+			earlier = append(earlier, KeptItems{By: k.By, Items: items})
+		}
+	}
+	j.PreviousHolder, j.Kept, j.Holder, j.Earlier = j.Holder, slices.Clone(kept), to, earlier
 	return j
 }
 
-// Runnable returns the items that the holder should run. isGone says that the previous holder has stopped, so that the items in
-// Kept are the holder's to run, too.
-func (j Job) Runnable(isGone bool) []int {
+// Runnable returns the items that the holder should run. isGone says that a former holder has stopped, so that the items that
+// it kept are the holder's to run, too.
+func (j Job) Runnable(isGone func(VMRef) bool) []int {
 	if j.IsOver() {
 		return nil
 	}
-	done := make([]bool, len(j.Tokens))
+	isTaken := make([]bool, len(j.Tokens))
 	for _, i := range j.Finished {
-		done[i] = true
+		isTaken[i] = true
+	}
+	for _, k := range j.kept() {
+		if len(k.Items) == 0 || isGone(k.By) {
+			continue
+		}
+		for _, i := range k.Items {
+			isTaken[i] = true
+		}
 	}
 	var items []int
 	for i := range j.Tokens {
-		if done[i] || (!isGone && slices.Contains(j.Kept, i)) {
-			continue
+		if !isTaken[i] {
+			items = append(items, i)
 		}
-		items = append(items, i)
 	}
 	return items
 }
--- a/pkg/core/jobrecorder/job_test.go
+++ b/pkg/core/jobrecorder/job_test.go
@@ -67,8 +67,54 @@
 }
 
 func TestRunnable(t *testing.T) {
-	job := Job{Tokens: []int64{1, 1, 1, 1}, Finished: []int{2}, Kept: []int{0}}
-	assert.Equal(t, []int{1, 3}, job.Runnable(false), "the previous holder still runs item 0")
-	assert.Equal(t, []int{0, 1, 3}, job.Runnable(true))
-	assert.Empty(t, job.End().Runnable(true))
+	a, b := VMRef{VM: "a", Incarnation: 1}, VMRef{VM: "b", Incarnation: 1}
+	job := Job{
+		Tokens: []int64{1, 1, 1, 1}, Finished: []int{2}, PreviousHolder: a, Kept: []int{0},
+		Earlier: []KeptItems{{By: b, Items: []int{1}}},
+	}
+	gone := func(vms ...VMRef) func(VMRef) bool { return func(vm VMRef) bool { return slices.Contains(vms, vm) } }
+	assert.Equal(t, []int{3}, job.Runnable(gone()), "the former holders still run items 0 and 1")
+	assert.Equal(t, []int{0, 3}, job.Runnable(gone(a)))
+	assert.Equal(t, []int{1, 3}, job.Runnable(gone(b)))
+	assert.Equal(t, []int{0, 1, 3}, job.Runnable(gone(a, b)))
+	assert.Empty(t, job.End().Runnable(gone(a, b)))
+}
+
+// TestItemsAreRunByOneHolderOfAChain hands a job from VM to VM, back to stopping ones too, while each finishes what it runs.
+func TestItemsAreRunByOneHolderOfAChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []VMRef{{VM: "a"}, {VM: "b"}, {VM: "c"}, {VM: "d"}}
+		job := Job{ID: "j", Tokens: make([]int64, rapid.IntRange(1, 6).Draw(t, "items")), Holder: vms[0]}
+		running, isLeaving := map[VMRef][]int{}, map[VMRef]bool{}
+		noneIsGone := func(VMRef) bool { return false }
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			holder := job.Holder
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				for _, i := range job.Runnable(noneIsGone) {
+					if !isLeaving[holder] && !slices.Contains(running[holder], i) && rapid.Bool().Draw(t, "starts") {
+						running[holder] = append(running[holder], i)
+					}
+				}
+			case 1:
+				vm := rapid.SampledFrom(vms).Draw(t, "finishes")
+				if len(running[vm]) > 0 {
+					job, _ = job.Append(running[vm][:1])
+					running[vm] = running[vm][1:]
+				}
+			case 2:
+				isLeaving[holder] = true
+				job = job.HandOver(rapid.SampledFrom(vms).Filter(func(vm VMRef) bool { return vm != holder }).Draw(t, "to"), running[holder])
+			}
+			assert.NoError(t, job.Check())
+			seen := map[int]VMRef{}
+			for vm, items := range running {
+				assert.True(t, len(items) == 0 || vm == job.Holder || job.IsKeptBy(vm), "%v has to stop its items", vm)
+				for _, i := range items {
+					assert.NotContains(t, seen, i, "two VMs run an item")
+					seen[i] = vm
+				}
+			}
+		}
+	})
 }
--- a/pkg/jobmanager/adopt.go
+++ b/pkg/jobmanager/adopt.go
@@ -29,16 +29,12 @@
 	if m.isLeaving {
 		return nil
 	}
+	isLost := func(vm jobrecorder.VMRef) bool { return m.members.StateOf(vm.VM, vm.Incarnation) == gossiper.Lost }
 	var held []HeldJob
 	for _, r := range m.jobs {
-		if r.job.Holder != m.self() || r.job.IsOver() {
-			continue
-		}
-		isGone := true
-		if len(r.job.Kept) > 0 {
-			isGone = m.members.StateOf(r.job.PreviousHolder.VM, r.job.PreviousHolder.Incarnation) == gossiper.Lost
+		if r.job.Holder == m.self() && !r.job.IsOver() {
+			held = append(held, HeldJob{Job: r.job, Items: r.job.Runnable(isLost)})
 		}
-		held = append(held, HeldJob{Job: r.job, Items: r.job.Runnable(isGone)})
 	}
 	return held
 }
@@ -51,13 +47,13 @@
 	return !ok || r.job.IsOver()
 }
 
-// IsHeld reports whether the job is not over and this VM is its holder, or its previous holder, which still runs some of its
+// IsHeld reports whether the job is not over and this VM is its holder, or a former holder, which may still run some of its
 // items.
 func (m *Manager) IsHeld(job string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, ok := m.jobs[job]
-	return ok && !r.job.IsOver() && (r.job.Holder == m.self() || r.job.PreviousHolder == m.self())
+	return ok && !r.job.IsOver() && (r.job.Holder == m.self() || r.job.IsKeptBy(m.self()))
 }
 
 func (m *Manager) runAdopt(ctx context.Context) {
--- a/pkg/jobmanager/fuzz_test.go
+++ b/pkg/jobmanager/fuzz_test.go
@@ -21,6 +21,7 @@
 	f.Add([]byte(`{"id":"i","rows":2}`+"\nout"), []byte("more"))
 	f.Add([]byte(`{"tokens":[1],"order":[4]}`), []byte(nil))
 	f.Add([]byte(`{"tokens":[1],"order":[0]}`), []byte(`{"accepted":1}`))
+	f.Add([]byte(`{"tokens":[1],"earlier":[{"by":{"vm":"a"},"items":[-1]}]}`), []byte(nil))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		entry := func(row int, value []byte) storer.Entry {
 			return storer.Entry{Table: resultTable, Key: resultKey("j", 0, row), Value: value}
@@ -31,7 +32,7 @@
 		}
 		if j, err := decodeJob(storer.Entry{Value: first}); err == nil {
 			_, _ = j.Append([]int{0})
-			_, _, _ = j.WaitingTokens(), j.Runnable(true), j.IsOver()
+			_, _, _ = j.WaitingTokens(), j.Runnable(func(vm jobrecorder.VMRef) bool { return vm.VM == "" }), j.IsOver()
 		}
 		_, _ = decodeCheckpoint(storer.Entry{Value: first})
 	})
