itemrunner: the items that a former holder still runs are not started from their checkpoints

Callers' items ran twice when a VM stopped after it had saved checkpoints of items that it still finished (from 30 events on): the successor made a task of each saved item when it loaded the job, whether the item was its own to run or not, and ran it from there.

Change: the saved outputs wait with the job, and a task is made, with its saved output, once the item is this VM's to run.

Tests: TestSavedItemsOfAStoppingVMRunOnce failed 3 runs of 3 (each item ran a second time at the successor) and passes 3 of 3.

--- a/pkg/assembler/gateway_handover_test.go
+++ b/pkg/assembler/gateway_handover_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// TestSavedItemsOfAStoppingVMRunOnce stops the holder of a job after it saved checkpoints of the items that it still runs.
+func TestSavedItemsOfAStoppingVMRunOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	for _, e := range f.endpoints {
+		e.Events, e.Step = 200, 20*time.Millisecond
+	}
+	job, items := newID("job"), newItems(3)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	require.Eventually(t, func() bool { return f.begun(items) == len(items) }, maxWait, 10*time.Millisecond)
+	time.Sleep(1800 * time.Millisecond)
+	go func() { _ = f.vms[0].app.Stop(context.Background()) }()
+	f.await(f.vms[1], job, len(items))
+	for _, i := range items {
+		assert.Len(t, f.runsOf(i.ID), 1, "an item ran at its first holder and again at the second")
+	}
+}
+
 // isSuccessor reports whether the VM takes over the job if these VMs are live.
 func isSuccessor(vm *testVM, job string, live []*testVM) bool {
 	var vms []gossiper.VMIncarnation
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -68,6 +68,8 @@
 	host  string
 	items []jobmanager.Item
 	tasks map[int]*task
+	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
+	saved map[int]jobmanager.Checkpoint
 	// writer identifies this VM's checkpoints of the job; it is new each time that the job is loaded.
 	writer    string
 	isLoading bool
@@ -215,14 +217,21 @@
 	}
 }
 
+// newTask returns the task of an item, which continues after the item's saved output.
 func (r *Runner) newTask(j *jobState, i int) *task {
-	return &task{job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: -1, savedEvent: -1}
+	t := &task{job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: -1, savedEvent: -1}
+	if c, ok := j.saved[i]; ok {
+		t.lastEvent, t.output, t.hasOutput = c.LastEvent, c.Output, true
+		t.savedBytes, t.savedEvent = len(c.Output), c.LastEvent
+		delete(j.saved, i)
+	}
+	return t
 }
 
 // runLoad reads the items of a job and the checkpoints of their outputs.
 func (r *Runner) runLoad(ctx context.Context, j *jobState) {
 	items, err := r.manager.Items(ctx, j.id, true)
-	saved := map[int]jobmanager.Checkpoint{}
+	var saved map[int]jobmanager.Checkpoint
 	if err == nil {
 		saved, err = r.manager.Checkpoints(ctx, j.id)
 	}
@@ -234,16 +243,8 @@
 		r.log.WithError(err).WithField("job", j.id).Warn("items of the job not read; retrying")
 		return
 	}
-	j.items = items
+	j.items, j.saved = items, saved
 	j.writer = uuid.NewString()
-	for i, c := range saved {
-		if i < len(items) {
-			t := r.newTask(j, i)
-			t.lastEvent, t.output, t.hasOutput = c.LastEvent, c.Output, true
-			t.savedBytes, t.savedEvent = len(c.Output), c.LastEvent
-			j.tasks[i] = t
-		}
-	}
 }
 
 // stopUnneededRuns ends the runs of items that already have a result, or whose job has ended or moved to another VM; the lock
