watcher: a feed that starts on an empty store receives its first row

A VM that read the tables of a store without any row while another wrote the first one never learned of that row: the feed took the lowest version of its partitions for "none yet" if that was 0, and watched from the version of a later partition on.

Found by the linearizability test of the jobs once it checks that each job is held at the end: 1 of 40 runs of one plan left a job that its last VM did not know. TestFirstRowOfAnEmptyStoreIsReceived failed before (no row received) and passes.

--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -122,13 +122,13 @@
 // scan reads all partitions; the update has the lowest of their versions, so that no change is missed.
 func (f *Feed) scan(ctx context.Context) (Update, error) {
 	u := Update{IsFull: true}
-	for _, p := range f.partitions {
+	for n, p := range f.partitions {
 		entries, version, err := storer.ScanAll(ctx, f.store, storer.Range{Table: f.table, Partition: p})
 		if err != nil {
 			return u, err
 		}
 		u.Entries = append(u.Entries, entries...)
-		if u.Version == 0 || version < u.Version {
+		if n == 0 || version < u.Version {
 			u.Version = version
 		}
 	}
--- /dev/null
+++ b/pkg/watcher/feed_test.go
@@ -0,0 +1,44 @@
+package watcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+// emptyTable is a table without rows; while its second partition is read, its first row is written to the first one.
+type emptyTable struct {
+	storer.Table
+	rows []storer.Entry
+}
+
+func (t *emptyTable) Scan(_ context.Context, r storer.Range) (storer.Page, error) {
+	if r.Partition == "b" {
+		t.rows = []storer.Entry{{Table: r.Table, Partition: "a", Key: "k", Version: 1}}
+	}
+	return storer.Page{Version: int64(len(t.rows))}, nil
+}
+
+func (t *emptyTable) Watch(_ context.Context, _ string, after int64, _ time.Duration) (storer.Page, error) {
+	return storer.Page{Entries: t.rows[after:], Version: int64(len(t.rows))}, nil
+}
+
+// TestFirstRowOfAnEmptyStoreIsReceived guards against a feed that takes the version 0 of an empty store for none.
+func TestFirstRowOfAnEmptyStoreIsReceived(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	var keys []string
+	f := NewFeed(&emptyTable{}, "t", []string{"a", "b"}, func(u Update) {
+		for _, e := range u.Entries {
+			keys = append(keys, e.Key)
+		}
+	}, log)
+	for range 2 {
+		assert.NoError(t, f.step(t.Context()))
+	}
+	assert.Equal(t, []string{"k"}, keys)
+}
