jobmanager: a leaving VM hands on each job that it comes to hold, and accepts none for itself

Callers who submitted a batch job to a VM that was stopping waited for the first item until that VM was dead and counted as lost: 4.8 s after the 202 if the job came after SIGTERM, 5.0 s if it was in flight.

Cause: an accepted job always named the VM that accepted it as its holder, a leaving VM starts no items, and the hand-over was one list taken at SIGTERM. The same gap was open to a takeover that was being written, and to a job handed over by a VM that had not heard of the SIGTERM yet.

Change: a leaving VM names another live VM as the holder of the jobs that it accepts, starts no takeover, and watches its rows until it ends: each job that it holds is handed over, with the items that run here at that time. Each write is still conditional on the job's row. The linearizability test also draws planned stops, and news of them that comes late, and checks at the end that a VM that runs items holds each unfinished job.

--- a/pkg/assembler/gateway_handover_test.go
+++ b/pkg/assembler/gateway_handover_test.go
@@ -12,6 +12,9 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 )
 
+// maxIdle is well under the time after which a stopped VM counts as lost, and over a period of the watch feed.
+const maxIdle = 1500 * time.Millisecond
+
 // begun returns how many of the items an endpoint has begun to run.
 func (f *testFleet) begun(items []jobItem) int {
 	n := 0
@@ -30,6 +33,43 @@
 	}
 }
 
+// TestJobAcceptedByALeavingVMRunsElsewhere submits a job to a VM that is leaving and busy for another 3 s.
+func TestJobAcceptedByALeavingVMRunsElsewhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	f.slowDown(600 * time.Millisecond)
+	go f.stream(f.vms[0], "/draft/1", newID("d"))
+	time.Sleep(100 * time.Millisecond)
+	go func() { _ = f.vms[0].app.Stop(context.Background()) }()
+	time.Sleep(500 * time.Millisecond)
+	items := newItems(3)
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], newID("job"), items).status)
+	at := time.Now()
+	require.Eventually(t, func() bool { return f.begun(items) > 0 }, maxWait, 10*time.Millisecond)
+	assert.Less(t, time.Since(at), maxIdle, "the items wait until the VM that accepted them is lost")
+}
+
+// TestJobInFlightAtAStopRunsElsewhere stops a VM while it writes an accepted job to the store.
+func TestJobInFlightAtAStopRunsElsewhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	f.slowDown(600 * time.Millisecond)
+	go f.stream(f.vms[0], "/draft/1", newID("d"))
+	time.Sleep(100 * time.Millisecond)
+	f.store.SetDelay(300 * time.Millisecond)
+	items := newItems(3)
+	got := make(chan answer, 1)
+	go func() { got <- f.submit(f.vms[0], newID("job"), items) }()
+	time.Sleep(100 * time.Millisecond)
+	go func() { _ = f.vms[0].app.Stop(context.Background()) }()
+	a := <-got
+	f.store.SetDelay(0)
+	require.Equal(t, http.StatusAccepted, a.status)
+	at := time.Now()
+	require.Eventually(t, func() bool { return f.begun(items) > 0 }, maxWait, 10*time.Millisecond)
+	assert.Less(t, time.Since(at), maxIdle, "the items wait until the VM that accepted them is lost")
+}
+
 // TestItemsOfAStoppingVMRunOnceWhenItsSuccessorStops stops the holder of a job whose items run, then its successor.
 func TestItemsOfAStoppingVMRunOnceWhenItsSuccessorStops(t *testing.T) {
 	t.Parallel()
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -134,17 +134,26 @@
 func (r *Runner) Leave() {
 	r.mu.Lock()
 	r.isLeaving = true
-	running := map[string][]int{}
-	for id, j := range r.jobs {
-		for i, t := range j.tasks {
-			if t.run != nil {
-				running[id] = append(running[id], i)
-			}
-		}
-	}
 	r.mu.Unlock()
 	r.balancer.SetWaiting(nil)
-	r.manager.HandOver(r.ctx, running)
+	r.manager.HandOver(r.ctx, r.runningItems)
+}
+
+// runningItems returns the items of the job that run now.
+func (r *Runner) runningItems(job string) []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.jobs[job]
+	if !ok {
+		return nil
+	}
+	var items []int
+	for i, t := range j.tasks {
+		if t.run != nil {
+			items = append(items, i)
+		}
+	}
+	return items
 }
 
 // Running returns the number of items that run or whose result is not in the store yet.
--- a/pkg/jobmanager/adopt.go
+++ b/pkg/jobmanager/adopt.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
@@ -85,11 +87,11 @@
 	}
 }
 
-// runAdoption takes the job over, unless another VM did so first or the job is over.
+// runAdoption takes the job over, unless another VM did so first, the job is over, or this VM is leaving.
 func (m *Manager) runAdoption(ctx context.Context, j jobrecorder.Job) {
 	from := j.Holder
 	err := m.writeTransition(ctx, j.ID, func(now jobrecorder.Job) (storer.Change, jobrecorder.Job, bool) {
-		return storer.Change{}, now.Adopt(m.self()), now.Holder == from && !now.IsOver()
+		return storer.Change{}, now.Adopt(m.self()), now.Holder == from && !now.IsOver() && !m.isLeavingNow()
 	})
 	m.mu.Lock()
 	delete(m.adopting, j.ID)
@@ -102,37 +104,113 @@
 	log.Info("job taken over")
 }
 
-// HandOver hands this VM's jobs over to other VMs in the background; running lists the items of each job that this VM still
-// finishes.
-func (m *Manager) HandOver(ctx context.Context, running map[string][]int) {
+func (m *Manager) isLeavingNow() bool {
 	m.mu.Lock()
-	m.isLeaving = true
-	var held []jobrecorder.Job
-	for _, r := range m.jobs {
-		if r.job.Holder == m.self() && !r.job.IsOver() {
-			held = append(held, r.job)
+	defer m.mu.Unlock()
+	return m.isLeaving
+}
+
+// peerFor returns the other live VM that is to run the job; false if there is none.
+func (m *Manager) peerFor(job string) (jobrecorder.VMRef, bool) {
+	peers := slices.DeleteFunc(m.members.LiveVMs(), func(vm gossiper.VMIncarnation) bool { return vm.Name == m.cfg.VM })
+	peer, ok := gossiper.Assign(job, peers)
+	return jobrecorder.VMRef{VM: peer.Name, Incarnation: peer.Incarnation}, ok
+}
+
+// holderOf returns the VM that is to run a new job: this one, or another one if this one is leaving.
+func (m *Manager) holderOf(job string) jobrecorder.VMRef {
+	if m.isLeavingNow() {
+		if peer, ok := m.peerFor(job); ok {
+			return peer
 		}
 	}
+	return m.self()
+}
+
+// HandOver hands this VM's jobs over to other VMs, and any that it comes to hold later, in the background until ctx ends.
+// running returns the items of a job that this VM still finishes.
+func (m *Manager) HandOver(ctx context.Context, running func(job string) []int) {
+	m.mu.Lock()
+	wasLeaving := m.isLeaving
+	m.isLeaving = true
 	m.mu.Unlock()
-	live := m.members.LiveVMs()
-	for _, j := range held {
-		successor, ok := gossiper.Assign(j.ID, live)
-		if !ok {
-			m.log.WithField("job", j.ID).Warn("no live VM to hand the batch job over to; another takes it over once this one is lost")
-			continue
+	if !wasLeaving {
+		go m.runHandOver(ctx, running)
+	}
+}
+
+// runHandOver starts the hand-over of each job as soon as this VM holds it. A job can come late: from a submission that was in
+// flight, from a takeover, or from a VM that did not know that this one is leaving.
+func (m *Manager) runHandOver(ctx context.Context, running func(job string) []int) {
+	for {
+		jobs, changed := m.jobsToHandOver()
+		for _, id := range jobs {
+			go m.runJobHandOver(ctx, id, running)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// jobsToHandOver returns the jobs that this VM holds and does not hand over yet, and a channel that is closed at the next
+// change of any job.
+func (m *Manager) jobsToHandOver() ([]string, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var jobs []string
+	for id, r := range m.jobs {
+		if r.job.Holder == m.self() && !r.job.IsOver() && !m.handingOver[id] {
+			m.handingOver[id] = true
+			jobs = append(jobs, id)
+		}
+	}
+	return jobs, m.nextChange
+}
+
+// runJobHandOver hands the job over, also if it comes back at once.
+func (m *Manager) runJobHandOver(ctx context.Context, id string, running func(job string) []int) {
+	for m.isToHandOver(id) {
+		if err := m.handOver(ctx, id, running); err != nil {
+			m.log.WithError(err).WithField("job", id).Warn(
+				"could not hand the batch job over; another VM takes it over once this one is lost")
+			m.mu.Lock()
+			delete(m.handingOver, id)
+			m.mu.Unlock()
+			return
 		}
-		go m.runHandOver(ctx, j.ID, jobrecorder.VMRef{VM: successor.Name, Incarnation: successor.Incarnation}, running[j.ID])
 	}
 }
 
-func (m *Manager) runHandOver(ctx context.Context, id string, to jobrecorder.VMRef, kept []int) {
+// isToHandOver reports whether this VM still holds the job; if not, the hand-over of the job has ended.
+func (m *Manager) isToHandOver(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.jobs[id]; ok && r.job.Holder == m.self() && !r.job.IsOver() {
+		return true
+	}
+	delete(m.handingOver, id)
+	return false
+}
+
+// errNoPeer reports that no other VM is live.
+var errNoPeer = errors.New("no other VM is live")
+
+// handOver tries once to hand the job over.
+func (m *Manager) handOver(ctx context.Context, id string, running func(job string) []int) error {
+	to, ok := m.peerFor(id)
+	if !ok {
+		return errNoPeer
+	}
+	var kept []int
 	err := m.writeTransition(ctx, id, func(j jobrecorder.Job) (storer.Change, jobrecorder.Job, bool) {
+		kept = running(id)
 		return storer.Change{}, j.HandOver(to, kept), j.Holder == m.self() && !j.IsOver()
 	})
-	log := m.log.WithFields(logrus.Fields{"job": id, "to": to.VM, "kept": len(kept)})
-	if err != nil {
-		log.WithError(err).Warn("could not hand the batch job over; another VM takes it over once this one is lost")
-		return
+	if err == nil {
+		m.log.WithFields(logrus.Fields{"job": id, "to": to.VM, "kept": len(kept)}).Info("job handed over")
 	}
-	log.Info("job handed over")
+	return err
 }
--- a/pkg/jobmanager/linear_test.go
+++ b/pkg/jobmanager/linear_test.go
@@ -37,6 +37,8 @@
 	// planned is the period in which actions and faults begin; by settled, all retries and takeovers have ended.
 	planned = 4 * time.Second
 	settled = 12 * time.Second
+	// leaveTime is how long a planned stop takes.
+	leaveTime = 2200 * time.Millisecond
 )
 
 // action is a call to a VM, or something that the VM does by itself, at a time since the start of the run.
@@ -64,6 +66,10 @@
 	Faults  []faultPeriod
 	// Stops are the times at which VMs stop without a handover; the last VM never stops.
 	Stops map[int]time.Duration
+	// Leaves are the times at which VMs begin a planned stop: they hand their jobs over, and stop leaveTime later. Their peers
+	// learn it after newsDelay.
+	Leaves    map[int]time.Duration
+	newsDelay time.Duration
 	// HistoryDrops are the times at which the store drops its history of changes, so that feeds must read all rows again.
 	HistoryDrops []time.Duration
 	// MaxWaitingTokens bounds the waiting tokens of the route; 0 means no bound.
@@ -74,7 +80,7 @@
 	times := rapid.Custom(func(t *rapid.T) time.Duration {
 		return time.Duration(rapid.IntRange(0, int(planned.Milliseconds())).Draw(t, "ms")) * time.Millisecond
 	})
-	p := plan{Stops: map[int]time.Duration{}}
+	p := plan{Stops: map[int]time.Duration{}, Leaves: map[int]time.Duration{}}
 	p.Actions = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 		return action{
 			At: times.Draw(t, "at"), VM: rapid.IntRange(0, vmCount-1).Draw(t, "vm"),
@@ -95,8 +101,11 @@
 	for vm := range vmCount - 1 {
 		if rapid.IntRange(0, 2).Draw(t, "stops") == 0 {
 			p.Stops[vm] = times.Draw(t, "stop")
+		} else if rapid.Bool().Draw(t, "leaves") {
+			p.Leaves[vm] = times.Draw(t, "leave")
 		}
 	}
+	p.newsDelay = time.Duration(rapid.IntRange(0, 1000).Draw(t, "news delay")) * time.Millisecond
 	p.HistoryDrops = rapid.SliceOfN(times, 0, 2).Draw(t, "history drops")
 	p.MaxWaitingTokens = int64(rapid.SampledFrom([]int{0, jobItems * itemTokens}).Draw(t, "max waiting tokens"))
 	return p
@@ -278,16 +287,47 @@
 	store   *standin.Store
 	start   time.Time
 	vms     []*jobmanager.Manager
-	route   registrar.Route
+	// contexts end when the VMs stop.
+	contexts []context.Context
+	route    registrar.Route
+
+	mu sync.Mutex
+	// leftAt holds the times at which VMs began to hand their jobs over.
+	leftAt map[int]time.Time
 }
 
-// StateOf reports a VM as lost once it has been stopped for longer than gossiper.SilenceTimeout; VMs have one incarnation.
+// StateOf reports a VM as lost once it has been stopped for longer than gossiper.SilenceTimeout, and as leaving once its peers
+// know that it hands its jobs over; VMs have one incarnation.
 func (p *simulation) StateOf(vm string, _ int64) gossiper.State {
 	n, err := strconv.Atoi(strings.TrimPrefix(vm, "v"))
-	if at, ok := p.plan.Stops[n]; err == nil && ok && time.Since(p.start) > at+gossiper.SilenceTimeout {
+	if err != nil {
+		return gossiper.Live
+	}
+	at, ok := p.plan.Stops[n]
+	if leave, isPlanned := p.plan.Leaves[n]; isPlanned {
+		at, ok = leave+leaveTime, true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left, isLeaving := p.leftAt[n]
+	switch {
+	case ok && time.Since(p.start) > at+gossiper.SilenceTimeout:
 		return gossiper.Lost
+	case isLeaving && time.Since(left) >= p.plan.newsDelay:
+		return gossiper.Leaving
+	default:
+		return gossiper.Live
 	}
-	return gossiper.Live
+}
+
+// leave begins the planned stop of a VM.
+func (p *simulation) leave(ctx context.Context, vm int) {
+	p.mu.Lock()
+	if _, ok := p.leftAt[vm]; !ok {
+		p.leftAt[vm] = time.Now()
+	}
+	p.mu.Unlock()
+	p.vms[vm].HandOver(ctx, func(string) []int { return nil })
 }
 
 func (p *simulation) LiveVMs() []gossiper.VMIncarnation {
@@ -304,53 +344,93 @@
 
 func vmName(n int) string { return "v" + strconv.Itoa(n) }
 
+func jobName(n int) string { return "j" + strconv.Itoa(n) }
+
 // simulate runs a plan in virtual time and returns the operations; at the end the last VM reads every job.
 func simulate(t *testing.T, pl plan) []porcupine.Operation {
 	h := &history{}
 	synctest.Test(t, func(t *testing.T) {
-		p := &simulation{plan: pl, history: h, store: standin.NewStore(), start: time.Now()}
-		p.route = registrar.Route{
-			Host: "h", PathPrefix: "/job/", Kind: registrar.KindBatch, DueAfter: time.Minute, WaitingTokens: pl.MaxWaitingTokens,
-			Splits: []registrar.Split{{Service: "s", Weight: 1}},
-		}
-		cfg := &registrar.Config{Version: 1, Routes: []registrar.Route{p.route}}
-		reg := registrar.NewRegistry(cfg.Index(), map[string]registrar.Endpoint{})
-		p.store.SetFault(p.fault)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		var vms []context.Context
-		for n := range vmCount {
-			log, _ := logtest.NewNullLogger()
-			client := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"), vmName(n), platform.WithTransport(p.store.Transport()))
-			m := jobmanager.New(
-				jobmanager.Config{VM: vmName(n), Incarnation: 1, RowBytes: 4096, KeepFor: time.Hour},
-				client, testCodec{}, func() *registrar.Registry { return reg }, p, log,
-			)
-			vmCtx, stop := context.WithCancel(ctx)
-			if at, ok := pl.Stops[n]; ok {
-				time.AfterFunc(at, stop)
-			}
-			m.Start(vmCtx)
-			p.vms, vms = append(p.vms, m), append(vms, vmCtx)
-			context.AfterFunc(ctx, stop)
-		}
-		for _, a := range pl.Actions {
-			time.AfterFunc(a.At, func() { p.run(vms[a.VM], a) })
-		}
-		for _, at := range pl.HistoryDrops {
-			time.AfterFunc(at, p.store.DropHistory)
-		}
+		p, stop := newSimulation(t, pl, h)
 		// Virtual time inside the bubble of synctest: the sleep takes no real time.
 		time.Sleep(settled)
 		for job := range 2 {
-			p.run(vms[vmCount-1], action{VM: vmCount - 1, Do: "read", Job: job})
+			p.run(action{VM: vmCount - 1, Do: "read", Job: job})
 		}
-		cancel()
-		synctest.Wait()
+		p.requireHeld(t)
+		stop()
 	})
 	return h.ops
 }
 
+// newSimulation starts the VMs and the actions of a plan; it is called within a bubble of synctest. stop ends them.
+func newSimulation(t *testing.T, pl plan, h *history) (p *simulation, stop func()) {
+	p = &simulation{plan: pl, history: h, store: standin.NewStore(), start: time.Now(), leftAt: map[int]time.Time{}}
+	p.route = registrar.Route{
+		Host: "h", PathPrefix: "/job/", Kind: registrar.KindBatch, DueAfter: time.Minute, WaitingTokens: pl.MaxWaitingTokens,
+		Splits: []registrar.Split{{Service: "s", Weight: 1}},
+	}
+	cfg := &registrar.Config{Version: 1, Routes: []registrar.Route{p.route}}
+	reg := registrar.NewRegistry(cfg.Index(), map[string]registrar.Endpoint{})
+	p.store.SetFault(p.fault)
+	ctx, cancel := context.WithCancel(t.Context())
+	for n := range vmCount {
+		log, _ := logtest.NewNullLogger()
+		client := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"), vmName(n), platform.WithTransport(p.store.Transport()))
+		m := jobmanager.New(
+			jobmanager.Config{VM: vmName(n), Incarnation: 1, RowBytes: 4096, KeepFor: time.Hour},
+			client, testCodec{}, func() *registrar.Registry { return reg }, p, log,
+		)
+		vmCtx, stopVM := context.WithCancel(ctx)
+		if at, ok := pl.Stops[n]; ok {
+			time.AfterFunc(at, stopVM)
+		}
+		if at, ok := pl.Leaves[n]; ok {
+			time.AfterFunc(at+leaveTime, stopVM)
+		}
+		m.Start(vmCtx)
+		p.vms, p.contexts = append(p.vms, m), append(p.contexts, vmCtx)
+		context.AfterFunc(ctx, stopVM)
+	}
+	for n, at := range pl.Leaves {
+		time.AfterFunc(at, func() { p.leave(p.contexts[n], n) })
+	}
+	for _, a := range pl.Actions {
+		time.AfterFunc(a.At, func() { p.run(a) })
+	}
+	for _, at := range pl.HistoryDrops {
+		time.AfterFunc(at, p.store.DropHistory)
+	}
+	return p, func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
+// isHeld reports whether a VM that neither leaves nor has stopped would run the items of the job.
+func (p *simulation) isHeld(job string) bool {
+	for n, m := range p.vms {
+		if p.contexts[n].Err() == nil && slices.ContainsFunc(m.Held(), func(h jobmanager.HeldJob) bool { return h.Job.ID == job }) {
+			return true
+		}
+	}
+	return false
+}
+
+// requireHeld checks that each job that is not over is held by a VM that runs its items, if there is such a VM.
+func (p *simulation) requireHeld(t *testing.T) {
+	last := vmCount - 1
+	p.mu.Lock()
+	_, isLeaving := p.leftAt[last]
+	p.mu.Unlock()
+	if isLeaving {
+		return
+	}
+	for job := range 2 {
+		id := jobName(job)
+		assert.True(t, p.vms[last].IsOver(id) || p.isHeld(id), "nobody runs job %s: %+v", id, p.plan)
+	}
+}
+
 // fault returns the fault that the plan has now for the request of a VM.
 func (p *simulation) fault(r *http.Request) standin.StoreFault {
 	now := time.Since(p.start)
@@ -366,11 +446,12 @@
 }
 
 // run performs an action at a VM and records its outcome; a stopped VM does nothing.
-func (p *simulation) run(ctx context.Context, a action) {
+func (p *simulation) run(a action) {
+	ctx := p.contexts[a.VM]
 	if ctx.Err() != nil {
 		return
 	}
-	m, job := p.vms[a.VM], "j"+strconv.Itoa(a.Job)
+	m, job := p.vms[a.VM], jobName(a.Job)
 	in := input{Do: a.Do, Job: job, After: a.After}
 	call := p.history.tick()
 	switch a.Do {
@@ -381,7 +462,7 @@
 		m.Finish(ctx, job, a.Item, jobmanager.Result{ID: "i" + strconv.Itoa(a.Item), State: "succeeded", Output: []byte(text)})
 		return
 	case "handOver":
-		m.HandOver(ctx, nil)
+		p.leave(ctx, a.VM)
 		return
 	}
 	path := map[string]string{"submit": "/job/" + job, "read": fmt.Sprintf("/read/%s?%d", job, a.After), "end": "/end/" + job}[a.Do]
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -58,6 +58,8 @@
 	isLeaving bool
 	// adopting holds the ids of the jobs that are being taken over.
 	adopting map[string]bool
+	// handingOver holds the ids of the jobs that are being handed over.
+	handingOver map[string]bool
 }
 
 // record is a job as last read from the store, and what this VM has yet to write.
@@ -84,6 +86,7 @@
 		cfg: cfg, store: store, codec: codec, registry: registry, members: members, log: log,
 		payloads: newPayloadCache(), jobs: map[string]*record{}, admissions: map[string]admission{},
 		nextChange: make(chan struct{}), changed: make(chan struct{}, 1), adopting: map[string]bool{},
+		handingOver: map[string]bool{},
 	}
 	m.feed = watcher.NewFeed(store, jobTable, partitionNames(), m.applyUpdate, log)
 	m.feed.SetGap(feedGap)
--- a/pkg/jobmanager/submit.go
+++ b/pkg/jobmanager/submit.go
@@ -68,7 +68,6 @@
 		return
 	}
 	job := newJob(id, items, route, cfg.Version, start)
-	job.Holder = m.self()
 	status, err := m.accept(ctx, job, items, body, route)
 	m.answerSubmit(w, job, status, err, start)
 }
@@ -227,6 +226,7 @@
 	if !hasRoom {
 		return http.StatusTooManyRequests, nil
 	}
+	job.Holder = m.holderOf(job.ID)
 	row, err := encodeJob(job)
 	if err != nil {
 		return 0, err
