jobmanager: a hand-over is retried until the VM ends

Callers' jobs idled for 5 s more when the store refused or reset the one write that handed them over at a planned stop: nothing was tried again until the VM was lost.

Change: the hand-over is retried with the pause of the other writes, in the background, until another VM holds the job, it is over or the VM ends; each try chooses the successor anew, and so finds one that became live meanwhile. The stop does not wait for it.

--- a/pkg/assembler/gateway_handover_test.go
+++ b/pkg/assembler/gateway_handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
 // maxIdle is well under the time after which a stopped VM counts as lost, and over a period of the watch feed.
@@ -70,6 +73,56 @@
 	assert.Less(t, time.Since(at), maxIdle, "the items wait until the VM that accepted them is lost")
 }
 
+// TestHandOverIsRetried stops a VM that holds a waiting job and is busy for another 3 s, while the store fails its first write.
+func TestHandOverIsRetried(t *testing.T) {
+	for name, fault := range map[string]standin.StoreFault{
+		"503": standin.Busy, "429": standin.Limited, "reset": standin.Reset, "lost answer": standin.LoseAnswer,
+		"executed late": standin.ExecuteLate,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2)
+			var isFull atomic.Bool
+			isFull.Store(true)
+			for _, e := range f.endpoints {
+				if e.Service == "app" {
+					e.Work = 3600 * time.Millisecond
+					continue
+				}
+				e.SetFault(func(int, *http.Request) standin.EndpointFault {
+					if isFull.Load() {
+						return standin.Shed
+					}
+					return standin.NoEndpointFault
+				})
+			}
+			items := newItems(3)
+			job := newID("job")
+			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+			time.Sleep(700 * time.Millisecond)
+			go f.call(context.Background(), f.vms[0], http.MethodPost, "/book/1", newID("b"), "body", withHeader("X-Deadline-Ms", "5000"))
+			time.Sleep(100 * time.Millisecond)
+			var writes atomic.Int64
+			f.store.SetFault(func(r *http.Request) standin.StoreFault {
+				if strings.HasSuffix(r.URL.Path, "/rows-tx") && writes.Add(1) == 1 {
+					return fault
+				}
+				return standin.NoFault
+			})
+			at := time.Now()
+			go func() { _ = f.vms[0].app.Stop(context.Background()) }()
+			time.Sleep(50 * time.Millisecond)
+			isFull.Store(false)
+			require.Eventually(t, func() bool { return f.begun(items) > 0 }, maxWait, 10*time.Millisecond)
+			assert.Less(t, time.Since(at), maxIdle, "one failed write leaves the job idle until the VM is lost")
+			f.await(f.vms[1], job, len(items))
+			for _, i := range items {
+				assert.Len(t, f.runsOf(i.ID), 1)
+			}
+		})
+	}
+}
+
 // TestItemsOfAStoppingVMRunOnceWhenItsSuccessorStops stops the holder of a job whose items run, then its successor.
 func TestItemsOfAStoppingVMRunOnceWhenItsSuccessorStops(t *testing.T) {
 	t.Parallel()
--- a/pkg/jobmanager/adopt.go
+++ b/pkg/jobmanager/adopt.go
@@ -170,15 +170,21 @@
 	return jobs, m.nextChange
 }
 
-// runJobHandOver hands the job over, also if it comes back at once.
+// runJobHandOver hands the job over, also if it comes back at once. It retries until ctx ends, each time with the VM that is
+// then to run the job.
 func (m *Manager) runJobHandOver(ctx context.Context, id string, running func(job string) []int) {
+	hasFailed := false
 	for m.isToHandOver(id) {
-		if err := m.handOver(ctx, id, running); err != nil {
-			m.log.WithError(err).WithField("job", id).Warn(
-				"could not hand the batch job over; another VM takes it over once this one is lost")
-			m.mu.Lock()
-			delete(m.handingOver, id)
-			m.mu.Unlock()
+		err := m.handOver(ctx, id, running)
+		if err == nil {
+			continue
+		}
+		if !hasFailed {
+			hasFailed = true
+			m.log.WithError(err).WithField("job", id).Warn("could not hand the batch job over; retrying")
+		}
+		if !sleeper.Sleep(ctx, retryPause) {
+			m.log.WithError(err).WithField("job", id).Warn("batch job not handed over; another VM takes it over once this one is lost")
 			return
 		}
 	}
--- a/pkg/jobmanager/handover_test.go
+++ b/pkg/jobmanager/handover_test.go
@@ -82,3 +82,21 @@
 		}
 	}
 }
+
+// TestHandOverOutlastsAnOutage fails all writes of a VM in the first second of its planned stop.
+func TestHandOverOutlastsAnOutage(t *testing.T) {
+	for _, fault := range []standin.StoreFault{
+		standin.Busy, standin.Limited, standin.Reset, standin.LoseAnswer, standin.ExecuteLate,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p, stop := newSimulation(t, plan{
+				Actions: []action{{At: time.Millisecond, VM: 0, Do: "submit"}},
+				Faults:  []faultPeriod{{From: time.Second, For: time.Second, VM: 0, Fault: fault, IsWritesOnly: true}},
+				Leaves:  map[int]time.Duration{0: time.Second},
+			}, &history{})
+			defer stop()
+			time.Sleep(2*time.Second + maxIdle)
+			assert.True(t, p.isHeld(jobName(0)), "the job waits until the VM is lost, fault %d", fault)
+		})
+	}
+}
