jobmanager: an item whose result is not written yet is not handed over as open

An item that had ended shortly before a planned stop, or ended while the hand-over was retried, was no longer among the running ones and not yet among the finished ones: if the hand-over was written first, the successor ran it again.

Change: a job is handed over without the items whose results this VM has yet to write, as with those that it still runs. If the result is never written, the item is the successor's once this VM is lost.

Tests: TestItemWithAnUnwrittenResultIsNotHandedOver failed (the successor ran items 0, 1 and 2 instead of 0 and 2) and passes.

--- a/pkg/jobmanager/adopt.go
+++ b/pkg/jobmanager/adopt.go
@@ -212,7 +212,7 @@
 	}
 	var kept []int
 	err := m.writeTransition(ctx, id, func(j jobrecorder.Job) (storer.Change, jobrecorder.Job, bool) {
-		kept = running(id)
+		kept = m.withUnwritten(id, running(id))
 		return storer.Change{}, j.HandOver(to, kept), j.Holder == m.self() && !j.IsOver()
 	})
 	if err == nil {
@@ -220,3 +220,18 @@
 	}
 	return err
 }
+
+// withUnwritten returns the items and those whose results this VM has yet to write, each once. A run that ends meanwhile is in
+// one of the two, since the runner stops to count it and records its result under one lock.
+func (m *Manager) withUnwritten(id string, items []int) []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.jobs[id]; ok {
+		for _, f := range r.finished {
+			if !slices.Contains(items, f.item) {
+				items = append(items, f.item)
+			}
+		}
+	}
+	return items
+}
--- a/pkg/jobmanager/handover_test.go
+++ b/pkg/jobmanager/handover_test.go
@@ -100,3 +100,32 @@
 		})
 	}
 }
+
+// TestItemWithAnUnwrittenResultIsNotHandedOver hands a job over while the result of one of its items can't be written.
+func TestItemWithAnUnwrittenResultIsNotHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const finish = time.Second
+		p, stop := newSimulation(t, plan{
+			Actions: []action{{At: time.Millisecond, VM: 0, Do: "submit"}, {At: finish, VM: 0, Do: "finish", Item: 1}},
+			Leaves:  map[int]time.Duration{0: finish + 10*time.Millisecond},
+		}, &history{})
+		defer stop()
+		time.Sleep(finish / 2)
+		p.store.SetFault(func(r *http.Request) standin.StoreFault {
+			// The result is written first 10 ms before the job is handed over, and both are retried every 150 ms.
+			isResult := (time.Since(p.start)-finish)%(150*time.Millisecond) == 0
+			if isResult && strings.HasSuffix(r.URL.Path, "/rows-tx") && strings.HasSuffix(r.Header.Get("User-Agent"), "/"+vmName(0)) {
+				return standin.Busy
+			}
+			return standin.NoFault
+		})
+		time.Sleep(finish/2 + maxIdle)
+		var items []int
+		for _, m := range p.vms[1:] {
+			for _, h := range m.Held() {
+				items = append(items, h.Items...)
+			}
+		}
+		assert.Equal(t, []int{0, 2}, items, "the items that the successor runs")
+	})
+}
