segmentrunner: a stopping runner starts no item, and its stop takes no time from callers

Seen: callers of a stopping VM could be cut at the end of its stop. The drain of callers began only after the stop of the batch work, and that had no end: an item that the slot allocator started meanwhile ran up to its own limit, and with the store down the segments were released one after the other.

Cause: StartItem didn't check whether the runner stops, Stop waited for items and loops without its context, and the releases had no limit of their own.

Change: Stop withdraws every item, which gives its slot back before the store is asked; StartItem gives the slot of a removed or dropped item back (it kept the slot of one that was removed before its offer arrived); Stop ends with its context; the releases run at once, each with callTimeout. The lifecycle releases the batch work while it drains the callers.

--- a/pkg/assembler/lifecycle.go
+++ b/pkg/assembler/lifecycle.go
@@ -14,9 +14,13 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
 
-// leavePropagationTime is how long a leaving VM still accepts requests, until the load balancer and the other VMs have
-// learned that it leaves.
-const leavePropagationTime = 1500 * time.Millisecond
+const (
+	// leavePropagationTime is how long a leaving VM still accepts requests, until the load balancer and the other VMs have
+	// learned that it leaves.
+	leavePropagationTime = 1500 * time.Millisecond
+	// releaseLimit is how long the release of the batch work may take.
+	releaseLimit = 20 * time.Second
+)
 
 // runLifecycle registers the daemon's start and graceful shutdown with fx.
 func runLifecycle(lc fx.Lifecycle, p parts) error {
@@ -63,11 +67,7 @@
 	p.Log.Info("leaving")
 	p.Server.Leave()
 	p.Membership.Submit(detector.LeaveOrdered{})
-	p.SegmentRunner.Stop(ctx)
-	sleeper.Sleep(ctx, leavePropagationTime)
-	drainCtx, cancel := context.WithTimeout(ctx, p.Settings.DrainLimit)
-	defer cancel()
-	err := p.Server.Drain(drainCtx)
+	err := drain(ctx, p.Settings.DrainLimit, p.Server, p.SegmentRunner)
 	p.Poller.Stop()
 	p.Follower.Stop()
 	p.Reserver.Stop()
@@ -82,3 +82,32 @@
 	}
 	return err
 }
+
+// callerServer is the part of server.Server that drain uses.
+type callerServer interface {
+	Drain(ctx context.Context) error
+}
+
+// batchRunner is the part of segmentrunner.Runner that drain uses.
+type batchRunner interface {
+	Stop(ctx context.Context)
+}
+
+// drain releases the batch work and meanwhile completes the callers' requests that have begun: neither waits for the other.
+func drain(ctx context.Context, limit time.Duration, s callerServer, b batchRunner) error {
+	released := make(chan struct{})
+	go runRelease(ctx, b, released)
+	sleeper.Sleep(ctx, leavePropagationTime)
+	drainCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := s.Drain(drainCtx)
+	<-released
+	return err
+}
+
+func runRelease(ctx context.Context, b batchRunner, released chan<- struct{}) {
+	defer close(released)
+	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
+	defer cancel()
+	b.Stop(ctx)
+}
--- a/pkg/segmentrunner/item.go
+++ b/pkg/segmentrunner/item.go
@@ -38,12 +38,13 @@
 	interrupt context.CancelCauseFunc
 }
 
-// StartItem starts the item, or resumes it after SuspendItem.
-func (r *Runner) StartItem(_, id string) {
+// StartItem starts the item, or resumes it after SuspendItem; it gives the slot of a removed or dropped item back.
+func (r *Runner) StartItem(endpoint, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	it, ok := r.items[id]
-	if !ok {
+	if !ok || it.isDropped {
+		r.granter.Submit(endpoint, allocator.BatchEnded{ID: id})
 		return
 	}
 	it.shouldRun = true
@@ -71,6 +72,15 @@
 	}
 }
 
+// withdraw suspends the item for good and frees its slot; it is called with the lock held.
+func (it *item) withdraw() {
+	it.isDropped = true
+	it.suspend()
+	if !it.isRunning {
+		it.remove()
+	}
+}
+
 // cancel ends the item without a result; it is called with the lock held.
 func (it *item) cancel() {
 	it.isDropped = true
--- a/pkg/segmentrunner/runner.go
+++ b/pkg/segmentrunner/runner.go
@@ -130,20 +130,43 @@
 	}
 }
 
-// Stop suspends the running items, saves and releases the held segments, and returns when all loops have ended.
+// Stop suspends the running items, and saves and releases the held segments. It returns when all loops have ended, or when ctx
+// ends; leases that are not released by then must expire.
 func (r *Runner) Stop(ctx context.Context) {
 	r.mu.Lock()
 	r.isStopping = true
 	for _, it := range r.items {
-		it.suspend()
+		it.withdraw()
 	}
 	r.mu.Unlock()
 	r.stop()
+	done := make(chan struct{})
+	go r.runStop(ctx, done)
+	select {
+	case <-done:
+	case <-ctx.Done():
+		r.log.WithField("segments", len(r.heldSegments())).Warn("segments not released within the stop; their leases must expire")
+	}
+}
+
+// runStop releases the held segments once nothing uses them, and closes done.
+func (r *Runner) runStop(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
 	r.running.Wait()
 	r.loops.Wait()
+	releases := sync.WaitGroup{}
 	for _, seg := range r.heldSegments() {
-		r.release(ctx, seg)
+		releases.Add(1)
+		go r.runRelease(ctx, seg, &releases)
 	}
+	releases.Wait()
+}
+
+func (r *Runner) runRelease(ctx context.Context, seg *heldSegment, releases *sync.WaitGroup) {
+	defer releases.Done()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r.release(ctx, seg)
 }
 
 // Wake makes the runner check for jobs at once; it is called when the jobs or this VM's endpoints may have changed.
