server: a stop cuts no operator's call and drops no request on an accepted connection

Seen: an operator's `apply` that waited for the store when its VM stopped ended in EOF, though it may have been written. A caller whose request arrived on an open connection during the drain got its connection closed without an answer.

Cause: Stop closed the operators' server without a drain, and operators' calls were accepted up to that moment. http.Server.Shutdown ends each connection on which a request arrives after its begin. Server.inFlight was counted and never awaited.

Change: the type port, for callers and operators, closes its socket, refuses further requests as not run (503 notReady), waits for those in flight, answers on open connections for 500 ms more and then closes them. From Leave on callers' connections are closed after their next answer, and operators' calls other than reads are refused. Stop takes a context and drains the operators after the callers, with 10 s of its own if the callers take the whole limit. inFlight is deleted: the port counts active connections.

--- a/pkg/assembler/lifecycle.go
+++ b/pkg/assembler/lifecycle.go
@@ -20,6 +20,9 @@
 	leavePropagationTime = 1500 * time.Millisecond
 	// releaseLimit is how long the release of the batch work may take.
 	releaseLimit = 20 * time.Second
+	// finishTime is how much longer than the drain of callers the rest of the requests may take: it is left even if the drain
+	// takes its whole limit.
+	finishTime = 10 * time.Second
 )
 
 // runLifecycle registers the daemon's start and graceful shutdown with fx.
@@ -75,7 +78,6 @@
 	p.VMServer.Stop()
 	p.Membership.Stop()
 	p.Caller.Close()
-	p.Server.Stop()
 	p.Log.Info("stopped")
 	if stopErr := p.Tracer.Stop(ctx); err == nil {
 		err = stopErr
@@ -83,9 +85,10 @@
 	return err
 }
 
-// callerServer is the part of server.Server that drain uses.
-type callerServer interface {
+// requestServer is the part of server.Server that drain uses.
+type requestServer interface {
 	Drain(ctx context.Context) error
+	Stop(ctx context.Context) error
 }
 
 // batchRunner is the part of segmentrunner.Runner that drain uses.
@@ -93,14 +96,20 @@
 	Stop(ctx context.Context)
 }
 
-// drain releases the batch work and meanwhile completes the callers' requests that have begun: neither waits for the other.
-func drain(ctx context.Context, limit time.Duration, s callerServer, b batchRunner) error {
+// drain releases the batch work and meanwhile completes the requests that have begun, those of callers first: neither waits for
+// the other. Operators' reads are served until the callers' requests have ended.
+func drain(ctx context.Context, limit time.Duration, s requestServer, b batchRunner) error {
 	released := make(chan struct{})
 	go runRelease(ctx, b, released)
 	sleeper.Sleep(ctx, leavePropagationTime)
+	finishCtx, cancelFinish := context.WithTimeout(ctx, limit+finishTime)
+	defer cancelFinish()
 	drainCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := s.Drain(drainCtx)
+	if stopErr := s.Stop(finishCtx); err == nil {
+		err = stopErr
+	}
 	<-released
 	return err
 }
--- a/pkg/server/middleware.go
+++ b/pkg/server/middleware.go
@@ -78,8 +78,6 @@
 		span.SetAttributes(attribute.String("request.id", id), attribute.String("url.path", r.URL.Path))
 		ctx = context.WithValue(ctx, requestIDKey, id)
 		sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
-		s.inFlight.Add(1)
-		defer s.inFlight.Done()
 		next.ServeHTTP(sw, r.WithContext(ctx))
 		span.SetAttributes(attribute.Int("http.response.status_code", sw.status))
 		s.requests.observe(ctx, r.URL.Path, sw.status, time.Since(startedAt))
--- a/pkg/server/operators.go
+++ b/pkg/server/operators.go
@@ -36,7 +36,7 @@
 	r := mux.NewRouter()
 	r.Handle("/metrics", s.Metrics).Methods(http.MethodGet)
 	api := r.PathPrefix("/operators/v1").Subrouter()
-	api.Use(s.authenticateOperator)
+	api.Use(s.authenticateOperator, s.refuseChangesWhileLeaving)
 	api.HandleFunc("/diff", s.diff).Methods(http.MethodPost)
 	api.HandleFunc("/apply", s.apply).Methods(http.MethodPost)
 	api.HandleFunc("/preset", s.usePreset).Methods(http.MethodPost)
@@ -63,6 +63,21 @@
 	})
 }
 
+// refuseChangesWhileLeaving refuses calls other than reads on a VM that leaves: an order may take longer than the VM has left.
+func (s *Server) refuseChangesWhileLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isLeaving.Load() && r.Method != http.MethodGet {
+			s.refuseOperator(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) refuseOperator(w http.ResponseWriter, _ *http.Request) {
+	writeOperatorProblem(w, &problemError{problem: leavingProblem()})
+}
+
 func readJSON(w http.ResponseWriter, r *http.Request, into any) error {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDeclarationBytes))
 	if err != nil {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -11,7 +10,6 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/archiver"
@@ -73,10 +71,9 @@
 	limitMu sync.Mutex
 	limiter *limiter.Limiter
 
-	inFlight  sync.WaitGroup
 	isLeaving atomic.Bool
-	callers   *http.Server
-	operators *http.Server
+	callers   *port
+	operators *port
 }
 
 // New returns a server that does not listen yet.
@@ -85,57 +82,46 @@
 		Parts: parts, cfg: cfg, log: parts.Log, follower: parts.Follower,
 		validate: loader.NewValidator(), requests: newRequestMetrics(), limiter: limiter.New(),
 	}
-	s.callers = newHTTPServer(s.observe(s.callerRoutes()))
-	s.operators = newHTTPServer(s.operatorRoutes())
+	s.callers = newPort("callers", s.observe(s.callerRoutes()), s.observe(http.HandlerFunc(s.refuseLeaving)))
+	s.operators = newPort("operators", s.operatorRoutes(), http.HandlerFunc(s.refuseOperator))
 	return s
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-}
-
 // Start listens for callers and operators; it fails when an address can't be bound.
 func (s *Server) Start() error {
-	if err := serve(s.callers, s.cfg.Callers, s.log); err != nil {
+	if err := s.callers.start(s.cfg.Callers, s.log); err != nil {
 		return err
 	}
-	return serve(s.operators, s.cfg.Operators, s.log)
+	return s.operators.start(s.cfg.Operators, s.log)
 }
 
-func serve(srv *http.Server, addr netip.AddrPort, log logrus.FieldLogger) error {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-	if err != nil {
-		return errors.Wrapf(err, "listen at %s", addr)
-	}
-	go runServer(srv, l, log)
-	return nil
+// Leave makes /readyz answer "not ready", so that the load balancer sends no new requests to this VM. Callers' connections are
+// closed after their next answer, and operators' changes are refused.
+func (s *Server) Leave() {
+	s.isLeaving.Store(true)
+	s.callers.leave()
 }
 
-func runServer(srv *http.Server, l net.Listener, log logrus.FieldLogger) {
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		log.WithError(err).Error("HTTP server ended; its port accepts no more connections")
-	}
+// Drain refuses further requests of callers and waits until those in flight are answered. If ctx ends first, it closes the
+// remaining connections and returns a *CutError.
+func (s *Server) Drain(ctx context.Context) error {
+	return s.callers.drain(ctx)
 }
 
-// Leave makes /readyz answer "not ready", so that the load balancer sends no new requests to this VM.
-func (s *Server) Leave() {
-	s.isLeaving.Store(true)
+// Stop completes the operators' calls in flight and closes the server. If ctx ends first, it closes their connections and
+// returns a *CutError.
+func (s *Server) Stop(ctx context.Context) error {
+	return s.operators.drain(ctx)
 }
 
-// Drain waits until every caller's request in flight is answered. If ctx ends first, it closes the remaining connections
-// and returns an error.
-func (s *Server) Drain(ctx context.Context) error {
-	if err := s.callers.Shutdown(ctx); err != nil {
-		_ = s.callers.Close()
-		return errors.Wrap(err, "requests were still running at the end of the drain limit")
-	}
-	return nil
+// leavingProblem says that nothing was executed because this VM leaves.
+func leavingProblem() *Problem {
+	p := newProblem(http.StatusServiceUnavailable, "notReady", "Not ready", "this VM is leaving: ask another VM")
+	return p.withRetry(time.Second)
 }
 
-// Stop closes both HTTP servers and all their connections.
-func (s *Server) Stop() {
-	_ = s.callers.Close()
-	_ = s.operators.Close()
+func (s *Server) refuseLeaving(w http.ResponseWriter, r *http.Request) {
+	leavingProblem().write(w, r)
 }
 
 // Reconfigure adjusts the account limits to the number of VMs and the preset's scale.
