server: a stop stores the outcomes of claims before the process ends

Seen: a booking was made and answered while the store gave no answer, and its VM stopped before the store was back. The known outcome was lost: the repeat got outcomeUnknown, to be settled by hand.

Cause: the goroutines that settle claims weren't awaited. Also, a request that was cut at the drain limit ran on, and could begin its only attempt just before the process ended.

From then on no attempt begins: a request without a claim is refused as not run, and a claim without an attempt is released.

--- a/pkg/server/claims.go
+++ b/pkg/server/claims.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger/wire"
+	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
@@ -24,6 +26,7 @@
 	inlineAnswerBytes = 64 << 10
 	settleInterval    = 500 * time.Millisecond
 	settleTimeout     = 5 * time.Second
+	claimsPoll        = 5 * time.Millisecond
 	holderTimeout     = time.Second
 )
 
@@ -37,6 +40,20 @@
 
 	mu         sync.Mutex
 	inProgress map[string]struct{}
+	isClosed   bool
+}
+
+// refusedLeaving is the reason for which a closed claim runner makes no attempt.
+const refusedLeaving = "this VM is leaving"
+
+// UnsettledError says that the time of a stop ended before the outcomes of attempts were stored.
+type UnsettledError struct {
+	Attempts int
+}
+
+// Error gives the number of attempts.
+func (e *UnsettledError) Error() string {
+	return strconv.Itoa(e.Attempts) + " outcomes not stored: a repeat of these requests gets outcomeUnknown"
 }
 
 // NewClaimRunner returns the claim runner of the VM named vm.
@@ -54,14 +71,42 @@
 	return ok
 }
 
-func (c *ClaimRunner) setInProgress(attempt string, isInProgress bool) {
+// Stop makes no further attempts, and waits until the outcomes of all attempts are stored. If ctx ends first, it returns an
+// *UnsettledError.
+func (c *ClaimRunner) Stop(ctx context.Context) error {
+	for {
+		left := c.close()
+		if left == 0 {
+			return nil
+		}
+		if !sleeper.Sleep(ctx, claimsPoll) {
+			return &UnsettledError{Attempts: left}
+		}
+	}
+}
+
+// close refuses further attempts and returns the number of those in progress.
+func (c *ClaimRunner) close() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isClosed = true
+	return len(c.inProgress)
+}
+
+// begin marks the attempt as in progress, unless the runner is closed.
+func (c *ClaimRunner) begin(attempt string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if isInProgress {
+	if !c.isClosed {
 		c.inProgress[attempt] = struct{}{}
-	} else {
-		delete(c.inProgress, attempt)
 	}
+	return !c.isClosed
+}
+
+func (c *ClaimRunner) end(attempt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.inProgress, attempt)
 }
 
 // Dispatch makes the only attempt of a request and returns its answer and outcome.
@@ -87,10 +132,12 @@
 		ClaimRunner: c, key: "claim/" + account + "/" + hex.EncodeToString(sum[:]), attempt: uuid.NewString(), dispatch: dispatch,
 	}
 	run.core = claimer.New(fingerprint, run.attempt, c.vm, deadline)
-	c.setInProgress(run.attempt, true)
+	if !c.begin(run.attempt) {
+		return claimer.Refused{Refusal: refusedLeaving, Outcome: outcome.NotRun{Reason: refusedLeaving}, RetryAfter: time.Second}
+	}
 	defer func() {
 		if !run.isSettling {
-			c.setInProgress(run.attempt, false)
+			c.end(run.attempt)
 		}
 	}()
 	var in claimer.Input = claimer.Arrived{}
@@ -114,8 +161,7 @@
 		case claimer.ReadRow:
 			next = r.readRow(ctx)
 		case claimer.Dispatch:
-			answer, o := r.dispatch(ctx)
-			next = claimer.AttemptEnded{Outcome: o, Answer: answer}
+			next = r.runAttempt(ctx)
 		case claimer.AskHolder:
 			next = claimer.HolderStatus{IsAtWork: r.isHolderInProgress(ctx, out)}
 		case claimer.Settle:
@@ -130,6 +176,18 @@
 	return next
 }
 
+// runAttempt makes the attempt, unless the runner was closed meanwhile: the VM may end before the attempt does.
+func (r *claimRun) runAttempt(ctx context.Context) claimer.Input {
+	r.mu.Lock()
+	isClosed := r.isClosed
+	r.mu.Unlock()
+	if isClosed {
+		return claimer.AttemptEnded{Outcome: outcome.NotRun{Reason: refusedLeaving, RetryAfter: time.Second}}
+	}
+	answer, o := r.dispatch(ctx)
+	return claimer.AttemptEnded{Outcome: o, Answer: answer}
+}
+
 // waitForWake waits until the claimer's next wake-up; the run ends if the caller disconnects first.
 func (r *claimRun) waitForWake(ctx context.Context) claimer.Input {
 	wake, ok := r.core.NextWake().Get()
@@ -234,7 +292,7 @@
 //
 // An absent row is written too, so that a delayed insert of the same claim finds a row and has no effect.
 func (r *claimRun) runSettle(claim claimer.Claim) {
-	defer r.setInProgress(r.attempt, false)
+	defer r.end(r.attempt)
 	for !r.trySettle(claim) {
 		time.Sleep(settleInterval)
 	}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -108,10 +108,14 @@
 	return s.callers.drain(ctx)
 }
 
-// Stop completes the operators' calls in flight and closes the server. If ctx ends first, it closes their connections and
-// returns a *CutError.
+// Stop completes the operators' calls in flight, closes the server and waits until the outcomes of claims are stored. If ctx ends
+// first, it returns a *CutError or an *UnsettledError.
 func (s *Server) Stop(ctx context.Context) error {
-	return s.operators.drain(ctx)
+	err := s.operators.drain(ctx)
+	if claimsErr := s.Claims.Stop(ctx); err == nil {
+		err = claimsErr
+	}
+	return err
 }
 
 // leavingProblem says that nothing was executed because this VM leaves.
