assembler: a stop uses the grace period that is active when it begins, up to its end

Callers of a VM whose grace period had been raised since its start saw answers cut in the middle: requests that the drain had accepted for the new grace period ended when the old one was over.

Cause: fx's stop timeout was set to the grace period at the start, and runApp exits when it is over, while stop took its limit from the settings that were read last. Those could be 5 s old if the file had changed without a SIGHUP.

Change: fx's timeout is an hour, since stop sets its own end; stop reads the settings first. A file that can't be read or has errors is logged and changes nothing, as at any reload.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -54,6 +54,9 @@
 	stopPoll               = 20 * time.Millisecond
 	// reloadEvery is how often the settings file is read again without a SIGHUP.
 	reloadEvery = 5 * time.Second
+	// gatewayStopTimeout is the limit that fx sets for a stop. It is no grace period: stop ends by the one that is active when
+	// the stop begins.
+	gatewayStopTimeout = time.Hour
 	// closeTimeout bounds the wait for the listener to stop, and then the wait for the log to be written.
 	closeTimeout = 100 * time.Millisecond
 )
@@ -87,7 +90,7 @@
 	return fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(s.Grace),
+		fx.StopTimeout(gatewayStopTimeout),
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
@@ -287,6 +290,8 @@
 // shortly before the grace period ends.
 func (g *gateway) stop(context.Context) error {
 	start := time.Now()
+	// The file may have changed without a SIGHUP.
+	g.reload()
 	limit := start.Add(time.Duration(float64(g.active.Load().Grace) * (1 - stopMarginShare)))
 	g.Log.Info("leaving")
 	g.Listener.Leave(drainer.Drain{Begun: start, End: limit, Propagation: unreadyPropagationTime})
--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -45,6 +45,8 @@
 	routes    []map[string]any
 	version   int64
 	jobStatus time.Duration
+	// grace is the grace period of the VMs that are added.
+	grace time.Duration
 }
 
 type testVM struct {
@@ -80,7 +82,7 @@
 // ready.
 func newFleet(t *testing.T, n int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: standin.NewStore(), routes: defaultRoutes(), jobStatus: 2 * time.Minute}
+	f := &testFleet{t: t, store: standin.NewStore(), routes: defaultRoutes(), jobStatus: 2 * time.Minute, grace: 8 * time.Second}
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		f.server.CloseClientConnections()
@@ -186,7 +188,7 @@
 		Callers: netip.AddrPortFrom(ip, 18144), Ready: netip.AddrPortFrom(ip, 18140), FirstPort: 17660, LastPort: 17670,
 		Store: netip.MustParseAddrPort(f.server.Listener.Addr().String()), RowBytes: 65536,
 		Regions: map[string]string{"syd-a": "syd"}, EndpointHeartbeat: time.Second, Drain: 2500 * time.Millisecond,
-		Grace: 8 * time.Second, ConfigApply: 2500 * time.Millisecond, JobStatus: f.jobStatus,
+		Grace: f.grace, ConfigApply: 2500 * time.Millisecond, JobStatus: f.jobStatus,
 		MemoryBytes: 4 << 30, FileDescriptors: 8000,
 	}
 }
--- a/pkg/assembler/gateway_stop_test.go
+++ b/pkg/assembler/gateway_stop_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/platform"
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
@@ -123,3 +126,38 @@
 	}
 	require.NoError(t, <-stopped)
 }
+
+// TestGracePeriodRaisedBeforeAStopIsUsed raises the grace period from 2 s to 8 s in the settings file just before a planned stop,
+// without a SIGHUP: a stream of 3 s that the VM accepts must be complete before the process may exit.
+func TestGracePeriodRaisedBeforeAStopIsUsed(t *testing.T) {
+	text, err := os.ReadFile("../../platform/testdata/settings.toml")
+	require.NoError(t, err)
+	require.Contains(t, string(text), "graceS = 8")
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	t.Setenv(platform.SettingsVariable, file)
+	f := newFleet(t, 0)
+	f.grace = 2 * time.Second
+	f.addVM()
+	for _, e := range f.endpoints {
+		e.Step = 500 * time.Millisecond
+	}
+	require.NoError(t, os.WriteFile(file, text, 0o600))
+	app := f.vms[0].app
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	got := make(chan answer, 1)
+	id := newID("g")
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		got <- f.stream(f.vms[0], "/draft/1", id)
+	}()
+	assert.NoError(t, app.Stop(ctx), "the process exits before the daemon has stopped")
+	select {
+	case a := <-got:
+		assert.NoError(t, a.err)
+		assert.Equal(t, http.StatusOK, a.status)
+		assert.Equal(t, standin.CompleteStream(id, 6), a.body)
+	case <-time.After(time.Second):
+		assert.Fail(t, "the request is still in flight when the process exits")
+	}
+}
