relayer: requests without an answer at the end of a planned stop get one

Callers whose requests a stopping VM had accepted before the drain's propagation time, with deadlines after the end of the stop, saw their connections close without an answer, although nothing had been sent to them yet.

Cause: nothing ended such a request at the end of the stop; the server's close cut its connection.

Change: at the end of the stop the relayer cancels, with a cause of its own, each request whose answer's head has not been forwarded: 503 (not run) if no attempt may have run it, else 504. Forwarding the head and this cancellation exclude each other, so begun streams go on until the servers close. Bodies that are still incomplete are no longer awaited (503). The answers may take 3 hundredths of the grace period, of the 12 that were left for the rest of the stop. A request that ends while an endpoint is chosen isn't sent any more, also on a kept connection.

Evidence: TestUnansweredRequestsAreAnsweredAtTheEndOfAStop failed before in its cases with silent endpoints (unexpected EOF, no status); it passes now, 3.1 s for a grace period of 3 s with 0.3 s before the signal.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -48,6 +48,9 @@
 	memoryShare = 0.6
 	// stopMarginShare is the part of the grace period that is left for the final steps of the shutdown.
 	stopMarginShare = 0.12
+	// endShare is the part of the grace period in which the requests that are unanswered at the end of a stop get their answers;
+	// it is taken from the margin.
+	endShare = 0.03
 	// unreadyPropagationTime is how long the platform's load balancer takes to observe that a VM is not ready: two readiness
 	// checks, one a second.
 	unreadyPropagationTime = 2200 * time.Millisecond
@@ -287,12 +290,13 @@
 }
 
 // stop shuts the daemon down gracefully: it hands batch jobs over to other VMs and completes requests that have begun, until
-// shortly before the grace period ends.
+// shortly before the grace period ends. Then it answers those that have no answer.
 func (g *gateway) stop(context.Context) error {
 	start := time.Now()
 	// The file may have changed without a SIGHUP.
 	g.reload()
-	limit := start.Add(time.Duration(float64(g.active.Load().Grace) * (1 - stopMarginShare)))
+	grace := float64(g.active.Load().Grace)
+	limit := start.Add(time.Duration(grace * (1 - stopMarginShare)))
 	g.Log.Info("leaving")
 	g.Listener.Leave(drainer.Drain{Begun: start, End: limit, Propagation: unreadyPropagationTime})
 	g.Gossiper.Leave()
@@ -305,9 +309,9 @@
 		time.Sleep(stopPoll)
 	}
 	g.Listener.Close()
-	for g.Listener.InFlight() > 0 && time.Now().Before(limit) {
-		time.Sleep(stopPoll)
-	}
+	g.awaitAnswers(limit)
+	g.Listener.EndUnanswered()
+	g.awaitAnswers(limit.Add(time.Duration(grace * endShare)))
 	g.Log.WithFields(logrus.Fields{"open": g.Listener.InFlight(), "items": g.ItemRunner.Running()}).Info("stopped")
 	g.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -317,6 +321,13 @@
 	return nil
 }
 
+// awaitAnswers waits until no caller's request is in flight, at most until the limit.
+func (g *gateway) awaitAnswers(limit time.Time) {
+	for g.Listener.InFlight() > 0 && time.Now().Before(limit) {
+		time.Sleep(stopPoll)
+	}
+}
+
 // runReload reloads the settings file at every SIGHUP and every reloadEvery.
 func (g *gateway) runReload() {
 	hup := make(chan os.Signal, 1)
--- a/pkg/assembler/gateway_stop_test.go
+++ b/pkg/assembler/gateway_stop_test.go
@@ -161,3 +161,81 @@
 		assert.Fail(t, "the request is still in flight when the process exits")
 	}
 }
+
+// TestUnansweredRequestsAreAnsweredAtTheEndOfAStop sends requests whose deadlines are long after the end of a stop, before and
+// after its signal; their endpoints are silent, or their bodies incomplete, until the end. Each must get a complete answer, which
+// says that the request has not run only if it has not.
+func TestUnansweredRequestsAreAnsweredAtTheEndOfAStop(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name, path string
+		setUp      func(*standin.Endpoint)
+		isPartial  bool
+		status     int
+	}{
+		{"a silent endpoint", "/book/1", func(e *standin.Endpoint) {
+			e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoAnswer })
+		}, false, http.StatusGatewayTimeout},
+		{"a silent endpoint of a safe request", "/status/1", func(e *standin.Endpoint) {
+			e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoAnswer })
+		}, false, http.StatusGatewayTimeout},
+		{"a stream without an event", "/draft/1", func(e *standin.Endpoint) {
+			e.Step = 12 * time.Second
+		}, false, http.StatusGatewayTimeout},
+		{"a body that comes slowly", "/book/1", func(*standin.Endpoint) {}, true, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 0)
+			f.grace = 3 * time.Second
+			for _, r := range f.routes {
+				r["timeoutMs"] = 30000
+			}
+			f.configure()
+			f.addVM()
+			for _, e := range f.endpoints {
+				c.setUp(e)
+			}
+			ask := func(id string) (int, error) {
+				conn, err := net.Dial("tcp4", strings.TrimPrefix(f.vms[0].base, "http://"))
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				body := "prompt"
+				if c.isPartial {
+					body = "pro"
+				}
+				_, err = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: "+testHost+"\r\nX-Request-Id: "+id+
+					"\r\nX-Token-Count: 450,250\r\nX-Deadline-Ms: 20000\r\nContent-Length: 6\r\n\r\n"+body)
+				require.NoError(t, err)
+				res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					return 0, err
+				}
+				defer func() { _ = res.Body.Close() }()
+				_, err = io.ReadAll(res.Body)
+				return res.StatusCode, err
+			}
+			var wg sync.WaitGroup
+			for _, wait := range []time.Duration{0, 700 * time.Millisecond} {
+				wg.Go(func() {
+					time.Sleep(wait)
+					id := newID("end")
+					status, err := ask(id)
+					assert.NoError(t, err, "the request ends without a complete answer")
+					assert.Equal(t, c.status, status)
+					if c.isPartial {
+						assert.Empty(t, f.runsOf(id))
+					} else {
+						assert.NotEmpty(t, f.runsOf(id))
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			begun := time.Now()
+			require.NoError(t, f.vms[0].app.Stop(context.Background()))
+			assert.Less(t, time.Since(begun), f.grace)
+			wg.Wait()
+		})
+	}
+}
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -145,6 +145,9 @@
 // Close refuses all further requests; once InFlight is 0 after it, Stop cuts off no request.
 func (l *Listener) Close() { l.isClosed.Store(true) }
 
+// EndUnanswered ends the requests that have no answer yet with an answer of this VM; Close must come before it.
+func (l *Listener) EndUnanswered() { l.relayer.EndUnanswered() }
+
 // InFlight returns the number of callers' requests in flight.
 func (l *Listener) InFlight() int64 { return l.inFlight.Load() }
 
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -39,6 +39,10 @@
 
 // forwardLargeBody forwards an answer that is too large to be buffered; head holds the bytes read so far.
 func (q *request) forwardLargeBody(x *dialer.Exchange, head []byte) (bool, placer.Ending) {
+	if !q.beginAnswer() {
+		q.endUnanswered(errStopping)
+		return true, placer.EndedLocally
+	}
 	q.writeHead(x.Response, x.Response.ContentLength)
 	if _, err := q.w.Write(head); err == nil {
 		_, err = io.Copy(q.w, x)
@@ -109,6 +113,10 @@
 		if e.ID >= 0 && e.ID <= q.lastEvent {
 			continue
 		}
+		if !q.beginAnswer() {
+			q.endUnanswered(errStopping)
+			return true, placer.EndedLocally
+		}
 		if !q.hasAnswer {
 			q.writeHead(x.Response, -1)
 		}
--- /dev/null
+++ b/pkg/relayer/end_test.go
@@ -0,0 +1,131 @@
+package relayer
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+)
+
+// hookedIsolator calls onCheck before a request is placed.
+type hookedIsolator struct {
+	onCheck func()
+}
+
+func (i hookedIsolator) Check([]string) (string, time.Duration) {
+	i.onCheck()
+	return "", 0
+}
+
+func (hookedIsolator) Completed([]string) {}
+
+func (hookedIsolator) BrokeOff(registrar.Endpoint, []string, bool) {}
+
+// newTestRelayer returns a relayer with one endpoint, which answers by the handler, and its route.
+func newTestRelayer(t *testing.T, i Isolator, endpoint http.HandlerFunc) (*Relayer, registrar.Route) {
+	t.Helper()
+	server := httptest.NewServer(endpoint)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	route := registrar.Route{
+		Name: "notes", Host: "h", PathPrefix: "/notes", Kind: registrar.KindStream,
+		Splits: []registrar.Split{{Service: "s", Weight: 1}},
+	}
+	reg := registrar.NewRegistry((&registrar.Config{Routes: []registrar.Route{route}}).Index(), map[string]registrar.Endpoint{
+		"e": {ID: "e", Service: "s", Slots: 8, Address: netip.MustParseAddrPort(server.Listener.Addr().String())},
+	})
+	log, _ := logtest.NewNullLogger()
+	b := balancer.New(
+		balancer.Config{VM: "v", Topology: placer.Topology{AvailabilityZone: "a"}}, nil, rand.New(rand.NewPCG(1, 1)), log)
+	m, err := tracer.NewMeter(nil)
+	require.NoError(t, err)
+	return New(Headers{RequestID: "X-Id", Signature: "X-Signed"}, func() *registrar.Registry { return reg }, b,
+		dialer.NewPool(func(string) int { return 1 }), i, func(registrar.Endpoint) {}, m, log), route
+}
+
+func newTestRequest(t *testing.T) *http.Request {
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/notes", strings.NewReader("prompt"))
+	r.RequestURI = "/notes"
+	r.Header.Set("X-Id", "r1")
+	return r
+}
+
+// TestUnsentRequestIsRefusedAtTheEndOfAStop ends the unanswered requests before one is sent to an endpoint, to which a connection
+// is kept.
+func TestUnsentRequestIsRefusedAtTheEndOfAStop(t *testing.T) {
+	var requests atomic.Int64
+	i := &hookedIsolator{onCheck: func() {}}
+	l, route := newTestRelayer(t, i, func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		w.Header().Set("X-Id", "r1")
+		w.Header().Set("X-Signed", "yes")
+	})
+	w := httptest.NewRecorder()
+	l.Serve(w, newTestRequest(t), route)
+	require.Equal(t, http.StatusOK, w.Code, w.Body)
+	require.Len(t, dialer.Connected(l.pool, func(endpoint string) string { return endpoint }), 1)
+	i.onCheck = func() {
+		l.EndUnanswered()
+		time.Sleep(20 * time.Millisecond)
+	}
+	w = httptest.NewRecorder()
+	l.Serve(w, newTestRequest(t), route)
+	assert.Equal(t, http.StatusServiceUnavailable, w.Code, w.Body)
+	assert.NotEmpty(t, w.Header().Get("Retry-After"))
+	assert.EqualValues(t, 1, requests.Load())
+}
+
+// TestBegunStreamOutlastsTheEndOfUnansweredRequests ends the unanswered requests between two events of a stream.
+func TestBegunStreamOutlastsTheEndOfUnansweredRequests(t *testing.T) {
+	sendLast := make(chan struct{})
+	l, route := newTestRelayer(t, hookedIsolator{onCheck: func() {}}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Id", "r1")
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "id: 0\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-sendLast
+		_, _ = io.WriteString(w, "id: 1\ndata: b\n\n")
+	})
+	begun := make(chan struct{})
+	w := &signalingRecorder{ResponseRecorder: httptest.NewRecorder(), begun: begun}
+	served := make(chan struct{})
+	r := newTestRequest(t)
+	go func() {
+		defer close(served)
+		l.Serve(w, r, route)
+	}()
+	<-begun
+	l.EndUnanswered()
+	time.Sleep(20 * time.Millisecond)
+	close(sendLast)
+	<-served
+	assert.Equal(t, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", w.Body.String())
+}
+
+// signalingRecorder closes begun when the head of an answer is written.
+type signalingRecorder struct {
+	*httptest.ResponseRecorder
+	begun chan struct{}
+}
+
+func (w *signalingRecorder) WriteHeader(status int) {
+	w.ResponseRecorder.WriteHeader(status)
+	close(w.begun)
+}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -61,6 +61,9 @@
 	log       logrus.FieldLogger
 	// drain is the VM's planned stop; nil before.
 	drain atomic.Pointer[drainer.Drain]
+	// ending ends when the VM answers what is still unanswered; end ends it.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
@@ -68,7 +71,9 @@
 	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator,
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
+	ending, end := context.WithCancel(context.Background())
 	return &Relayer{
+		ending: ending, end: end,
 		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, onLeaving: onLeaving, metrics: m, log: log,
 	}
 }
@@ -76,6 +81,14 @@
 // Leave refuses the requests that the drain doesn't accept from now on.
 func (l *Relayer) Leave(d drainer.Drain) { l.drain.Store(&d) }
 
+// EndUnanswered ends the requests that have no answer yet, those whose bodies are incomplete too, with an answer of this VM.
+//
+// A request whose answer has begun goes on.
+func (l *Relayer) EndUnanswered() { l.end() }
+
+// errStopping is the cancellation cause of a request that is unanswered at the end of the VM's stop.
+var errStopping = errors.New("this VM stops")
+
 // errTimeout is the cancellation cause of a request whose deadline has passed.
 var errTimeout = errors.New("time is over")
 
@@ -86,7 +99,11 @@
 	spanCtx, span := otel.Tracer("relayer").Start(r.Context(), "request "+route.Name)
 	defer span.End()
 	r = r.WithContext(spanCtx)
-	body, err := ReadBody(w, r, l.registry().Config.Limits.BodyBytes)
+	body, err := l.readBody(w, r)
+	if errors.Is(err, errStopping) {
+		l.RefuseLeaving(w, r)
+		return
+	}
 	if err != nil {
 		l.Refuse(w, r, BodyStatus(err), err.Error())
 		return
@@ -103,7 +120,11 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	q.ctx = ctx
+	q.outlastEnd = context.AfterFunc(l.ending, func() { end(errStopping) })
+	defer q.outlastEnd()
 	q.run()
 	q.logEnd()
 	if q.mustAbort {
@@ -111,6 +132,18 @@
 	}
 }
 
+// readBody reads a request's body; the error is errStopping if the VM answers what is unanswered meanwhile.
+func (l *Relayer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	outlastEnd := context.AfterFunc(l.ending, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	body, err := ReadBody(w, r, l.registry().Config.Limits.BodyBytes)
+	if !outlastEnd() {
+		return nil, errStopping
+	}
+	return body, err
+}
+
 // BodyTooLargeError says that a body is larger than Limit bytes.
 type BodyTooLargeError struct {
 	Limit int64
@@ -153,11 +186,11 @@
 
 // RefuseLeaving refuses a request that this VM would not complete before it stops. The caller can retry on another VM at once.
 func (l *Relayer) RefuseLeaving(w http.ResponseWriter, r *http.Request) {
-	const detail = "this VM stops"
 	l.log.WithFields(logrus.Fields{
-		"request": r.Header.Get(l.headers.RequestID), "path": r.URL.Path, "status": http.StatusServiceUnavailable, "cause": detail,
+		"request": r.Header.Get(l.headers.RequestID), "path": r.URL.Path, "status": http.StatusServiceUnavailable,
+		"cause": errStopping.Error(),
 	}).Info("request not admitted")
-	WriteRefusal(w, http.StatusServiceUnavailable, 0, detail)
+	WriteRefusal(w, http.StatusServiceUnavailable, 0, errStopping.Error())
 }
 
 // LogWhileLeaving logs a request that arrived after the VM began to leave; n is the number of requests on its connection so far.
@@ -195,6 +228,8 @@
 	body     []byte
 	start    time.Time
 	deadline time.Time
+	// outlastEnd keeps EndUnanswered from ending the request; it returns false if that has happened.
+	outlastEnd func() bool
 
 	// runs counts the attempts in which an endpoint may have run the request.
 	runs int
@@ -249,6 +284,9 @@
 		}
 		d, ticket := q.place()
 		send, ok := d.(placer.Send)
+		if !ok && q.isStopping() {
+			continue
+		}
 		if !ok {
 			q.refuse(d.(placer.Refuse))
 			return
@@ -304,7 +342,7 @@
 		return false
 	}
 	left := time.Until(q.deadline)
-	if left < minTimeLeft || q.r.Context().Err() != nil {
+	if left < minTimeLeft || q.ctx.Err() != nil {
 		_ = conn.Close()
 		ending = placer.EndedLocally
 		q.endUnanswered(errTimeout)
@@ -432,6 +470,12 @@
 	return true
 }
 
+// isStopping reports whether EndUnanswered has ended the request.
+func (q *request) isStopping() bool { return errors.Is(context.Cause(q.ctx), errStopping) }
+
+// beginAnswer reports whether an answer that is not complete may be begun. If so, EndUnanswered doesn't end the request.
+func (q *request) beginAnswer() bool { return q.hasAnswer || q.outlastEnd() }
+
 // endUnanswered ends a request that got no usable answer from an endpoint.
 func (q *request) endUnanswered(err error) {
 	q.cause = err
@@ -440,6 +484,8 @@
 		q.decision = "caller left"
 	case q.hasAnswer:
 		q.decision, q.mustAbort = "cut", true
+	case q.isStopping() || errors.Is(err, errStopping):
+		q.endStopping()
 	case errors.Is(context.Cause(q.ctx), errTimeout) || errors.Is(err, errTimeout):
 		q.fail(http.StatusGatewayTimeout, "timeout", "no answer in time")
 	case q.runs > 0:
@@ -449,6 +495,15 @@
 	}
 }
 
+// endStopping answers a request that has no answer at the end of the VM's stop.
+func (q *request) endStopping() {
+	if q.runs > 0 {
+		q.fail(http.StatusGatewayTimeout, "stopping", "this VM stops; the request may have run")
+		return
+	}
+	q.refuse(placer.Refuse{Reason: errStopping.Error()})
+}
+
 // fail answers with an error, and with decision as the outcome for the log and the metrics.
 func (q *request) fail(status int, decision, detail string) {
 	q.status, q.decision = status, decision
