listener: calls about jobs are held to the drain whatever route has their path

Callers that read or end batch jobs at a stopping VM could be cut at its end, if an online route covered the path /lots/ too.

Cause: the listener took a request for online by its route, but calls about jobs are served by the job manager before the route counts.

Change: the listener decides by what will serve the request: a call about a job (its form, on a host with batch routes), a submission, or the relayer, which holds online requests to their own deadlines.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -211,10 +212,15 @@
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
-		HasPeers: g.HasVMList,
+		HasPeers: g.HasVMList, IsJobCall: isJobCall,
 	}, w.Current, rl, jm, t.Handler(), log)
 }
 
+func isJobCall(r *http.Request) bool {
+	_, ok, _ := platform.JobCodec{}.Call(r)
+	return ok
+}
+
 // gateway is the daemon running on the users' platform.
 type gateway struct {
 	gatewayParts
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -47,6 +47,8 @@
 	// HasPeers reports whether the VM knows its peers. A VM that doesn't would fill slots that others use, and could receive
 	// no updates if it lost the store; so it is not ready.
 	HasPeers func() bool
+	// IsJobCall reports whether the request has the form of a call about a batch job.
+	IsJobCall func(*http.Request) bool
 }
 
 // Listener owns the VM's servers for callers, readiness checks and metrics.
@@ -211,19 +213,22 @@
 		return
 	}
 	route, ok := reg.Config.Match(r.Host, r.URL.Path)
-	isOnline := ok && route.Kind != registrar.KindBatch
+	isJobCall := l.cfg.IsJobCall(r) && len(reg.Config.BatchRoutes(r.Host)) > 0
+	isSubmission := ok && route.Kind == registrar.KindBatch && r.Method == http.MethodPost
+	// The relayer holds online requests to the drain by their own deadlines.
+	isOnline := ok && !isJobCall && !isSubmission
 	if d != nil && !isOnline && !d.Accepts(time.Now(), time.Now().Add(maxJobCall)) {
 		l.relayer.RefuseLeaving(w, r)
 		return
 	}
-	if l.jobs.ServeCall(w, r) {
+	if isJobCall && l.jobs.ServeCall(w, r) {
 		return
 	}
 	if !ok {
 		l.relayer.Refuse(w, r, http.StatusNotFound, "no route has this host and path")
 		return
 	}
-	if route.Kind == registrar.KindBatch && r.Method == http.MethodPost {
+	if isSubmission {
 		l.jobs.Submit(w, r, route)
 		return
 	}
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -48,10 +48,12 @@
 	m, err := tracer.NewMeter(nil)
 	require.NoError(t, err)
 	i := isolator.New(nil, pool, nil, log)
-	rl := relayer.New(relayer.Headers{RequestID: "X-Id"}, registry, b, pool, i, func(registrar.Endpoint) {}, m, log)
+	headers := relayer.Headers{RequestID: "X-Id", Timeout: "X-Timeout"}
+	rl := relayer.New(headers, registry, b, pool, i, func(registrar.Endpoint) {}, m, log)
 	return New(Config{
 		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics",
-		HasPeers: func() bool { return true },
+		HasPeers:  func() bool { return true },
+		IsJobCall: func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/lots/") },
 	}, registry, rl, noJobs{}, http.NotFoundHandler(), log), hook
 }
 
@@ -197,10 +199,59 @@
 	assert.Zero(t, l.InFlight())
 }
 
-// countedJobs counts the submitted jobs.
+// countedJobs counts the calls and the submitted jobs.
 type countedJobs struct {
-	noJobs
-	submitted int
+	calls, submitted int
+}
+
+func (j *countedJobs) ServeCall(_ http.ResponseWriter, r *http.Request) bool {
+	isCall := strings.HasPrefix(r.URL.Path, "/lots/")
+	if isCall {
+		j.calls++
+	}
+	return isCall
 }
 
 func (j *countedJobs) Submit(http.ResponseWriter, *http.Request, registrar.Route) { j.submitted++ }
+
+// TestJobCallOnAnOnlineRouteIsHeldToTheDrain sends a call about a job, whose path an online route has too, 140 ms before the end
+// of a stop: the call may take longer than that.
+func TestJobCallOnAnOnlineRouteIsHeldToTheDrain(t *testing.T) {
+	jobs := &countedJobs{}
+	splits := []registrar.Split{{Service: "s", Weight: 1}}
+	l, _ := newTestListener(t, &registrar.Config{Routes: []registrar.Route{
+		{Name: "lots", Host: "h", PathPrefix: "/batch/", Kind: registrar.KindBatch, Splits: splits},
+		{Name: "all", Host: "h", PathPrefix: "/", Kind: registrar.KindSafe, Splits: splits},
+	}})
+	l.jobs = jobs
+	read := func() int {
+		w := httptest.NewRecorder()
+		l.serveCaller(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/lots/abc?after=0", nil))
+		return w.Code
+	}
+	require.Equal(t, http.StatusOK, read())
+	require.Equal(t, 1, jobs.calls)
+	now := time.Now()
+	l.Leave(drainer.Drain{
+		Begun: now.Add(-6900 * time.Millisecond), End: now.Add(140 * time.Millisecond), Propagation: 2200 * time.Millisecond,
+	})
+	assert.Equal(t, http.StatusServiceUnavailable, read())
+	assert.Equal(t, 1, jobs.calls, "the VM serves a call that may take longer than the rest of the stop")
+}
+
+// TestOnlineRequestBesideJobCallsIsHeldToItsOwnDeadline sends an online request, shorter than the rest of a stop, on a route
+// whose paths include those of calls about jobs, while such a call would be refused.
+func TestOnlineRequestBesideJobCallsIsHeldToItsOwnDeadline(t *testing.T) {
+	splits := []registrar.Split{{Service: "s", Weight: 1}}
+	l, hook := newTestListener(t, &registrar.Config{Routes: []registrar.Route{
+		{Name: "lots", Host: "h", PathPrefix: "/lots/", Kind: registrar.KindBatch, Splits: splits},
+		{Name: "all", Host: "h", PathPrefix: "/", Kind: registrar.KindSafe, Splits: splits},
+	}})
+	now := time.Now()
+	l.Leave(drainer.Drain{Begun: now.Add(-3 * time.Second), End: now.Add(2 * time.Second), Propagation: 2200 * time.Millisecond})
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/status", nil)
+	r.Header.Set("X-Timeout", "1000")
+	l.serveCaller(httptest.NewRecorder(), r)
+	require.NotNil(t, hook.LastEntry())
+	assert.Equal(t, "request ended", hook.LastEntry().Message)
+}
