assembler: SIGHUP never ends the process, and SIGTERM always ends it by a planned stop

Callers of a VM saw all their requests cut if its settings file changed while it started or in the last 100 ms of its stop: SIGHUP killed the process then. So did a SIGTERM that came before fx listened for it, which could be after the port was open.

Cause: SIGHUP was received from the time that the reload's goroutine ran until the context was cancelled at the end of the stop, and SIGTERM only once the daemon had started; Go ends the process at these signals while no channel receives them.

Change: both are received from the first line of the run on, before the settings are read, until the process ends. A signal that comes while the daemon starts takes effect afterwards. The product's own daemon receives SIGTERM and SIGINT in the same way.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
 	"sync/atomic"
@@ -70,6 +69,7 @@
 	fx.In
 
 	Settings   platform.Settings
+	HangUps    hangUps
 	Log        logrus.FieldLogger
 	LogQueue   *tracer.LogQueue
 	Store      *platform.Store
@@ -86,6 +86,11 @@
 	Meter      *tracer.Meter
 }
 
+// hangUps receives SIGHUP.
+type hangUps <-chan os.Signal
+
+func newHangUps() hangUps { return receive(syscall.SIGHUP) }
+
 // NewGateway returns the daemon for the users' platform with these settings, not yet started.
 //
 // It sets the process's memory limit. The options replace components in tests.
@@ -97,7 +102,7 @@
 		fx.StopTimeout(gatewayStopTimeout),
 		fx.Supply(s),
 		fx.Provide(
-			newRandom, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
+			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
 			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newRelayer, newJobManager, newItemRunner,
 			newListener,
 		),
@@ -336,16 +341,13 @@
 
 // runReload reloads the settings file at every SIGHUP and every reloadEvery.
 func (g *gateway) runReload() {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-g.ctx.Done():
 			return
-		case <-hup:
+		case <-g.HangUps:
 			g.Log.Info("received SIGHUP; reloading the settings file")
 		case <-tick.C:
 		}
@@ -373,6 +375,7 @@
 }
 
 func runOnPlatform() error {
+	stop, hup := receive(os.Interrupt, syscall.SIGTERM), newHangUps()
 	file := os.Getenv(platform.SettingsVariable)
 	if file == "" {
 		return errors.Errorf("environment variable %s is empty: set it to the settings file's path", platform.SettingsVariable)
@@ -381,5 +384,5 @@
 	if err != nil {
 		return err
 	}
-	return runApp(NewGateway(s))
+	return runApp(NewGateway(s, fx.Replace(hup)), stop)
 }
--- a/pkg/assembler/main.go
+++ b/pkg/assembler/main.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -58,21 +60,31 @@
 }
 
 func run(file string) error {
+	stop := receive(os.Interrupt, syscall.SIGTERM)
 	s, err := loader.ReadSettings(file)
 	if err != nil {
 		return err
 	}
-	return runApp(New(s))
+	return runApp(New(s), stop)
+}
+
+// receive returns a channel that receives the signals until the process ends.
+//
+// A signal that no channel receives ends the process, so this comes before all else.
+func receive(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
 }
 
 // runApp starts the daemon, waits for a stop signal and shuts it down.
-func runApp(app *fx.App) error {
+func runApp(app *fx.App, stop <-chan os.Signal) error {
 	startCtx, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return errors.Wrap(err, "start")
 	}
-	<-app.Wait()
+	<-stop
 	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return errors.Wrap(app.Stop(stopCtx), "stop")
