listener: the check for idle connections cuts no request that has been read

A caller's request could be passed on and its connection closed without an answer, if it came on a connection just as that had been idle for the configuration's limit.

Cause: the check closed connections that it knew as idle; the server records a connection as active only after it has read a request's head.

Change: the check sets a read deadline in the past, which ends only the server's wait for a request. If a head has been read meanwhile, recording the connection as active takes the deadline away, and the request is served; a head that is incomplete is dropped unread, as any request that crosses a close.

--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -79,7 +79,7 @@
 ) *Listener {
 	return &Listener{
 		cfg: cfg, registry: registry, relayer: rl, jobs: jobs, metrics: metrics, log: log,
-		conns: openConns{idleSince: map[net.Conn]time.Time{}}, stopIdle: func() {},
+		conns: openConns{idleSince: map[net.Conn]time.Time{}, ended: map[net.Conn]bool{}}, stopIdle: func() {},
 	}
 }
 
@@ -128,7 +128,7 @@
 	if !reg.IsReady() || reg.Config.Limits.IdleTimeout <= 0 {
 		return 0
 	}
-	return l.conns.closeOlder(now, reg.Config.Limits.IdleTimeout)
+	return l.conns.endOlder(now, reg.Config.Limits.IdleTimeout)
 }
 
 func (l *Listener) runServer(s *http.Server, socket net.Listener) {
