assembler: a test fails if a planned stop ends without closing the listener

Only calls and submissions of batch jobs need the closed listener, and no test sent any.

Change: TestPlannedStopAnswersAcceptedConnections also sends a short online request, and a job that the drain accepts until the end.

--- a/pkg/assembler/gateway_stop_test.go
+++ b/pkg/assembler/gateway_stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -81,15 +83,35 @@
 }
 
 // TestPlannedStopAnswersAcceptedConnections sends requests on connections that a VM accepted just before it closed its port at
-// the end of a planned stop: one connection without a request until then, one kept since an earlier request.
+// the end of a planned stop: one connection without a request until then, one kept since an earlier request. The drain accepts
+// the short online request and the job until the end.
 func TestPlannedStopAnswersAcceptedConnections(t *testing.T) {
 	t.Parallel()
+	job, err := json.Marshal(map[string]any{"items": newItems(1)})
+	require.NoError(t, err)
+	cases := []struct {
+		name, path, deadline, body string
+	}{
+		{"a long request", "/draft/1", "5000", "prompt"},
+		{"a short request", "/draft/1", "1000", "prompt"},
+		{"a job", "/batch/1", "5000", string(job)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			testAcceptedConnections(t, c.path, c.deadline, c.body)
+		})
+	}
+}
+
+func testAcceptedConnections(t *testing.T, path, deadline, body string) {
+	t.Helper()
 	f := newFleet(t, 1)
 	address := strings.TrimPrefix(f.vms[0].base, "http://")
-	ask := func(conn net.Conn, path string) (int, string) {
+	ask := func(conn net.Conn, path, body string) (int, string) {
 		id := newID("end")
-		_, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: "+testHost+"\r\nX-Request-Id: "+id+
-			"\r\nX-Token-Count: 450,250\r\nX-Deadline-Ms: 5000\r\nContent-Length: 6\r\n\r\nprompt")
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Token-Count: 450,250\r\n"+
+			"X-Deadline-Ms: %s\r\nContent-Length: %d\r\n\r\n%s", path, testHost, id, deadline, len(body), body)
 		require.NoError(t, err)
 		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if !assert.NoError(t, err, "the connection ends without an answer") {
@@ -107,7 +129,7 @@
 		return conn
 	}
 	kept := dial()
-	status, _ := ask(kept, "/draft/1")
+	status, _ := ask(kept, "/draft/1", "prompt")
 	require.Equal(t, http.StatusOK, status)
 	stopped := make(chan error, 1)
 	go func() { stopped <- f.vms[0].app.Stop(context.Background()) }()
@@ -120,7 +142,7 @@
 		return err != nil
 	}, maxWait, time.Millisecond, "the port stays open")
 	for _, conn := range []net.Conn{unused, kept} {
-		status, id := ask(conn, "/draft/1")
+		status, id := ask(conn, path, body)
 		assert.Equal(t, http.StatusServiceUnavailable, status)
 		assert.Empty(t, f.runsOf(id), "the request was passed on to an endpoint by a VM that ends")
 	}
