--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
 	"sync/atomic"
@@ -48,12 +48,18 @@
 	memoryShare = 0.6
 	// stopMarginShare is the part of the grace period that is left for the final steps of the shutdown.
 	stopMarginShare = 0.12
+	// endShare is the part of the grace period in which the requests that are unanswered at the end of a stop get their answers;
+	// it is taken from the margin.
+	endShare = 0.03
 	// unreadyPropagationTime is how long the platform's load balancer takes to observe that a VM is not ready: two readiness
 	// checks, one a second.
 	unreadyPropagationTime = 2200 * time.Millisecond
 	stopPoll               = 20 * time.Millisecond
 	// reloadEvery is how often the settings file is read again without a SIGHUP.
 	reloadEvery = 5 * time.Second
+	// gatewayStopTimeout is the limit that fx sets for a stop. It is no grace period: stop ends by the one that is active when
+	// the stop begins.
+	gatewayStopTimeout = time.Hour
 	// closeTimeout bounds the wait for the listener to stop, and then the wait for the log to be written.
 	closeTimeout = 100 * time.Millisecond
 )
@@ -63,6 +69,7 @@
 	fx.In
 
 	Settings   platform.Settings
+	HangUps    hangUps
 	Log        logrus.FieldLogger
 	LogQueue   *tracer.LogQueue
 	Store      *platform.Store
@@ -79,6 +86,11 @@
 	Meter      *tracer.Meter
 }
 
+// hangUps receives SIGHUP.
+type hangUps <-chan os.Signal
+
+func newHangUps() hangUps { return receive(syscall.SIGHUP) }
+
 // NewGateway returns the daemon for the users' platform with these settings, not yet started.
 //
 // It sets the process's memory limit. The options replace components in tests.
@@ -87,10 +99,10 @@
 	return fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(s.Grace),
+		fx.StopTimeout(gatewayStopTimeout),
 		fx.Supply(s),
 		fx.Provide(
-			newRandom, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
+			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
 			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newRelayer, newJobManager, newItemRunner,
 			newListener,
 		),
@@ -205,10 +217,15 @@
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
-		HasPeers: g.HasVMList,
+		HasPeers: g.HasVMList, IsJobCall: isJobCall,
 	}, w.Current, rl, jm, t.Handler(), log)
 }
 
+func isJobCall(r *http.Request) bool {
+	_, ok, _ := platform.JobCodec{}.Call(r)
+	return ok
+}
+
 // gateway is the daemon running on the users' platform.
 type gateway struct {
 	gatewayParts
@@ -284,10 +301,13 @@
 }
 
 // stop shuts the daemon down gracefully: it hands batch jobs over to other VMs and completes requests that have begun, until
-// shortly before the grace period ends.
+// shortly before the grace period ends. Then it answers those that have no answer.
 func (g *gateway) stop(context.Context) error {
 	start := time.Now()
-	limit := start.Add(time.Duration(float64(g.active.Load().Grace) * (1 - stopMarginShare)))
+	// The file may have changed without a SIGHUP.
+	g.reload()
+	grace := float64(g.active.Load().Grace)
+	limit := start.Add(time.Duration(grace * (1 - stopMarginShare)))
 	g.Log.Info("leaving")
 	g.Listener.Leave(drainer.Drain{Begun: start, End: limit, Propagation: unreadyPropagationTime})
 	g.Gossiper.Leave()
@@ -300,9 +320,9 @@
 		time.Sleep(stopPoll)
 	}
 	g.Listener.Close()
-	for g.Listener.InFlight() > 0 && time.Now().Before(limit) {
-		time.Sleep(stopPoll)
-	}
+	g.awaitAnswers(limit)
+	g.Listener.EndUnanswered()
+	g.awaitAnswers(limit.Add(time.Duration(grace * endShare)))
 	g.Log.WithFields(logrus.Fields{"open": g.Listener.InFlight(), "items": g.ItemRunner.Running()}).Info("stopped")
 	g.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -312,18 +332,22 @@
 	return nil
 }
 
+// awaitAnswers waits until no caller's request is in flight, at most until the limit.
+func (g *gateway) awaitAnswers(limit time.Time) {
+	for g.Listener.InFlight() > 0 && time.Now().Before(limit) {
+		time.Sleep(stopPoll)
+	}
+}
+
 // runReload reloads the settings file at every SIGHUP and every reloadEvery.
 func (g *gateway) runReload() {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-g.ctx.Done():
 			return
-		case <-hup:
+		case <-g.HangUps:
 			g.Log.Info("received SIGHUP; reloading the settings file")
 		case <-tick.C:
 		}
@@ -351,6 +375,7 @@
 }
 
 func runOnPlatform() error {
+	stop, hup := receive(os.Interrupt, syscall.SIGTERM), newHangUps()
 	file := os.Getenv(platform.SettingsVariable)
 	if file == "" {
 		return errors.Errorf("environment variable %s is empty: set it to the settings file's path", platform.SettingsVariable)
@@ -359,5 +384,5 @@
 	if err != nil {
 		return err
 	}
-	return runApp(NewGateway(s))
+	return runApp(NewGateway(s, fx.Replace(hup)), stop)
 }
--- a/pkg/assembler/gateway_stop_test.go
+++ b/pkg/assembler/gateway_stop_test.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/platform"
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
@@ -78,15 +83,35 @@
 }
 
 // TestPlannedStopAnswersAcceptedConnections sends requests on connections that a VM accepted just before it closed its port at
-// the end of a planned stop: one connection without a request until then, one kept since an earlier request.
+// the end of a planned stop: one connection without a request until then, one kept since an earlier request. The drain accepts
+// the short online request and the job until the end.
 func TestPlannedStopAnswersAcceptedConnections(t *testing.T) {
 	t.Parallel()
+	job, err := json.Marshal(map[string]any{"items": newItems(1)})
+	require.NoError(t, err)
+	cases := []struct {
+		name, path, deadline, body string
+	}{
+		{"a long request", "/draft/1", "5000", "prompt"},
+		{"a short request", "/draft/1", "1000", "prompt"},
+		{"a job", "/batch/1", "5000", string(job)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			testAcceptedConnections(t, c.path, c.deadline, c.body)
+		})
+	}
+}
+
+func testAcceptedConnections(t *testing.T, path, deadline, body string) {
+	t.Helper()
 	f := newFleet(t, 1)
 	address := strings.TrimPrefix(f.vms[0].base, "http://")
-	ask := func(conn net.Conn, path string) (int, string) {
+	ask := func(conn net.Conn, path, body string) (int, string) {
 		id := newID("end")
-		_, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: "+testHost+"\r\nX-Request-Id: "+id+
-			"\r\nX-Token-Count: 450,250\r\nX-Deadline-Ms: 5000\r\nContent-Length: 6\r\n\r\nprompt")
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Token-Count: 450,250\r\n"+
+			"X-Deadline-Ms: %s\r\nContent-Length: %d\r\n\r\n%s", path, testHost, id, deadline, len(body), body)
 		require.NoError(t, err)
 		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if !assert.NoError(t, err, "the connection ends without an answer") {
@@ -104,7 +129,7 @@
 		return conn
 	}
 	kept := dial()
-	status, _ := ask(kept, "/draft/1")
+	status, _ := ask(kept, "/draft/1", "prompt")
 	require.Equal(t, http.StatusOK, status)
 	stopped := make(chan error, 1)
 	go func() { stopped <- f.vms[0].app.Stop(context.Background()) }()
@@ -117,9 +142,122 @@
 		return err != nil
 	}, maxWait, time.Millisecond, "the port stays open")
 	for _, conn := range []net.Conn{unused, kept} {
-		status, id := ask(conn, "/draft/1")
+		status, id := ask(conn, path, body)
 		assert.Equal(t, http.StatusServiceUnavailable, status)
 		assert.Empty(t, f.runsOf(id), "the request was passed on to an endpoint by a VM that ends")
 	}
 	require.NoError(t, <-stopped)
 }
+
+// TestGracePeriodRaisedBeforeAStopIsUsed raises the grace period from 2 s to 8 s in the settings file just before a planned stop,
+// without a SIGHUP: a stream of 3 s that the VM accepts must be complete before the process may exit.
+func TestGracePeriodRaisedBeforeAStopIsUsed(t *testing.T) {
+	text, err := os.ReadFile("../../platform/testdata/settings.toml")
+	require.NoError(t, err)
+	require.Contains(t, string(text), "graceS = 8")
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	t.Setenv(platform.SettingsVariable, file)
+	f := newFleet(t, 0)
+	f.grace = 2 * time.Second
+	f.addVM()
+	for _, e := range f.endpoints {
+		e.Step = 500 * time.Millisecond
+	}
+	require.NoError(t, os.WriteFile(file, text, 0o600))
+	app := f.vms[0].app
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	got := make(chan answer, 1)
+	id := newID("g")
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		got <- f.stream(f.vms[0], "/draft/1", id)
+	}()
+	assert.NoError(t, app.Stop(ctx), "the process exits before the daemon has stopped")
+	select {
+	case a := <-got:
+		assert.NoError(t, a.err)
+		assert.Equal(t, http.StatusOK, a.status)
+		assert.Equal(t, standin.CompleteStream(id, 6), a.body)
+	case <-time.After(time.Second):
+		assert.Fail(t, "the request is still in flight when the process exits")
+	}
+}
+
+// TestUnansweredRequestsAreAnsweredAtTheEndOfAStop sends requests whose deadlines are long after the end of a stop, before and
+// after its signal; their endpoints are silent, or their bodies incomplete, until the end. Each must get a complete answer, which
+// says that the request has not run only if it has not.
+func TestUnansweredRequestsAreAnsweredAtTheEndOfAStop(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name, path string
+		setUp      func(*standin.Endpoint)
+		isPartial  bool
+		status     int
+	}{
+		{"a silent endpoint", "/book/1", func(e *standin.Endpoint) {
+			e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoAnswer })
+		}, false, http.StatusGatewayTimeout},
+		{"a silent endpoint of a safe request", "/status/1", func(e *standin.Endpoint) {
+			e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoAnswer })
+		}, false, http.StatusGatewayTimeout},
+		{"a stream without an event", "/draft/1", func(e *standin.Endpoint) {
+			e.Step = 12 * time.Second
+		}, false, http.StatusGatewayTimeout},
+		{"a body that comes slowly", "/book/1", func(*standin.Endpoint) {}, true, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 0)
+			f.grace = 3 * time.Second
+			for _, r := range f.routes {
+				r["timeoutMs"] = 30000
+			}
+			f.configure()
+			f.addVM()
+			for _, e := range f.endpoints {
+				c.setUp(e)
+			}
+			ask := func(id string) (int, error) {
+				conn, err := net.Dial("tcp4", strings.TrimPrefix(f.vms[0].base, "http://"))
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				body := "prompt"
+				if c.isPartial {
+					body = "pro"
+				}
+				_, err = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: "+testHost+"\r\nX-Request-Id: "+id+
+					"\r\nX-Token-Count: 450,250\r\nX-Deadline-Ms: 20000\r\nContent-Length: 6\r\n\r\n"+body)
+				require.NoError(t, err)
+				res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					return 0, err
+				}
+				defer func() { _ = res.Body.Close() }()
+				_, err = io.ReadAll(res.Body)
+				return res.StatusCode, err
+			}
+			var wg sync.WaitGroup
+			for _, wait := range []time.Duration{0, 700 * time.Millisecond} {
+				wg.Go(func() {
+					time.Sleep(wait)
+					id := newID("end")
+					status, err := ask(id)
+					assert.NoError(t, err, "the request ends without a complete answer")
+					assert.Equal(t, c.status, status)
+					if c.isPartial {
+						assert.Empty(t, f.runsOf(id))
+					} else {
+						assert.NotEmpty(t, f.runsOf(id))
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			begun := time.Now()
+			require.NoError(t, f.vms[0].app.Stop(context.Background()))
+			assert.Less(t, time.Since(begun), f.grace)
+			wg.Wait()
+		})
+	}
+}
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -48,10 +48,12 @@
 	m, err := tracer.NewMeter(nil)
 	require.NoError(t, err)
 	i := isolator.New(nil, pool, nil, log)
-	rl := relayer.New(relayer.Headers{RequestID: "X-Id"}, registry, b, pool, i, func(registrar.Endpoint) {}, m, log)
+	headers := relayer.Headers{RequestID: "X-Id", Timeout: "X-Timeout"}
+	rl := relayer.New(headers, registry, b, pool, i, func(registrar.Endpoint) {}, m, log)
 	return New(Config{
 		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics",
-		HasPeers: func() bool { return true },
+		HasPeers:  func() bool { return true },
+		IsJobCall: func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/lots/") },
 	}, registry, rl, noJobs{}, http.NotFoundHandler(), log), hook
 }
 
@@ -197,10 +199,127 @@
 	assert.Zero(t, l.InFlight())
 }
 
-// countedJobs counts the submitted jobs.
+// countedJobs counts the calls and the submitted jobs.
 type countedJobs struct {
-	noJobs
-	submitted int
+	calls, submitted int
+}
+
+func (j *countedJobs) ServeCall(_ http.ResponseWriter, r *http.Request) bool {
+	isCall := strings.HasPrefix(r.URL.Path, "/lots/")
+	if isCall {
+		j.calls++
+	}
+	return isCall
 }
 
 func (j *countedJobs) Submit(http.ResponseWriter, *http.Request, registrar.Route) { j.submitted++ }
+
+// TestJobCallOnAnOnlineRouteIsHeldToTheDrain sends a call about a job, whose path an online route has too, 140 ms before the end
+// of a stop: the call may take longer than that.
+func TestJobCallOnAnOnlineRouteIsHeldToTheDrain(t *testing.T) {
+	jobs := &countedJobs{}
+	splits := []registrar.Split{{Service: "s", Weight: 1}}
+	l, _ := newTestListener(t, &registrar.Config{Routes: []registrar.Route{
+		{Name: "lots", Host: "h", PathPrefix: "/batch/", Kind: registrar.KindBatch, Splits: splits},
+		{Name: "all", Host: "h", PathPrefix: "/", Kind: registrar.KindSafe, Splits: splits},
+	}})
+	l.jobs = jobs
+	read := func() int {
+		w := httptest.NewRecorder()
+		l.serveCaller(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/lots/abc?after=0", nil))
+		return w.Code
+	}
+	require.Equal(t, http.StatusOK, read())
+	require.Equal(t, 1, jobs.calls)
+	now := time.Now()
+	l.Leave(drainer.Drain{
+		Begun: now.Add(-6900 * time.Millisecond), End: now.Add(140 * time.Millisecond), Propagation: 2200 * time.Millisecond,
+	})
+	assert.Equal(t, http.StatusServiceUnavailable, read())
+	assert.Equal(t, 1, jobs.calls, "the VM serves a call that may take longer than the rest of the stop")
+}
+
+// TestOnlineRequestBesideJobCallsIsHeldToItsOwnDeadline sends an online request, shorter than the rest of a stop, on a route
+// whose paths include those of calls about jobs, while such a call would be refused.
+func TestOnlineRequestBesideJobCallsIsHeldToItsOwnDeadline(t *testing.T) {
+	splits := []registrar.Split{{Service: "s", Weight: 1}}
+	l, hook := newTestListener(t, &registrar.Config{Routes: []registrar.Route{
+		{Name: "lots", Host: "h", PathPrefix: "/lots/", Kind: registrar.KindBatch, Splits: splits},
+		{Name: "all", Host: "h", PathPrefix: "/", Kind: registrar.KindSafe, Splits: splits},
+	}})
+	now := time.Now()
+	l.Leave(drainer.Drain{Begun: now.Add(-3 * time.Second), End: now.Add(2 * time.Second), Propagation: 2200 * time.Millisecond})
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/status", nil)
+	r.Header.Set("X-Timeout", "1000")
+	l.serveCaller(httptest.NewRecorder(), r)
+	require.NotNil(t, hook.LastEntry())
+	assert.Equal(t, "request ended", hook.LastEntry().Message)
+}
+
+// TestIdleCloseCutsNoRequest lets the check for idle connections and a request meet: the check has found the connection idle when
+// the server has read the request's head but not recorded the connection as active. The body comes later.
+func TestIdleCloseCutsNoRequest(t *testing.T) {
+	jobs := &bodyJobs{}
+	l, _ := newTestListener(t, &registrar.Config{
+		Limits: registrar.Limits{IdleTimeout: time.Minute}, Routes: []registrar.Route{{
+			Name: "lots", Host: "h", PathPrefix: "/lots", Kind: registrar.KindBatch, Splits: []registrar.Split{{Service: "s", Weight: 1}},
+		}},
+	})
+	l.jobs = jobs
+	require.NoError(t, l.Start())
+	defer l.Stop(context.Background())
+	c, err := net.Dial("tcp4", l.cfg.Callers.String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	ask := func() error {
+		if _, err := io.WriteString(c, "POST /lots HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"); err != nil {
+			return err
+		}
+		time.Sleep(100 * time.Millisecond)
+		if _, err := io.WriteString(c, "body"); err != nil {
+			return err
+		}
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		return err
+	}
+	require.NoError(t, ask())
+	require.Eventually(t, func() bool {
+		l.conns.mu.Lock()
+		defer l.conns.mu.Unlock()
+		return len(l.conns.idleSince) == 1
+	}, 5*time.Second, time.Millisecond)
+
+	l.conns.mu.Lock()
+	closed := make(chan int, 1)
+	go func() { closed <- l.closeIdle(time.Now().Add(time.Minute + time.Second)) }()
+	time.Sleep(50 * time.Millisecond)
+	answered := make(chan error, 1)
+	go func() { answered <- ask() }()
+	time.Sleep(50 * time.Millisecond)
+	l.conns.mu.Unlock()
+
+	assert.Equal(t, 1, <-closed)
+	require.NoError(t, <-answered, "the connection of a request that was read is closed without an answer")
+	require.NoError(t, ask(), "the connection must still be open")
+	assert.Equal(t, []string{"body", "body", "body"}, jobs.bodies)
+}
+
+// bodyJobs keeps the bodies of submitted jobs, and ends the connection of one whose caller seems to have left.
+type bodyJobs struct {
+	noJobs
+	bodies []string
+}
+
+func (j *bodyJobs) Submit(_ http.ResponseWriter, r *http.Request, _ registrar.Route) {
+	body, err := io.ReadAll(r.Body)
+	time.Sleep(20 * time.Millisecond)
+	if err != nil || r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	j.bodies = append(j.bodies, string(body))
+}
