quarantiner: sound parts get out of quarantine, refutations hold, and crashes are seen in more forms

A refutation was undone by strikes whose write was under way.

Change: answers that had begun count once within 200 ms. A quarantined part is probed with one request, by one VM, 3 s after its last strike, then after 9 s, 27 s and so on. A refutation is a row that holds for all strikes before it, whatever the order of rows. An answer that ends with its connection counts as complete only if its endpoint lives on; without an event it is broken. An engine that registers anew at its address within 1 s has ended. Of equal parts both are quarantined; a part whose endpoints a heavier one explains is released. Rows expire one by one; writes and reads of many requests are joined.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -179,12 +179,14 @@
 	return dialer.NewPool(func(endpoint string) int { return w.Current().IdleShare(endpoint, g.VMCount()) })
 }
 
-func newIsolator(t storer.Table, p *dialer.Pool, g *gossiper.Gossiper, log logrus.FieldLogger) *isolator.Isolator {
+func newIsolator(
+	t storer.Table, p *dialer.Pool, w *watcher.Watcher, g *gossiper.Gossiper, log logrus.FieldLogger,
+) *isolator.Isolator {
 	isOnDuty := func(part string) bool {
 		vm, ok := gossiper.Assign(isolator.Table+" "+part, g.LiveVMs())
 		return ok && vm.Incarnation == g.Incarnation()
 	}
-	return isolator.New(t, p, isOnDuty, log)
+	return isolator.New(t, p, w.Current, isOnDuty, log)
 }
 
 func newRelayer(
@@ -292,6 +294,7 @@
 		{"datagrams_malformed", "datagrams dropped because they can't be decoded", &m.Malformed},
 		{"quarantine_strikes", "endpoints that ended under a request, by part of its prompt", &i.Strikes},
 		{"quarantine_parts", "parts of prompts that were quarantined", &i.Quarantined},
+		{"quarantine_probes", "requests sent to probe a quarantined part", &i.Probes},
 	} {
 		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
 			return err
--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -1,6 +1,10 @@
 package quarantiner
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// Time is how long after its last strike a part is quarantined, and how long a strike counts.
@@ -10,9 +14,17 @@
 	// A request whose answer had begun when its endpoint ended is more likely to be a sound one that ran beside the cause.
 	fullWeight   = 2
 	answerWeight = 1
+	// momentTime is the time within which ends of endpoints under answers that had begun count as one: they may have a cause in
+	// common, such as a rack.
+	momentTime = 200 * time.Millisecond
 	// recentTime is how long after a request with a part was completed here no strike is recorded for it. Most requests that run
 	// beside the cause have parts of which this VM completes several a second.
 	recentTime = 2 * time.Second
+	// A quarantined part is probed with one request firstProbe after its last strike; each further strike multiplies that time by
+	// probeFactor, up to maxProbe.
+	firstProbe  = 3 * time.Second
+	probeFactor = 3
+	maxProbe    = Time
 	// maxParts bounds the parts with strikes, and those of recently completed requests.
 	maxParts = 4096
 )
@@ -26,14 +38,17 @@
 	Endpoint string
 	// HadAnswer says that the request's answer had begun.
 	HadAnswer bool
+	// At is when the request broke off, by the clock of the VM that saw it.
+	At time.Time
 }
 
-// record holds the strikes of one part, as a weight by endpoint.
-type record struct {
-	weights       map[string]int
-	position      int
-	lastAt        time.Time
-	isQuarantined bool
+// Verdict is what Check says of a request; Part is empty if the request may be sent.
+type Verdict struct {
+	// Part is a quarantined part, and Left how long it stays so.
+	Part string
+	Left time.Duration
+	// IsProbeDue says that the request may be sent as the next probe of the part.
+	IsProbeDue bool
 }
 
 // Quarantiner holds the strikes that this VM knows of. It is not safe for concurrent use.
@@ -61,11 +76,12 @@
 }
 
 // Add records strikes that this VM learned at time now, and returns the parts that are quarantined by them. Strikes against a
-// part at the same endpoint count once.
+// part at the same endpoint count once; those before a refutation of the part don't count.
 func (q *Quarantiner) Add(now time.Time, strikes ...Strike) []string {
 	hasChanged := false
 	for _, s := range strikes {
-		hasChanged = q.addOne(now, s) || hasChanged
+		r, ok := q.recordOf(now, s.Part)
+		hasChanged = (ok && r.add(now, s)) || hasChanged
 	}
 	if !hasChanged {
 		return nil
@@ -73,77 +89,78 @@
 	return q.decide()
 }
 
-// addOne records a strike and reports whether it changes anything.
-func (q *Quarantiner) addOne(now time.Time, s Strike) bool {
-	r, ok := q.records[s.Part]
-	if !ok || now.Sub(r.lastAt) > Time {
-		if q.forget(now); len(q.records) >= maxParts {
-			return false
-		}
-		r = &record{weights: map[string]int{}}
-		q.records[s.Part] = r
-	}
-	weight := fullWeight
-	if s.HadAnswer {
-		weight = answerWeight
+// recordOf returns the record of a part; false if there are too many.
+func (q *Quarantiner) recordOf(now time.Time, part string) (*record, bool) {
+	r, ok := q.records[part]
+	if ok && now.Sub(r.lastAt) <= Time {
+		return r, true
 	}
-	if weight <= r.weights[s.Endpoint] {
-		return false
+	if q.forget(now); len(q.records) >= maxParts {
+		return nil, false
 	}
-	r.weights[s.Endpoint] = weight
-	r.position = max(r.position, s.Position)
-	r.lastAt = now
-	return true
+	r = &record{strikes: map[string]seen{}, lastAt: now}
+	q.records[part] = r
+	return r, true
 }
 
 // decide quarantines the parts that explain the ends of endpoints, and returns those that were not quarantined before.
 //
-// Of several parts with enough strikes it takes the last one in the prompt. The endpoints where that one was are explained by it:
-// the parts that its requests share with others, and those of requests that ran beside it, get no blame for them.
+// It takes the last parts in the prompt first, of those the ones with the heaviest strikes. The endpoints where these were are
+// explained by them: earlier parts, which their requests share with others, and those of requests that ran beside them, get no
+// blame for them. Of two parts that nothing tells apart, both are quarantined.
 func (q *Quarantiner) decide() []string {
-	explained := map[string]bool{}
-	left := map[string]*record{}
-	for p, r := range q.records {
-		left[p] = r
+	var candidates []*record
+	for _, r := range q.records {
+		r.wasQuarantined, r.isQuarantined = r.isQuarantined, false
+		if r.total = r.weight(nil); r.total >= threshold {
+			candidates = append(candidates, r)
+		}
 	}
-	var added []string
-	for {
-		best := ""
-		for p, r := range left {
-			if r.weight(explained) < threshold {
-				continue
-			}
-			if best == "" || r.position > left[best].position || (r.position == left[best].position && p < best) {
-				best = p
+	slices.SortFunc(candidates, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.position, a.position), cmp.Compare(b.total, a.total))
+	})
+	for n, r := range candidates {
+		explained := map[string]bool{}
+		for _, other := range candidates[:n] {
+			if other.isQuarantined && (other.position != r.position || other.total != r.total) {
+				other.explain(explained)
 			}
 		}
-		if best == "" {
-			break
-		}
-		r := left[best]
-		delete(left, best)
-		for e := range r.weights {
-			explained[e] = true
-		}
-		if !r.isQuarantined {
-			added = append(added, best)
-		}
-		r.isQuarantined = true
+		r.isQuarantined = r.weight(explained) >= threshold
 	}
-	for _, r := range left {
-		r.isQuarantined = false
+	releaseExplained(candidates)
+	var added []string
+	for p, r := range q.records {
+		if r.isQuarantined && !r.wasQuarantined {
+			added = append(added, p)
+		}
 	}
+	slices.Sort(added)
 	return added
 }
 
-// Completed records that a request with the parts was completed, and returns those with strikes: they are not the cause, and
-// their strikes are dropped.
+// releaseExplained releases the parts all of whose endpoints another quarantined part with heavier strikes explains.
+func releaseExplained(candidates []*record) {
+	for _, r := range candidates {
+		for _, other := range candidates {
+			if !r.isQuarantined || !other.isQuarantined || other.total <= r.total {
+				continue
+			}
+			explained := map[string]bool{}
+			other.explain(explained)
+			r.isQuarantined = r.weight(explained) > 0
+		}
+	}
+}
+
+// Completed records that a request with the parts was completed. It returns those with strikes: they are not the cause, and their
+// strikes are dropped.
 func (q *Quarantiner) Completed(now time.Time, parts []string) []string {
 	var refuted []string
 	for _, p := range parts {
-		if _, ok := q.records[p]; ok {
-			q.Remove(p)
+		if r, ok := q.records[p]; ok && len(r.strikes) > 0 {
 			refuted = append(refuted, p)
+			q.Refute(now, p, now)
 		}
 		if len(q.completed) >= maxParts {
 			q.forgetCompleted(now)
@@ -155,51 +172,84 @@
 	return refuted
 }
 
-// Remove drops the strikes of a part.
-func (q *Quarantiner) Remove(part string) {
-	if _, ok := q.records[part]; ok {
-		delete(q.records, part)
+// Refute drops the strikes against the part up to the time at which a request with it was completed, here or on another VM.
+func (q *Quarantiner) Refute(now time.Time, part string, at time.Time) {
+	r, ok := q.recordOf(now, part)
+	if !ok || !at.After(r.refutedAt) {
+		return
+	}
+	r.refutedAt = at
+	for e, s := range r.strikes {
+		if !s.at.After(at) {
+			delete(r.strikes, e)
+		}
+	}
+	q.decide()
+}
+
+// Drop drops the strike against the part at the endpoint.
+func (q *Quarantiner) Drop(part, endpoint string) {
+	if r, ok := q.records[part]; ok {
+		delete(r.strikes, endpoint)
 		q.decide()
 	}
 }
 
-// Check returns the quarantined one of the parts and how long it stays so, or an empty string.
-func (q *Quarantiner) Check(now time.Time, parts []string) (string, time.Duration) {
+// IsQuarantined reports whether the part is quarantined.
+func (q *Quarantiner) IsQuarantined(part string) bool {
+	r, ok := q.records[part]
+	return ok && r.isQuarantined
+}
+
+// Check returns whether a request with the parts may be sent.
+func (q *Quarantiner) Check(now time.Time, parts []string) Verdict {
+	v := Verdict{}
 	for _, p := range parts {
 		r, ok := q.records[p]
 		if !ok || !r.isQuarantined {
 			continue
 		}
-		if left := r.lastAt.Add(Time).Sub(now); left > 0 {
-			return p, left
+		left := r.lastAt.Add(Time).Sub(now)
+		if left <= 0 {
+			continue
+		}
+		isDue := !now.Before(r.nextProbe())
+		if v.Part == "" || !isDue {
+			v = Verdict{Part: p, Left: left, IsProbeDue: isDue}
+		}
+		if !isDue {
+			break
 		}
 	}
-	return "", 0
+	return v
 }
 
-// Expired returns the parts whose strikes no longer count.
-func (q *Quarantiner) Expired(now time.Time) []string {
-	var parts []string
-	for p, r := range q.records {
-		if now.Sub(r.lastAt) > Time {
-			parts = append(parts, p)
-		}
+// BeginProbe records that a request with the quarantined part is sent as a probe; it returns false if none is due.
+func (q *Quarantiner) BeginProbe(now time.Time, part string) bool {
+	r, ok := q.records[part]
+	if !ok || now.Before(r.nextProbe()) {
+		return false
 	}
-	return parts
+	r.probedAt = now
+	return true
 }
 
-// Parts returns the parts with strikes.
-func (q *Quarantiner) Parts() []string {
-	parts := make([]string, 0, len(q.records))
-	for p := range q.records {
-		parts = append(parts, p)
+// HasStrikes reports whether there are strikes against any part.
+func (q *Quarantiner) HasStrikes() bool {
+	for _, r := range q.records {
+		if len(r.strikes) > 0 {
+			return true
+		}
 	}
-	return parts
+	return false
 }
 
+// forget drops the parts without a recent strike.
 func (q *Quarantiner) forget(now time.Time) {
-	for _, p := range q.Expired(now) {
-		delete(q.records, p)
+	for p, r := range q.records {
+		if now.Sub(r.lastAt) > Time {
+			delete(q.records, p)
+		}
 	}
 }
 
@@ -211,13 +261,85 @@
 	}
 }
 
-// weight returns the weight of the strikes at endpoints that are not explained by another part.
+// seen is a strike against one part at one endpoint.
+type seen struct {
+	weight int
+	at     time.Time
+}
+
+// record holds the strikes against one part, by endpoint.
+type record struct {
+	strikes  map[string]seen
+	position int
+	// lastAt is when this VM learned of the last strike.
+	lastAt time.Time
+	// refutedAt is when a request with the part was last known to be completed.
+	refutedAt time.Time
+	probedAt  time.Time
+	// total is the weight of all strikes as of the last decision.
+	total                         int
+	isQuarantined, wasQuarantined bool
+}
+
+// add records a strike and reports whether it changes anything.
+func (r *record) add(now time.Time, s Strike) bool {
+	weight := fullWeight
+	if s.HadAnswer {
+		weight = answerWeight
+	}
+	old, isKnown := r.strikes[s.Endpoint]
+	if !s.At.After(r.refutedAt) || (isKnown && weight <= old.weight) {
+		return false
+	}
+	r.strikes[s.Endpoint] = seen{weight: weight, at: s.At}
+	r.position = max(r.position, s.Position)
+	r.lastAt = now
+	return true
+}
+
+// weight returns the weight of the strikes at endpoints that are not explained by another part. Answers that had begun count once
+// within momentTime, and not beside strikes without an answer.
 func (r *record) weight(explained map[string]bool) int {
-	n := 0
-	for e, w := range r.weights {
+	var list []seen
+	for e, s := range r.strikes {
 		if !explained[e] {
-			n += w
+			list = append(list, s)
 		}
 	}
-	return n
+	slices.SortFunc(list, func(a, b seen) int { return a.at.Compare(b.at) })
+	total, answers, unanswered := 0, 0, 0
+	var begin time.Time
+	for n, s := range list {
+		if n == 0 || s.at.Sub(begin) > momentTime {
+			total += max(answers, unanswered)
+			begin, answers, unanswered = s.at, 0, 0
+		}
+		if s.weight == answerWeight {
+			answers = answerWeight
+		} else {
+			unanswered += s.weight
+		}
+	}
+	return total + max(answers, unanswered)
+}
+
+// explain adds the endpoints of the strikes.
+func (r *record) explain(explained map[string]bool) {
+	for e := range r.strikes {
+		explained[e] = true
+	}
+}
+
+// nextProbe returns when the next probe is due.
+func (r *record) nextProbe() time.Time {
+	wait := firstProbe
+	for n := (r.total - threshold) / fullWeight; n > 0 && wait < maxProbe; n-- {
+		wait *= probeFactor
+	}
+	wait = min(wait, maxProbe)
+	at := r.lastAt
+	if r.probedAt.After(at) {
+		at = r.probedAt
+	}
+	return at.Add(wait)
 }
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -140,6 +140,11 @@
 	return n, err
 }
 
+// EndsAtClose reports whether the answer has neither a length nor chunks, so that the end of its connection is its end.
+func (x *Exchange) EndsAtClose() bool {
+	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+}
+
 // drainTimeout bounds the wait for the rest of an answer that is not needed.
 const drainTimeout = 50 * time.Millisecond
 
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -2,32 +2,27 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
 const (
-	// Table is the store's table of strikes. A row's key is PART/ENDPOINT@STARTED, with suffix /answer for Strike.HadAnswer; its
-	// value is POSITION@TIME, the time in Unix milliseconds.
-	Table        = "quarantine"
-	answerSuffix = "/answer"
 	// confirmDelay is the pause before an endpoint is dialed: a process that ends closes its port and its connections one after the
 	// other.
 	confirmDelay = 30 * time.Millisecond
+	// replaceDelay is how long after that an endpoint that takes connections again has registered as another incarnation.
+	replaceDelay = time.Second
 	// maxPending bounds the strikes that wait for the store, and the endpoints that wait for confirmation.
 	maxPending = 256
 )
@@ -40,51 +35,58 @@
 
 // Counters can be read from any goroutine.
 type Counters struct {
-	// Strikes counts the strikes that this VM recorded, Quarantined the parts whose quarantine it has learned of.
-	Strikes, Quarantined atomic.Int64
+	// Strikes counts the strikes that this VM recorded, Quarantined the parts whose quarantine it has learned of, and Probes the
+	// requests that it sent in spite of a quarantine.
+	Strikes, Quarantined, Probes atomic.Int64
 }
 
 // Isolator holds the quarantined parts of prompts.
 type Isolator struct {
-	store  storer.Table
-	feed   *watcher.Feed
-	dialer Dialer
-	// isOnDuty reports whether this VM deletes the expired rows of a part.
+	store    storer.Table
+	feed     *watcher.Feed
+	dialer   Dialer
+	registry func() *registrar.Registry
+	// isOnDuty reports whether this VM probes a part and deletes its expired rows.
 	isOnDuty func(part string) bool
 	log      logrus.FieldLogger
 	ctx      context.Context
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
-	// rows holds the values of the known rows of each part, by key.
-	rows map[string]map[string][]byte
-	// broken holds the requests that broke off at endpoints whose end is being confirmed.
-	broken map[string]*suspicion
+	// rows holds the values of the known rows of the table by key.
+	rows map[string][]byte
+	// unconfirmed holds the endpoints that may have ended.
+	unconfirmed map[string]*suspicion
 	// puts and deletes hold the rows to write and to delete, by key; changed signals that there are some.
-	puts    map[string][]byte
+	puts    map[string]put
 	deletes map[string]bool
 	changed chan struct{}
-
 	// hasStrikes keeps Check from taking the lock while there are none.
 	hasStrikes atomic.Bool
 
 	Counters Counters
 }
 
-// suspicion is an endpoint that may have ended, with the strikes to record if it has.
+// suspicion is an endpoint that may have ended.
 type suspicion struct {
 	endpoint registrar.Endpoint
-	strikes  []quarantiner.Strike
+	// strikes are recorded if it has ended.
+	strikes []quarantiner.Strike
+	// completed are the parts of requests that are complete if it has not.
+	completed [][]string
 }
 
 // New returns an isolator that is not started.
-func New(store storer.Table, d Dialer, isOnDuty func(part string) bool, log logrus.FieldLogger) *Isolator {
+func New(
+	store storer.Table, d Dialer, registry func() *registrar.Registry, isOnDuty func(part string) bool, log logrus.FieldLogger,
+) *Isolator {
 	i := &Isolator{
-		store: store, dialer: d, isOnDuty: isOnDuty, log: log, quarantiner: quarantiner.New(),
-		rows: map[string]map[string][]byte{}, broken: map[string]*suspicion{},
-		puts: map[string][]byte{}, deletes: map[string]bool{}, changed: make(chan struct{}, 1),
+		store: store, dialer: d, registry: registry, isOnDuty: isOnDuty, log: log, quarantiner: quarantiner.New(),
+		rows: map[string][]byte{}, unconfirmed: map[string]*suspicion{}, puts: map[string]put{}, deletes: map[string]bool{},
+		changed: make(chan struct{}, 1),
 	}
 	i.feed = watcher.NewFeed(store, Table, []string{""}, i.apply, log)
+	i.feed.SetGap(feedGap)
 	return i
 }
 
@@ -96,14 +98,28 @@
 	go i.runExpire(ctx)
 }
 
-// Check returns the quarantined one of the parts and how long it stays so, or an empty string.
-func (i *Isolator) Check(parts []string) (string, time.Duration) {
+// Check returns whether a request with the parts may be sent, here and now.
+func (i *Isolator) Check(parts []string) quarantiner.Verdict {
 	if len(parts) == 0 || !i.hasStrikes.Load() {
-		return "", 0
+		return quarantiner.Verdict{}
 	}
+	i.mu.Lock()
+	v := i.quarantiner.Check(time.Now(), parts)
+	i.mu.Unlock()
+	v.IsProbeDue = v.IsProbeDue && i.isOnDuty(v.Part)
+	return v
+}
+
+// BeginProbe records that a request with the quarantined part is sent as a probe; it returns false if another one was.
+func (i *Isolator) BeginProbe(part string) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.quarantiner.Check(time.Now(), parts)
+	if !i.quarantiner.BeginProbe(time.Now(), part) {
+		return false
+	}
+	i.Counters.Probes.Add(1)
+	i.log.WithField("part", part).Info("request sent to probe a quarantined part of a prompt")
+	return true
 }
 
 // Completed records that a request with the parts was completed, which refutes strikes against them.
@@ -113,9 +129,21 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, p := range i.quarantiner.Completed(time.Now(), parts) {
-		i.deleteRows(p)
+	i.recordCompleted(parts)
+}
+
+// recordCompleted records a completed request; the lock is held.
+func (i *Isolator) recordCompleted(parts []string) {
+	now := time.Now()
+	for _, p := range parts {
+		if i.quarantiner.IsQuarantined(p) {
+			i.log.WithField("part", p).Warn("a request with this quarantined part of a prompt was completed; it is released")
+		}
 	}
+	for _, p := range i.quarantiner.Completed(now, parts) {
+		i.putRefutation(now, p)
+	}
+	i.hasStrikes.Store(i.quarantiner.HasStrikes())
 }
 
 // BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun. If the
@@ -123,115 +151,105 @@
 func (i *Isolator) BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	key := e.LeavingKey()
-	s, isKnown := i.broken[key]
-	suspects := i.quarantiner.Suspects(time.Now(), parts)
-	if len(suspects) == 0 || (!isKnown && len(i.broken) >= maxPending) {
+	now := time.Now()
+	suspects := i.quarantiner.Suspects(now, parts)
+	if len(suspects) == 0 {
 		return
 	}
-	if !isKnown {
-		s = &suspicion{endpoint: e}
-		i.broken[key] = s
-		go i.runConfirm(s)
-	}
-	for _, p := range suspects {
-		s.strikes = append(s.strikes, quarantiner.Strike{
-			Part: p, Position: slices.Index(parts, p), Endpoint: key, HadAnswer: hadAnswer,
-		})
+	if s, ok := i.suspect(e); ok {
+		for _, p := range suspects {
+			s.strikes = append(s.strikes, quarantiner.Strike{
+				Part: p, Position: slices.Index(parts, p), Endpoint: e.LeavingKey(), HadAnswer: hadAnswer, At: now,
+			})
+		}
 	}
 }
 
-// runConfirm records the strikes of an endpoint if it has ended.
-func (i *Isolator) runConfirm(s *suspicion) {
-	timer := time.NewTimer(confirmDelay)
-	defer timer.Stop()
-	select {
-	case <-i.ctx.Done():
+// EndedAtClose records that the answer to a request with the parts ended with its connection. It is complete if the endpoint has
+// not ended, else it broke off.
+func (i *Isolator) EndedAtClose(e registrar.Endpoint, parts []string) {
+	if len(parts) == 0 {
 		return
-	case <-timer.C:
 	}
-	err := i.dialer.Reach(i.ctx, s.endpoint.ID, s.endpoint.Address)
+	i.BrokeOff(e, parts, true)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	delete(i.broken, s.endpoint.LeavingKey())
-	if err == nil || i.ctx.Err() != nil {
-		return
-	}
-	now := time.Now()
-	var strikes []quarantiner.Strike
-	for _, strike := range s.strikes {
-		if len(i.quarantiner.Suspects(now, []string{strike.Part})) == 0 {
-			continue
-		}
-		strikes = append(strikes, strike)
-		i.Counters.Strikes.Add(1)
-		i.log.WithFields(logrus.Fields{
-			"part": strike.Part, "endpoint": strike.Endpoint, "hadAnswer": strike.HadAnswer,
-		}).Info("endpoint ended under a request with this part of a prompt")
-		if key := keyOf(strike); len(i.puts) < maxPending && i.rows[strike.Part][key] == nil {
-			i.puts[key] = valueOf(strike, now)
-			i.notify()
-		}
+	if s, ok := i.suspect(e); ok {
+		s.completed = append(s.completed, parts)
 	}
-	i.add(now, strikes)
 }
 
-// add records strikes; the lock is held.
-func (i *Isolator) add(now time.Time, strikes []quarantiner.Strike) {
-	for _, p := range i.quarantiner.Add(now, strikes...) {
-		i.Counters.Quarantined.Add(1)
-		i.log.WithFields(logrus.Fields{"part": p, "for": quarantiner.Time.String()}).
-			Warn("requests with this part of a prompt crash endpoints; they are refused")
+// suspect returns the suspicion against the endpoint, and begins to confirm it if it is new; false if there are too many. The
+// lock is held.
+func (i *Isolator) suspect(e registrar.Endpoint) (*suspicion, bool) {
+	key := e.LeavingKey()
+	s, ok := i.unconfirmed[key]
+	if !ok && len(i.unconfirmed) < maxPending {
+		s, ok = &suspicion{endpoint: e}, true
+		i.unconfirmed[key] = s
+		go i.runConfirm(s)
 	}
-	i.hasStrikes.Store(len(i.quarantiner.Parts()) > 0)
+	return s, ok
 }
 
-func (i *Isolator) notify() {
-	select {
-	case i.changed <- struct{}{}:
-	default:
+// runConfirm finds out whether an endpoint has ended, and records the strikes or the completed requests.
+func (i *Isolator) runConfirm(s *suspicion) {
+	hasEnded := i.hasEnded(s.endpoint)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.unconfirmed, s.endpoint.LeavingKey())
+	if i.ctx.Err() != nil {
+		return
 	}
-}
-
-func keyOf(s quarantiner.Strike) string {
-	key := s.Part + "/" + s.Endpoint
-	if s.HadAnswer {
-		key += answerSuffix
+	if hasEnded {
+		i.recordEnd(s.strikes)
+		return
+	}
+	for _, parts := range s.completed {
+		i.recordCompleted(parts)
 	}
-	return key
-}
-
-// valueOf returns the value of a strike's row.
-func valueOf(s quarantiner.Strike, at time.Time) []byte {
-	return fmt.Appendf(nil, "%d@%d", s.Position, at.UnixMilli())
 }
 
-// strikeOf returns the strike that a row holds, with its time; the error says what of the row can't be decoded.
-func strikeOf(e storer.Entry) (quarantiner.Strike, time.Time, error) {
-	key, hadAnswer := strings.CutSuffix(e.Key, answerSuffix)
-	s := quarantiner.Strike{HadAnswer: hadAnswer}
-	isKey := false
-	if s.Part, s.Endpoint, isKey = strings.Cut(key, "/"); !isKey || s.Part == "" || s.Endpoint == "" {
-		return s, time.Time{}, errors.Errorf("key %q is not PART/ENDPOINT", e.Key)
+// hasEnded reports whether the endpoint takes no connections, or another incarnation at its address does.
+func (i *Isolator) hasEnded(e registrar.Endpoint) bool {
+	if !sleeper.Sleep(i.ctx, confirmDelay) {
+		return false
 	}
-	if e.IsRemoved {
-		return s, time.Time{}, nil
+	if i.dialer.Reach(i.ctx, e.ID, e.Address) != nil {
+		return true
 	}
-	position, at, _ := strings.Cut(string(e.Value), "@")
-	n, err := strconv.ParseUint(position, 10, 8)
-	if err != nil {
-		return s, time.Time{}, errors.Wrapf(err, "position of the strike %s", e.Key)
+	if !sleeper.Sleep(i.ctx, replaceDelay) {
+		return false
 	}
-	ms, err := strconv.ParseInt(at, 10, 64)
-	if err != nil {
-		return s, time.Time{}, errors.Wrapf(err, "time of the strike %s", e.Key)
+	for _, other := range i.registry().Endpoints {
+		if other.Address == e.Address && other.LeavingKey() != e.LeavingKey() {
+			return true
+		}
 	}
-	s.Position = int(n)
-	return s, time.UnixMilli(ms), nil
+	return false
+}
+
+// recordEnd records the strikes of requests whose endpoint has ended; the lock is held.
+func (i *Isolator) recordEnd(strikes []quarantiner.Strike) {
+	now := time.Now()
+	strikes = slices.DeleteFunc(strikes, func(s quarantiner.Strike) bool {
+		return len(i.quarantiner.Suspects(now, []string{s.Part})) == 0
+	})
+	for _, s := range strikes {
+		i.Counters.Strikes.Add(1)
+		i.log.WithFields(logrus.Fields{"part": s.Part, "endpoint": s.Endpoint, "hadAnswer": s.HadAnswer}).
+			Info("endpoint ended under a request with this part of a prompt")
+		i.putStrike(now, s)
+	}
+	i.add(now, strikes)
 }
 
-// partOf returns the part that a row's key names.
-func partOf(key string) string {
-	part, _, _ := strings.Cut(key, "/")
-	return part
+// add records strikes; the lock is held.
+func (i *Isolator) add(now time.Time, strikes []quarantiner.Strike) {
+	for _, p := range i.quarantiner.Add(now, strikes...) {
+		i.Counters.Quarantined.Add(1)
+		i.log.WithFields(logrus.Fields{"part": p, "for": quarantiner.Time.String()}).
+			Warn("requests with this part of a prompt crash endpoints; they are refused")
+	}
+	i.hasStrikes.Store(i.quarantiner.HasStrikes())
 }
--- /dev/null
+++ b/pkg/isolator/isolator_test.go
@@ -0,0 +1,113 @@
+package isolator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
+	"github.com/dogwoodledge/dogwoodledge/platform"
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
+)
+
+// deadDialer finds that all endpoints have ended.
+type deadDialer struct{}
+
+func (deadDialer) Reach(context.Context, string, netip.AddrPort) error { return errors.New("refused") }
+
+func noEndpoints() *registrar.Registry { return registrar.NewRegistry(nil, nil) }
+
+// newOne returns a started isolator of a VM.
+func newOne(t *testing.T, addr netip.AddrPort, n int, duty bool) *isolator.Isolator {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	isOnDuty := func(string) bool { return duty }
+	i := isolator.New(platform.NewStore(addr, fmt.Sprint("front-", n)), deadDialer{}, noEndpoints, isOnDuty, log)
+	i.Start(t.Context())
+	return i
+}
+
+func newStore(t *testing.T) (*standin.Store, netip.AddrPort) {
+	s := standin.NewStore()
+	srv := httptest.NewServer(s)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	return s, netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+// TestExpiredRowEndsNoFreshQuarantine starts a VM after the first of a part's rows has expired.
+func TestExpiredRowEndsNoFreshQuarantine(t *testing.T) {
+	s, addr := newStore(t)
+	now := time.Now()
+	s.Put("quarantine", "", "ab/e2@1", fmt.Appendf(nil, "1@%d", now.UnixMilli()))
+	s.Put("quarantine", "", "ab/e3@1", fmt.Appendf(nil, "1@%d", now.UnixMilli()))
+	s.Put("quarantine", "", "ab/e4@1", fmt.Appendf(nil, "1@%d", now.Add(-10*time.Minute+2*time.Second).UnixMilli()))
+	i := newOne(t, addr, 1, false)
+	require.Eventually(t, func() bool { return i.Check([]string{"ab"}).Part == "ab" }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(2500 * time.Millisecond)
+	p := i.Check([]string{"ab"}).Part
+	require.Equal(t, "ab", p)
+	newOne(t, addr, 2, true)
+	time.Sleep(time.Second)
+	p = i.Check([]string{"ab"}).Part
+	t.Logf("rows left: %d", s.Count("quarantine"))
+	assert.Equal(t, "ab", p, "the quarantine ended 3 s after its last strike, since another VM started")
+}
+
+// TestStrikeWrittenAfterItsRefutationCountsForNothing completes a request while the rows of strikes are being written.
+func TestStrikeWrittenAfterItsRefutationCountsForNothing(t *testing.T) {
+	s, addr := newStore(t)
+	a, b := newOne(t, addr, 1, false), newOne(t, addr, 2, false)
+	time.Sleep(200 * time.Millisecond)
+	s.SetDelay(300 * time.Millisecond)
+	for n := range 3 {
+		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+	}
+	time.Sleep(100 * time.Millisecond)
+	p := a.Check([]string{"ca"}).Part
+	require.Equal(t, "ca", p, "quarantined by three strikes")
+	a.Completed([]string{"ca"})
+	p = a.Check([]string{"ca"}).Part
+	require.Empty(t, p, "refuted by a completed request")
+	time.Sleep(3 * time.Second)
+	t.Logf("rows %d", s.Count("quarantine"))
+	v := a.Check([]string{"ca"})
+	assert.Empty(t, v.Part, "quarantined again for %s, without a further crash", v.Left)
+	v = b.Check([]string{"ca"})
+	assert.Empty(t, v.Part, "quarantined on the other VM for %s, without a further crash", v.Left)
+}
+
+// TestStrikeThatTakesEffectLateCountsForNothing completes a request before the rows of strikes take effect.
+func TestStrikeThatTakesEffectLateCountsForNothing(t *testing.T) {
+	s, addr := newStore(t)
+	a, b := newOne(t, addr, 1, false), newOne(t, addr, 2, false)
+	time.Sleep(200 * time.Millisecond)
+	s.SetFault(func(r *http.Request) standin.StoreFault {
+		if r.URL.Path == "/rows-tx" {
+			return standin.ExecuteLate
+		}
+		return standin.NoFault
+	})
+	for n := range 3 {
+		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+	}
+	time.Sleep(100 * time.Millisecond)
+	a.Completed([]string{"ca"})
+	s.SetFault(func(*http.Request) standin.StoreFault { return standin.NoFault })
+	time.Sleep(6 * time.Second)
+	for n, i := range []*isolator.Isolator{a, b} {
+		v := i.Check([]string{"ca"})
+		assert.Empty(t, v.Part, "VM %d: quarantined for %s, without a further crash", n, v.Left)
+	}
+	t.Logf("rows %d", s.Count("quarantine"))
+}
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
@@ -12,120 +12,145 @@
 )
 
 const (
-	// retryPause is the pause after a failed write.
-	retryPause = 200 * time.Millisecond
-	// expireInterval is the time between two checks for expired parts.
+	// feedGap and writeGap are the pauses between two calls of the store, so that one call carries the rows of many requests.
+	feedGap  = 100 * time.Millisecond
+	writeGap = 100 * time.Millisecond
+	// maxRefutationDelay bounds the wait before a part that is not quarantined is refuted in the store: of the VMs that complete
+	// requests with it, the first one spares the others the write.
+	maxRefutationDelay = time.Second
+	// expireInterval is the time between two checks for expired rows.
 	expireInterval = 30 * time.Second
 	// maxRowsPerCall is the largest number of rows that one call writes.
 	maxRowsPerCall = 50
 )
 
+// put is a row to write, not before due.
+type put struct {
+	value []byte
+	due   time.Time
+}
+
+// putStrike has a strike written; the lock is held.
+func (i *Isolator) putStrike(now time.Time, s quarantiner.Strike) {
+	key := strikeKey(s)
+	if len(i.puts) < maxPending && i.rows[key] == nil {
+		i.puts[key] = put{value: valueOf(s.Position, s.At), due: now}
+		i.notify()
+	}
+}
+
+// putRefutation has a refutation written; the lock is held.
+func (i *Isolator) putRefutation(now time.Time, part string) {
+	due := now
+	if !i.quarantiner.IsQuarantined(part) {
+		due = now.Add(rand.N(maxRefutationDelay))
+	}
+	i.puts[refutationKey(part)] = put{value: valueOf(0, now), due: due}
+	i.notify()
+}
+
+func (i *Isolator) notify() {
+	select {
+	case i.changed <- struct{}{}:
+	default:
+	}
+}
+
 // apply takes over the changes of the table.
 func (i *Isolator) apply(u watcher.Update) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := time.Now()
+	if u.IsFull {
+		i.dropUnlisted(u.Entries)
+	}
+	i.applyRows(time.Now(), u.Entries)
+}
+
+// dropUnlisted drops the strikes of rows that are not in the table any more; the lock is held.
+func (i *Isolator) dropUnlisted(entries []storer.Entry) {
 	listed := map[string]bool{}
+	for _, e := range entries {
+		listed[e.Key] = true
+	}
+	for key := range i.rows {
+		if !listed[key] {
+			i.dropRow(key)
+		}
+	}
+}
+
+// dropRow drops a row and its strike, unless the strike waits to be written; the lock is held.
+func (i *Isolator) dropRow(key string) {
+	delete(i.rows, key)
+	r, err := decodeRow(storer.Entry{Key: key, IsRemoved: true})
+	if _, isPending := i.puts[key]; err == nil && !r.isRefutation && !isPending {
+		i.quarantiner.Drop(r.Part, r.Endpoint)
+	}
+}
+
+// applyRows takes over rows in any order; the lock is held.
+func (i *Isolator) applyRows(now time.Time, entries []storer.Entry) {
 	var strikes []quarantiner.Strike
-	for _, e := range u.Entries {
-		s, at, err := strikeOf(e)
+	for _, e := range entries {
+		r, err := decodeRow(e)
 		switch {
 		case err != nil:
 			i.log.WithError(err).Warn("row of the quarantine table can't be decoded; ignored")
 		case e.IsRemoved:
-			delete(i.rows, s.Part)
-			i.quarantiner.Remove(s.Part)
-			strikes = slices.DeleteFunc(strikes, func(o quarantiner.Strike) bool { return o.Part == s.Part })
-		case now.Sub(at) > quarantiner.Time:
-			if i.isOnDuty(s.Part) {
-				i.addRow(s.Part, e)
-				i.deleteRows(s.Part)
-			}
-		default:
-			listed[s.Part] = true
-			if i.rows[s.Part][e.Key] == nil {
-				i.addRow(s.Part, e)
-				strikes = append(strikes, s)
+			i.dropRow(e.Key)
+		case now.Sub(r.At) > quarantiner.Time:
+			i.rows[e.Key] = e.Value
+		case r.isRefutation:
+			i.rows[e.Key] = e.Value
+			i.quarantiner.Refute(now, r.Part, r.At)
+			if !i.hasStrikeAfter(r.Part, r.At) {
+				// It is as good as a pending one of this VM.
+				delete(i.puts, e.Key)
 			}
+		case i.rows[e.Key] == nil:
+			i.rows[e.Key] = e.Value
+			strikes = append(strikes, r.Strike)
 		}
 	}
-	if u.IsFull {
-		i.keepOnly(listed)
-	}
 	i.add(now, strikes)
 }
 
+// hasStrikeAfter reports whether a known row holds a strike against the part after the time; the lock is held.
+func (i *Isolator) hasStrikeAfter(part string, at time.Time) bool {
+	for key, value := range i.rows {
+		r, err := decodeRow(storer.Entry{Key: key, Value: value})
+		if err == nil && r.Part == part && !r.isRefutation && r.At.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // Rows returns the known rows of the table and those that wait for the store.
 func (i *Isolator) Rows() []storer.Entry {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	var entries []storer.Entry
-	for _, rows := range i.rows {
-		for key, value := range rows {
-			entries = append(entries, storer.Entry{Table: Table, Key: key, Value: value})
-		}
-	}
-	for key, value := range i.puts {
+	for key, value := range i.rows {
 		entries = append(entries, storer.Entry{Table: Table, Key: key, Value: value})
 	}
+	for key, p := range i.puts {
+		entries = append(entries, storer.Entry{Table: Table, Key: key, Value: p.value})
+	}
 	return entries
 }
 
-// ApplyPeerRows records the strikes of the rows received from another VM.
+// ApplyPeerRows takes over the rows received from another VM.
 func (i *Isolator) ApplyPeerRows(entries []storer.Entry) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	now := time.Now()
-	var strikes []quarantiner.Strike
+	var own []storer.Entry
 	for _, e := range entries {
-		if e.Table != Table {
-			continue
-		}
-		s, at, err := strikeOf(e)
-		if err == nil && now.Sub(at) <= quarantiner.Time && i.rows[s.Part][e.Key] == nil {
-			i.addRow(s.Part, e)
-			strikes = append(strikes, s)
+		if e.Table == Table {
+			own = append(own, e)
 		}
 	}
-	i.add(now, strikes)
-}
-
-// keepOnly drops the parts that are neither listed nor about to be written; the lock is held.
-func (i *Isolator) keepOnly(listed map[string]bool) {
-	for key := range i.puts {
-		listed[partOf(key)] = true
-	}
-	for _, p := range i.quarantiner.Parts() {
-		if !listed[p] {
-			delete(i.rows, p)
-			i.quarantiner.Remove(p)
-		}
-	}
-}
-
-// addRow keeps a row that is known to be in the table, or with a peer; the lock is held.
-func (i *Isolator) addRow(part string, e storer.Entry) {
-	if i.rows[part] == nil {
-		i.rows[part] = map[string][]byte{}
-	}
-	i.rows[part][e.Key] = e.Value
-}
-
-// deleteRows deletes the rows of a part that is refuted or expired; the lock is held.
-func (i *Isolator) deleteRows(part string) {
-	for key := range i.puts {
-		if partOf(key) == part {
-			delete(i.puts, key)
-		}
-	}
-	for key := range i.rows[part] {
-		i.deletes[key] = true
-	}
-	delete(i.rows, part)
-	if len(i.deletes) > 0 {
-		i.log.WithField("part", part).Info("strikes against this part of a prompt dropped")
-		i.notify()
-	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.applyRows(time.Now(), own)
 }
 
 func (i *Isolator) runWrite(ctx context.Context) {
@@ -136,40 +161,29 @@
 		case <-i.changed:
 		}
 		for i.write(ctx) {
-			if !sleeper.Sleep(ctx, retryPause) {
+			if !sleeper.Sleep(ctx, writeGap) {
 				return
 			}
 		}
 	}
 }
 
-// write writes the pending rows and reports whether some are left.
+// write writes the pending rows that are due, and reports whether some are left.
 func (i *Isolator) write(ctx context.Context) bool {
-	change := storer.Change{}
-	i.mu.Lock()
-	for key, value := range i.puts {
-		if len(change.Puts) < maxRowsPerCall {
-			change.Puts = append(change.Puts, storer.Entry{Table: Table, Key: key, Value: value})
+	change := i.nextChange(time.Now())
+	if n := len(change.Puts) + len(change.Deletes); n > 0 {
+		if _, err := i.store.Apply(ctx, change); err != nil {
+			i.log.WithError(err).WithField("rows", n).Warn("quarantine table not written; trying again")
+			return true
 		}
 	}
-	for key := range i.deletes {
-		if len(change.Deletes) < maxRowsPerCall {
-			change.Deletes = append(change.Deletes, storer.Entry{Table: Table, Key: key})
-		}
-	}
-	i.mu.Unlock()
-	if len(change.Puts)+len(change.Deletes) == 0 {
-		return false
-	}
-	_, err := i.store.Apply(ctx, change)
-	if err != nil {
-		i.log.WithError(err).WithField("rows", len(change.Puts)+len(change.Deletes)).Warn("quarantine table not written; trying again")
-		return true
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, e := range change.Puts {
-		delete(i.puts, e.Key)
+		// A later refutation than the written one stays.
+		if string(i.puts[e.Key].value) == string(e.Value) {
+			delete(i.puts, e.Key)
+		}
 	}
 	for _, e := range change.Deletes {
 		delete(i.deletes, e.Key)
@@ -177,7 +191,24 @@
 	return len(i.puts)+len(i.deletes) > 0
 }
 
-// runExpire drops expired parts; the VM on duty for a part deletes its rows.
+func (i *Isolator) nextChange(now time.Time) storer.Change {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	change := storer.Change{}
+	for key, p := range i.puts {
+		if len(change.Puts) < maxRowsPerCall && !now.Before(p.due) {
+			change.Puts = append(change.Puts, storer.Entry{Table: Table, Key: key, Value: p.value})
+		}
+	}
+	for key := range i.deletes {
+		if len(change.Deletes) < maxRowsPerCall {
+			change.Deletes = append(change.Deletes, storer.Entry{Table: Table, Key: key})
+		}
+	}
+	return change
+}
+
+// runExpire has expired rows deleted, by the VM on duty for their part.
 func (i *Isolator) runExpire(ctx context.Context) {
 	sleeper.Every(ctx, expireInterval, i.expire)
 }
@@ -185,11 +216,11 @@
 func (i *Isolator) expire(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, p := range i.quarantiner.Expired(now) {
-		i.quarantiner.Remove(p)
-		if i.isOnDuty(p) {
-			i.deleteRows(p)
+	for key, value := range i.rows {
+		r, err := decodeRow(storer.Entry{Key: key, Value: value})
+		if err == nil && now.Sub(r.At) > quarantiner.Time && i.isOnDuty(r.Part) {
+			i.deletes[key] = true
+			i.notify()
 		}
-		delete(i.rows, p)
 	}
 }
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -142,8 +142,11 @@
 	events := relayer.NewEventReader(x)
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !hasFirstEvent && x.EndsAtClose() {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
-			r.isolator.Completed(t.parts)
+			r.recordComplete(x, t, run)
 			return nil
 		}
 		if err != nil {
@@ -167,6 +170,15 @@
 	}
 }
 
+// recordComplete records that the answer was complete, as far as it can be told.
+func (r *Runner) recordComplete(x *dialer.Exchange, t *task, run *itemRun) {
+	if x.EndsAtClose() {
+		r.isolator.EndedAtClose(run.endpoint, t.parts)
+		return
+	}
+	r.isolator.Completed(t.parts)
+}
+
 // recordBreak records that the run broke off at its endpoint, unless this VM ended it.
 func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
 	if ctx.Err() == nil {
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -337,12 +337,16 @@
 			r.abandonIfGone(t, reg)
 			continue
 		}
-		if part, _ := r.isolator.Check(t.parts); part != "" {
-			r.abandonIfOverdue(t, route, part, now)
+		verdict := r.isolator.Check(t.parts)
+		if verdict.Part != "" && !verdict.IsProbeDue {
+			r.abandonIfOverdue(t, route, verdict.Part, now)
 			continue
 		}
 		service := route.ServiceFor(t.item.ID)
 		if len(waiting[service]) == 0 && r.startItem(ctx, now, t, route, service) {
+			if verdict.Part != "" {
+				r.isolator.BeginProbe(verdict.Part)
+			}
 			continue
 		}
 		due := t.job.due
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -25,7 +25,7 @@
 	q.recordFirstByte()
 	switch {
 	case err == nil:
-		return q.forwardLargeBody(x, head.Bytes())
+		return q.forwardLargeBody(x, head.Bytes(), s)
 	case !errors.Is(err, io.EOF):
 		q.recordBreak(s.Endpoint, head.Len() > 0)
 		q.cause = errors.Wrap(err, "read answer of endpoint "+s.Endpoint.ID)
@@ -38,7 +38,7 @@
 }
 
 // forwardLargeBody forwards an answer that is too large to be buffered; head holds the bytes read so far.
-func (q *request) forwardLargeBody(x *dialer.Exchange, head []byte) (bool, placer.Ending) {
+func (q *request) forwardLargeBody(x *dialer.Exchange, head []byte, s placer.Send) (bool, placer.Ending) {
 	if !q.beginAnswer() {
 		q.endUnanswered(errStopping)
 		return true, placer.EndedLocally
@@ -52,6 +52,9 @@
 		}
 		q.cause = err
 	}
+	if q.r.Context().Err() == nil {
+		q.recordBreak(s.Endpoint, true)
+	}
 	q.decision, q.mustAbort = "cut", true
 	return true, placer.EndedFailed
 }
@@ -94,6 +97,9 @@
 	flush := http.NewResponseController(q.w)
 	for hasBegun := false; ; {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !hasBegun && x.EndsAtClose() {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			if !q.hasAnswer {
 				q.writeHead(x.Response, -1)
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/drainer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 )
@@ -40,10 +41,14 @@
 
 // Isolator keeps requests that crash endpoints from further endpoints; its methods must not block.
 type Isolator interface {
-	// Check returns the quarantined one of the parts of a prompt and how long it stays so, or an empty string.
-	Check(parts []string) (string, time.Duration)
+	// Check returns whether a request with the parts of a prompt may be sent.
+	Check(parts []string) quarantiner.Verdict
+	// BeginProbe records that a request with the quarantined part is sent as a probe; it returns false if another one was.
+	BeginProbe(part string) bool
 	// Completed records that a request with the parts was completed.
 	Completed(parts []string)
+	// EndedAtClose records that the answer to a request with the parts ended with its connection to the endpoint.
+	EndedAtClose(e registrar.Endpoint, parts []string)
 	// BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun.
 	BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool)
 }
@@ -306,8 +311,8 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
-	if part, left := q.isolator.Check(q.parts); part != "" {
-		return placer.Refuse{Reason: "part " + part + " of the prompt crashes endpoints", RetryAfter: left}, nil
+	if v := q.isolator.Check(q.parts); v.Part != "" && (!v.IsProbeDue || !q.isolator.BeginProbe(v.Part)) {
+		return placer.Refuse{Reason: "part " + v.Part + " of the prompt crashes endpoints", RetryAfter: v.Left}, nil
 	}
 	now := time.Now()
 	d, ticket := q.balancer.Place(q.ctx, placer.Request{
@@ -335,8 +340,8 @@
 		}
 		return false
 	}
-	if part, _ := q.isolator.Check(q.parts); part != "" || !q.registry().IsUsable(s.Endpoint) {
-		// The endpoint began to drain, or left, or a part was quarantined, while the connection was opened.
+	if !q.registry().IsUsable(s.Endpoint) {
+		// The endpoint began to drain, or left, while the connection was opened.
 		_ = conn.Close()
 		ending = placer.EndedLocally
 		return false
@@ -368,11 +373,20 @@
 	isOver, how := q.handleAnswer(x, ticket, s)
 	ending = how
 	if how == placer.EndedComplete && x.Response.StatusCode < 300 {
-		q.isolator.Completed(q.parts)
+		q.recordComplete(x, s.Endpoint)
 	}
 	return isOver
 }
 
+// recordComplete records that the answer was complete, as far as it can be told.
+func (q *request) recordComplete(x *dialer.Exchange, e registrar.Endpoint) {
+	if x.EndsAtClose() {
+		q.isolator.EndedAtClose(e, q.parts)
+		return
+	}
+	q.isolator.Completed(q.parts)
+}
+
 // recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
 func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
 	if q.attemptCtx.Err() == nil {
