emulator: a new stream is not removed before its first watcher

Cause: streams without a watcher for 60 s are removed once a second; a stream had no time of its start, so one that was started just before the check, and had no watcher yet, was removed at once and never answered. TestNewStreamIsNotRemoved failed before. That the failed run met this window is not shown: its log has no finer times.

--- a/pkg/emulator/engine.go
+++ b/pkg/emulator/engine.go
@@ -178,6 +178,7 @@
 			WantTokens:   req.TokenLimit(defaultAnswerTokens),
 		},
 		changed: make(chan struct{}),
+		leftAt:  time.Now(),
 	}
 	e.streams[id] = s
 	e.executed[id]++
