--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// Time is how long after its last strike a part is quarantined, and how long a strike counts.
-	Time = 10 * time.Minute
+	// Duration is how long after its last strike a part is quarantined, and how long a strike counts.
+	Duration = 10 * time.Minute
 	// threshold is the weight of the strikes from which a part is quarantined: three endpoints that ended before they answered.
 	threshold = 3 * fullWeight
 	// A request whose answer had begun when its endpoint ended is more likely to be a sound one that ran beside the cause.
@@ -24,7 +24,7 @@
 	// probeFactor, up to maxProbe.
 	firstProbe  = 3 * time.Second
 	probeFactor = 3
-	maxProbe    = Time
+	maxProbe    = Duration
 	// maxParts bounds the parts with strikes, and those of recently completed requests.
 	maxParts = 4096
 )
@@ -92,7 +92,7 @@
 // recordOf returns the record of a part; false if there are too many.
 func (q *Quarantiner) recordOf(now time.Time, part string) (*record, bool) {
 	r, ok := q.records[part]
-	if ok && now.Sub(r.lastAt) <= Time {
+	if ok && now.Sub(r.lastAt) <= Duration {
 		return r, true
 	}
 	if q.forget(now); len(q.records) >= maxParts {
@@ -209,7 +209,7 @@
 		if !ok || !r.isQuarantined {
 			continue
 		}
-		left := r.lastAt.Add(Time).Sub(now)
+		left := r.lastAt.Add(Duration).Sub(now)
 		if left <= 0 {
 			continue
 		}
@@ -247,7 +247,7 @@
 // forget drops the parts without a recent strike.
 func (q *Quarantiner) forget(now time.Time) {
 	for p, r := range q.records {
-		if now.Sub(r.lastAt) > Time {
+		if now.Sub(r.lastAt) > Duration {
 			delete(q.records, p)
 		}
 	}
--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -102,7 +102,7 @@
 	}
 	assert.LessOrEqual(t, len(q.records), maxParts)
 	assert.LessOrEqual(t, len(q.completed), maxParts)
-	later := scripter.Epoch.Add(Time + time.Second)
+	later := scripter.Epoch.Add(Duration + time.Second)
 	q.Add(later, Strike{Part: "new", Endpoint: "e", At: later})
 	assert.Len(t, q.records, 1, "expired parts give way to new ones")
 }
--- a/pkg/isolator/doc.go
+++ b/pkg/isolator/doc.go
@@ -1,6 +1,6 @@
 // Package isolator keeps requests that crash endpoints from further endpoints, on all VMs.
 //
-// It confirms that an endpoint has ended when a request breaks off there, and shares the strikes of the request's parts, see
-// core/quarantiner, through a table of the store. Rows are only ever added for what was seen, so a write that takes effect
-// late or twice does no harm; a part's rows are deleted once it is refuted or expired.
+// It confirms that an endpoint has ended when a request breaks off there, and shares the strikes against the request's parts and
+// their refutations, see core/quarantiner, through a table of the store. A row says what one VM has seen, so rows may take effect
+// late, twice and in any order.
 package isolator
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -248,7 +248,7 @@
 func (i *Isolator) add(now time.Time, strikes []quarantiner.Strike) {
 	for _, p := range i.quarantiner.Add(now, strikes...) {
 		i.Counters.Quarantined.Add(1)
-		i.log.WithFields(logrus.Fields{"part": p, "for": quarantiner.Time.String()}).
+		i.log.WithFields(logrus.Fields{"part": p, "for": quarantiner.Duration.String()}).
 			Warn("requests with this part of a prompt crash endpoints; they are refused")
 	}
 	i.hasStrikes.Store(i.quarantiner.HasStrikes())
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -98,7 +98,7 @@
 			i.log.WithError(err).Warn("row of the quarantine table can't be decoded; ignored")
 		case e.IsRemoved:
 			i.dropRow(e.Key)
-		case now.Sub(r.At) > quarantiner.Time:
+		case now.Sub(r.At) > quarantiner.Duration:
 			i.rows[e.Key] = e.Value
 		case r.isRefutation:
 			i.rows[e.Key] = e.Value
@@ -218,7 +218,7 @@
 	defer i.mu.Unlock()
 	for key, value := range i.rows {
 		r, err := decodeRow(storer.Entry{Key: key, Value: value})
-		if err == nil && now.Sub(r.At) > quarantiner.Time && i.isOnDuty(r.Part) {
+		if err == nil && now.Sub(r.At) > quarantiner.Duration && i.isOnDuty(r.Part) {
 			i.deletes[key] = true
 			i.notify()
 		}
