gossiper: unknown VMs are not lost before the list of VMs was read

A VM that is only slow to hear of its peers had their running work started again.

Change: that time counts from the first reading of the list. TestUnknownVMsAreLiveUntilTheListIsRead failed before (lost instead of live).

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -81,12 +81,11 @@
 
 // Gossiper maintains the membership of VMs and carries payloads between them.
 type Gossiper struct {
-	cfg     Config
-	store   storer.Table
-	feed    *watcher.Feed
-	conn    *net.UDPConn
-	log     logrus.FieldLogger
-	started time.Time
+	cfg   Config
+	store storer.Table
+	feed  *watcher.Feed
+	conn  *net.UDPConn
+	log   logrus.FieldLogger
 
 	mu       sync.Mutex
 	handler  Handler
@@ -96,6 +95,8 @@
 	members map[string]*member
 	// ranks caches the results of Rank until the states or the rows change.
 	ranks map[string][]string
+	// listedAt is when the list of VMs was first read from the store; zero before.
+	listedAt time.Time
 	// storeSeenAt is when a live peer last said that it reaches the store.
 	storeSeenAt time.Time
 
@@ -124,7 +125,7 @@
 	g := &Gossiper{
 		cfg: cfg, store: store, log: log, detector: detector.New(settings, random),
 		states: map[string]detector.Member{}, members: map[string]*member{}, ranks: map[string][]string{},
-		unlisted: make(chan struct{}, 1), started: time.Now(),
+		unlisted: make(chan struct{}, 1),
 	}
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.applyTable, log)
 	g.feed.SetGap(listGap)
@@ -141,7 +142,6 @@
 		return errors.Wrap(err, "listen for datagrams of other VMs")
 	}
 	g.conn = conn
-	g.started = time.Now()
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go g.runRegister(ctx)
 	g.feed.Start(ctx)
--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -23,8 +23,8 @@
 	Lost
 )
 
-// StateOf returns the state of a VM's incarnation. An unknown VM counts as live until SilenceTimeout has passed since this
-// gossiper's start.
+// StateOf returns the state of a VM's incarnation. An unknown VM counts as live until SilenceTimeout has passed since the list of
+// VMs was first read.
 func (g *Gossiper) StateOf(vm string, incarnation int64) State {
 	if vm == g.cfg.VM {
 		switch {
@@ -40,7 +40,7 @@
 	defer g.mu.Unlock()
 	m, ok := g.states[vm]
 	switch {
-	case !ok && time.Since(g.started) < SilenceTimeout:
+	case !ok && (g.listedAt.IsZero() || time.Since(g.listedAt) < SilenceTimeout):
 		return Live
 	case !ok || processOf(m) > incarnation || m.State == detector.Lost:
 		return Lost
@@ -148,6 +148,9 @@
 	isListed := !u.IsFull
 	listed := detector.Listed{}
 	g.mu.Lock()
+	if u.IsFull && g.listedAt.IsZero() {
+		g.listedAt = now
+	}
 	for _, e := range u.Entries {
 		if e.Key == g.cfg.VM {
 			isListed = !e.IsRemoved
--- a/pkg/gossiper/members_test.go
+++ b/pkg/gossiper/members_test.go
@@ -76,6 +76,17 @@
 	assert.False(t, g.HasSilentVM())
 }
 
+// TestUnknownVMsAreLiveUntilTheListIsRead starts a VM while the store doesn't answer: it must not call its peers lost, and take
+// their jobs over, because it hasn't heard of them.
+func TestUnknownVMsAreLiveUntilTheListIsRead(t *testing.T) {
+	g, _ := newTestGossiper("a", &changeLog{})
+	assert.Equal(t, Live, g.StateOf("b", 1))
+	g.applyTable(watcher.Update{IsFull: true, Version: 3})
+	assert.Equal(t, Live, g.StateOf("b", 1), "a VM that is not listed may just have started")
+	g.listedAt = time.Now().Add(-SilenceTimeout)
+	assert.Equal(t, Lost, g.StateOf("b", 1))
+}
+
 // TestVMThatLeftIsNotSilent stops a VM that has said that it leaves: no engine has to be polled, as for a VM that may only
 // be cut off.
 func TestVMThatLeftIsNotSilent(t *testing.T) {
