quarantiner: strikes at ends that a quarantined part explains count against no other part

Cause: the decision took candidates by their place in the prompt alone. A sound part further back in its prompt that ran beside six crashes, most of them after the quarantine of the cause, became a candidate, took the blame for these endpoints, and what was left of the cause's strikes did not suffice any more: the cause was released, and its requests crashed up to six further endpoints. Class of fault: a decision that is made anew from all evidence forgets what was already explained.

Change: candidates are taken in the order in which their strikes sufficed, by the ends of endpoints and not by the arrival of rows, so that all VMs still come to one verdict. Only of those that sufficed at the same end the last one in the prompt goes first.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -105,9 +106,10 @@
 
 // decide quarantines the parts that explain the ends of endpoints, and returns those that were not quarantined before.
 //
-// It takes the last parts in the prompt first, of those the ones with the heaviest strikes. The endpoints where these were are
-// explained by them: earlier parts, which their requests share with others, and those of requests that ran beside them, get no
-// blame for them. Of two parts that nothing tells apart, both are quarantined.
+// It takes the parts in the order in which their strikes sufficed, of those that sufficed at the same end the last ones in the
+// prompt first, then the ones with the heaviest strikes. The endpoints where these were are explained by them: earlier parts, which
+// their requests share with others, and those of requests that ran beside them, get no blame for them. Of two parts that nothing
+// tells apart, both are quarantined.
 func (q *Quarantiner) decide() []string {
 	var candidates []*record
 	for _, r := range q.records {
@@ -116,13 +118,15 @@
 			candidates = append(candidates, r)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(b.position, a.position), cmp.Compare(b.total, a.total))
-	})
+	ends := endTimes(candidates)
+	for _, r := range candidates {
+		r.sufficedAt = r.sufficientAt(ends)
+	}
+	slices.SortFunc(candidates, compareCandidates)
 	for n, r := range candidates {
 		explained := map[string]bool{}
 		for _, other := range candidates[:n] {
-			if other.isQuarantined && (other.position != r.position || other.total != r.total) {
+			if other.isQuarantined && compareCandidates(other, r) != 0 {
 				other.explain(explained)
 			}
 		}
@@ -139,6 +143,24 @@
 	return added
 }
 
+// compareCandidates orders the parts that may explain the ends of endpoints; the first ones take the blame.
+func compareCandidates(a, b *record) int {
+	return cmp.Or(a.sufficedAt.Compare(b.sufficedAt), cmp.Compare(b.position, a.position), cmp.Compare(b.total, a.total))
+}
+
+// endTimes returns when each endpoint ended, by the first strike there.
+func endTimes(records []*record) map[string]time.Time {
+	ends := map[string]time.Time{}
+	for _, r := range records {
+		for e, s := range r.strikes {
+			if at, ok := ends[e]; !ok || s.at.Before(at) {
+				ends[e] = s.at
+			}
+		}
+	}
+	return ends
+}
+
 // releaseExplained releases the parts all of whose endpoints another quarantined part with heavier strikes explains.
 func releaseExplained(candidates []*record) {
 	for _, r := range candidates {
@@ -276,8 +298,9 @@
 	// refutedAt is when a request with the part was last known to be completed.
 	refutedAt time.Time
 	probedAt  time.Time
-	// total is the weight of all strikes as of the last decision.
+	// total is the weight of all strikes as of the last decision, and sufficedAt the end of an endpoint with which it sufficed.
 	total                         int
+	sufficedAt                    time.Time
 	isQuarantined, wasQuarantined bool
 }
 
@@ -297,8 +320,7 @@
 	return true
 }
 
-// weight returns the weight of the strikes at endpoints that are not explained by another part. Answers that had begun count once
-// within momentTime, and not beside strikes without an answer.
+// weight returns the weight of the strikes at endpoints that are not explained by another part.
 func (r *record) weight(explained map[string]bool) int {
 	var list []seen
 	for e, s := range r.strikes {
@@ -306,7 +328,25 @@
 			list = append(list, s)
 		}
 	}
-	slices.SortFunc(list, func(a, b seen) int { return a.at.Compare(b.at) })
+	return weightOf(list)
+}
+
+// sufficientAt returns the end of an endpoint with which the strikes sufficed for a quarantine; ends holds when each one ended.
+func (r *record) sufficientAt(ends map[string]time.Time) time.Time {
+	endpoints := slices.SortedFunc(maps.Keys(r.strikes), func(a, b string) int { return ends[a].Compare(ends[b]) })
+	var list []seen
+	for _, e := range endpoints {
+		if list = append(list, r.strikes[e]); weightOf(list) >= threshold {
+			return ends[e]
+		}
+	}
+	return time.Time{}
+}
+
+// weightOf returns the weight of strikes. Answers that had begun count once within momentTime, and not beside strikes without an
+// answer.
+func weightOf(list []seen) int {
+	list = slices.SortedFunc(slices.Values(list), func(a, b seen) int { return a.at.Compare(b.at) })
 	total, answers, unanswered := 0, 0, 0
 	var begin time.Time
 	for n, s := range list {
