quarantiner: strikes of several VMs at one endpoint have one result in any order

Cause: of two reports of a strike with the same weight the first one that arrived was kept. If a refutation lay between their times, one VM dropped the strike and the other kept it, by the order in which the rows came, and VMs disagreed on what is quarantined. The place of a part was learned only from strikes that were not refuted yet.

Change: the latest time of each kind of report is kept, and a refutation drops each kind by its own time.

Result: TestRowsInAnyOrderGiveOneVerdict drew a new endpoint for each strike; it now draws several reports of one end, begun answers and places.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -153,8 +153,8 @@
 	ends := map[string]time.Time{}
 	for _, r := range records {
 		for e, s := range r.strikes {
-			if at, ok := ends[e]; !ok || s.at.Before(at) {
-				ends[e] = s.at
+			if at, ok := ends[e]; !ok || s.at().Before(at) {
+				ends[e] = s.at()
 			}
 		}
 	}
@@ -202,8 +202,10 @@
 	}
 	r.refutedAt = at
 	for e, s := range r.strikes {
-		if !s.at.After(at) {
+		if s = s.after(at); s.weight() == 0 {
 			delete(r.strikes, e)
+		} else {
+			r.strikes[e] = s
 		}
 	}
 	q.decide()
@@ -283,10 +285,52 @@
 	}
 }
 
-// seen is a strike against one part at one endpoint.
+// seen is the strike against one part at one endpoint. VMs see the end of an endpoint each at a time of its own; the latest times
+// are kept, so that strikes and refutations have one result in any order.
 type seen struct {
-	weight int
-	at     time.Time
+	// unanswered is when the last request broke off whose answer had not begun, answered the last one whose answer had; zero if none.
+	unanswered, answered time.Time
+}
+
+func (s seen) weight() int {
+	switch {
+	case !s.unanswered.IsZero():
+		return fullWeight
+	case !s.answered.IsZero():
+		return answerWeight
+	default:
+		return 0
+	}
+}
+
+func (s seen) at() time.Time {
+	if s.weight() == fullWeight {
+		return s.unanswered
+	}
+	return s.answered
+}
+
+// with returns the strike with a further report of it.
+func (s seen) with(report Strike) seen {
+	last := &s.unanswered
+	if report.HadAnswer {
+		last = &s.answered
+	}
+	if report.At.After(*last) {
+		*last = report.At
+	}
+	return s
+}
+
+// after returns what is left of the strike if its reports up to the time don't count.
+func (s seen) after(at time.Time) seen {
+	if !s.unanswered.After(at) {
+		s.unanswered = time.Time{}
+	}
+	if !s.answered.After(at) {
+		s.answered = time.Time{}
+	}
+	return s
 }
 
 // record holds the strikes against one part, by endpoint.
@@ -306,18 +350,17 @@
 
 // add records a strike and reports whether it changes anything.
 func (r *record) add(now time.Time, s Strike) bool {
-	weight := fullWeight
-	if s.HadAnswer {
-		weight = answerWeight
-	}
-	old, isKnown := r.strikes[s.Endpoint]
-	if !s.At.After(r.refutedAt) || (isKnown && weight <= old.weight) {
+	r.position = max(r.position, s.Position)
+	if !s.At.After(r.refutedAt) {
 		return false
 	}
-	r.strikes[s.Endpoint] = seen{weight: weight, at: s.At}
-	r.position = max(r.position, s.Position)
-	r.lastAt = now
-	return true
+	old := r.strikes[s.Endpoint]
+	merged := old.with(s)
+	r.strikes[s.Endpoint] = merged
+	if merged.weight() > old.weight() {
+		r.lastAt = now
+	}
+	return merged != old
 }
 
 // weight returns the weight of the strikes at endpoints that are not explained by another part.
@@ -346,18 +389,18 @@
 // weightOf returns the weight of strikes. Answers that had begun count once within momentTime, and not beside strikes without an
 // answer.
 func weightOf(list []seen) int {
-	list = slices.SortedFunc(slices.Values(list), func(a, b seen) int { return a.at.Compare(b.at) })
+	list = slices.SortedFunc(slices.Values(list), func(a, b seen) int { return a.at().Compare(b.at()) })
 	total, answers, unanswered := 0, 0, 0
 	var begin time.Time
 	for n, s := range list {
-		if n == 0 || s.at.Sub(begin) > momentTime {
+		if n == 0 || s.at().Sub(begin) > momentTime {
 			total += max(answers, unanswered)
-			begin, answers, unanswered = s.at, 0, 0
+			begin, answers, unanswered = s.at(), 0, 0
 		}
-		if s.weight == answerWeight {
+		if s.weight() == answerWeight {
 			answers = answerWeight
 		} else {
-			unanswered += s.weight
+			unanswered += s.weight()
 		}
 	}
 	return total + max(answers, unanswered)
--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -107,7 +107,8 @@
 	assert.Len(t, q.records, 1, "expired parts give way to new ones")
 }
 
-// TestRowsInAnyOrderGiveOneVerdict adds strikes and refutations of a part in two orders.
+// TestRowsInAnyOrderGiveOneVerdict adds strikes and refutations of parts in two orders. Several VMs see the end of an endpoint,
+// each at a time of its own, and some of them under requests whose answer had begun.
 func TestRowsInAnyOrderGiveOneVerdict(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type event struct {
@@ -115,10 +116,14 @@
 			refutedAt time.Time
 		}
 		var events []event
-		for n := range rapid.IntRange(1, 12).Draw(t, "events") {
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
 			at := scripter.Epoch.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
 			part := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "part")
-			e := event{strike: Strike{Part: part, Endpoint: fmt.Sprint(n), At: at}}
+			e := event{strike: Strike{
+				Part: part, Position: rapid.IntRange(0, 1).Draw(t, "position"),
+				Endpoint:  fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "endpoint")),
+				HadAnswer: rapid.Bool().Draw(t, "answering"), At: at,
+			}}
 			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
 				e.refutedAt = at
 			}
