quarantiner: a strike explains no heavier one; the last part in the prompt goes first again

Cause: gave the blame to the part whose strikes sufficed first. Shared parts collect the strikes of all their causes, so theirs suffice first. The fault that it mended has another cause: the part of a request beside whose answers had begun took the blame also for endpoints where the caller's requests had got no answer, which is the stronger evidence.

A strike explains an endpoint only against strikes there that are not heavier.

Left: a caller's part that is itself the cause, with few second parts, is released when one of these parts has three strikes; each second part is then quarantined by itself.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -106,10 +105,9 @@
 
 // decide quarantines the parts that explain the ends of endpoints, and returns those that were not quarantined before.
 //
-// It takes the parts in the order in which their strikes sufficed, of those that sufficed at the same end the last ones in the
-// prompt first, then the ones with the heaviest strikes. The endpoints where these were are explained by them: earlier parts, which
-// their requests share with others, and those of requests that ran beside them, get no blame for them. Of two parts that nothing
-// tells apart, both are quarantined.
+// It takes the last parts in the prompt first, of those the ones with the heaviest strikes. The endpoints where these were are
+// explained by them: earlier parts, which their requests share with others, and those of requests that ran beside them, get no
+// blame for them, unless their strike there is heavier. Of two parts that nothing tells apart, both are quarantined.
 func (q *Quarantiner) decide() []string {
 	var candidates []*record
 	for _, r := range q.records {
@@ -118,20 +116,8 @@
 			candidates = append(candidates, r)
 		}
 	}
-	ends := endTimes(candidates)
-	for _, r := range candidates {
-		r.sufficedAt = r.sufficientAt(ends)
-	}
 	slices.SortFunc(candidates, compareCandidates)
-	for n, r := range candidates {
-		explained := map[string]bool{}
-		for _, other := range candidates[:n] {
-			if other.isQuarantined && compareCandidates(other, r) != 0 {
-				other.explain(explained)
-			}
-		}
-		r.isQuarantined = r.weight(explained) >= threshold
-	}
+	quarantineUnexplained(candidates)
 	releaseExplained(candidates)
 	var added []string
 	for p, r := range q.records {
@@ -143,34 +129,38 @@
 	return added
 }
 
-// compareCandidates orders the parts that may explain the ends of endpoints; the first ones take the blame.
-func compareCandidates(a, b *record) int {
-	return cmp.Or(a.sufficedAt.Compare(b.sufficedAt), cmp.Compare(b.position, a.position), cmp.Compare(b.total, a.total))
-}
-
-// endTimes returns when each endpoint ended, by the first strike there.
-func endTimes(records []*record) map[string]time.Time {
-	ends := map[string]time.Time{}
-	for _, r := range records {
-		for e, s := range r.strikes {
-			if at, ok := ends[e]; !ok || s.at().Before(at) {
-				ends[e] = s.at()
+// quarantineUnexplained quarantines those of the sorted candidates whose strikes suffice without those at endpoints that the ones
+// before explain.
+func quarantineUnexplained(candidates []*record) {
+	explained := map[string]int{}
+	begin := 0
+	for n, r := range candidates {
+		if n > 0 && compareCandidates(candidates[n-1], r) != 0 {
+			for _, other := range candidates[begin:n] {
+				if other.isQuarantined {
+					other.explain(explained)
+				}
 			}
+			begin = n
 		}
+		r.isQuarantined = r.weight(explained) >= threshold
 	}
-	return ends
+}
+
+// compareCandidates orders the parts that may explain the ends of endpoints; the first ones take the blame.
+func compareCandidates(a, b *record) int {
+	return cmp.Or(cmp.Compare(b.position, a.position), cmp.Compare(b.total, a.total))
 }
 
 // releaseExplained releases the parts all of whose endpoints another quarantined part with heavier strikes explains.
 func releaseExplained(candidates []*record) {
-	for _, r := range candidates {
-		for _, other := range candidates {
-			if !r.isQuarantined || !other.isQuarantined || other.total <= r.total {
-				continue
+	quarantined := slices.DeleteFunc(slices.Clone(candidates), func(r *record) bool { return !r.isQuarantined })
+	for _, r := range quarantined {
+		for _, other := range quarantined {
+			if other.isQuarantined && other.total > r.total && other.covers(r) {
+				r.isQuarantined = false
+				break
 			}
-			explained := map[string]bool{}
-			other.explain(explained)
-			r.isQuarantined = r.weight(explained) > 0
 		}
 	}
 }
@@ -288,7 +278,8 @@
 // seen is the strike against one part at one endpoint. VMs see the end of an endpoint each at a time of its own; the latest times
 // are kept, so that strikes and refutations have one result in any order.
 type seen struct {
-	// unanswered is when the last request broke off whose answer had not begun, answered the last one whose answer had; zero if none.
+	// unanswered is when the last request broke off whose answer had not begun, answered the last one whose answer had; zero if
+	// none.
 	unanswered, answered time.Time
 }
 
@@ -342,9 +333,8 @@
 	// refutedAt is when a request with the part was last known to be completed.
 	refutedAt time.Time
 	probedAt  time.Time
-	// total is the weight of all strikes as of the last decision, and sufficedAt the end of an endpoint with which it sufficed.
+	// total is the weight of all strikes as of the last decision.
 	total                         int
-	sufficedAt                    time.Time
 	isQuarantined, wasQuarantined bool
 }
 
@@ -363,29 +353,17 @@
 	return merged != old
 }
 
-// weight returns the weight of the strikes at endpoints that are not explained by another part.
-func (r *record) weight(explained map[string]bool) int {
+// weight returns the weight of the strikes that no other part explains; explained holds the heaviest strike of those by endpoint.
+func (r *record) weight(explained map[string]int) int {
 	var list []seen
 	for e, s := range r.strikes {
-		if !explained[e] {
+		if s.weight() > explained[e] {
 			list = append(list, s)
 		}
 	}
 	return weightOf(list)
 }
 
-// sufficientAt returns the end of an endpoint with which the strikes sufficed for a quarantine; ends holds when each one ended.
-func (r *record) sufficientAt(ends map[string]time.Time) time.Time {
-	endpoints := slices.SortedFunc(maps.Keys(r.strikes), func(a, b string) int { return ends[a].Compare(ends[b]) })
-	var list []seen
-	for _, e := range endpoints {
-		if list = append(list, r.strikes[e]); weightOf(list) >= threshold {
-			return ends[e]
-		}
-	}
-	return time.Time{}
-}
-
 // weightOf returns the weight of strikes. Answers that had begun count once within momentTime, and not beside strikes without an
 // answer.
 func weightOf(list []seen) int {
@@ -406,10 +384,20 @@
 	return total + max(answers, unanswered)
 }
 
-// explain adds the endpoints of the strikes.
-func (r *record) explain(explained map[string]bool) {
-	for e := range r.strikes {
-		explained[e] = true
+// covers reports whether there is a strike as heavy at each endpoint where the other part has one.
+func (r *record) covers(other *record) bool {
+	for e, s := range other.strikes {
+		if r.strikes[e].weight() < s.weight() {
+			return false
+		}
+	}
+	return true
+}
+
+// explain adds the weights of the strikes.
+func (r *record) explain(explained map[string]int) {
+	for e, s := range r.strikes {
+		explained[e] = max(explained[e], s.weight())
 	}
 }
 
