quarantiner: endpoints that end at one moment under begun answers count as one strike without an answer

Cause: any number of them counted as half a strike. Five endpoints that ended at once under requests with one part left the part free until the tenth: more than three further requests could reach endpoints after the users' time to react.

Change: within a moment they count up to one full strike.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -14,8 +14,8 @@
 	// A request whose answer had begun when its endpoint ended is more likely to be a sound one that ran beside the cause.
 	fullWeight   = 2
 	answerWeight = 1
-	// momentTime is the time within which ends of endpoints under answers that had begun count as one: they may have a cause in
-	// common, such as a rack.
+	// momentTime is the time within which ends of endpoints under answers that had begun count as one strike without an answer: they
+	// may have a cause in common, such as a rack.
 	momentTime = 200 * time.Millisecond
 	// recentTime is how long after a request with a part was completed here no strike is recorded for it. Most requests that run
 	// beside the cause have parts of which this VM completes several a second.
@@ -364,8 +364,8 @@
 	return weightOf(list)
 }
 
-// weightOf returns the weight of strikes. Answers that had begun count once within momentTime, and not beside strikes without an
-// answer.
+// weightOf returns the weight of strikes. Answers that had begun count as one strike without an answer at most within momentTime,
+// and not beside strikes without an answer.
 func weightOf(list []seen) int {
 	list = slices.SortedFunc(slices.Values(list), func(a, b seen) int { return a.at().Compare(b.at()) })
 	total, answers, unanswered := 0, 0, 0
@@ -376,7 +376,7 @@
 			begin, answers, unanswered = s.at(), 0, 0
 		}
 		if s.weight() == answerWeight {
-			answers = answerWeight
+			answers = min(answers+answerWeight, fullWeight)
 		} else {
 			unanswered += s.weight()
 		}
