quarantiner: the wait before a probe grows with the moments at which endpoints end, not with their number

Callers saw (in a test of whole VMs): twelve engines end at once under requests that wait for their answers; six others start; sound requests of the same caller are refused for up to ten minutes.

Cause: each endpoint beyond the third tripled the wait before the first probe, although ends at one moment say no more than one end. Strikes under answers that had begun weigh half, so of these every second crashed probe only made the wait longer, and probes came after 3, 3, 9, 9, 27 s.

Change: the wait grows by the moments after the one with which the strikes sufficed. A wave of crashes still makes it long at once.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,8 +21,8 @@
 	// recentTime is how long after a request with a part was completed here no strike is recorded for it. Most requests that run
 	// beside the cause have parts of which this VM completes several a second.
 	recentTime = 2 * time.Second
-	// A quarantined part is probed with one request firstProbe after its last strike; each further strike multiplies that time by
-	// probeFactor, up to maxProbe.
+	// A quarantined part is probed with one request firstProbe after its last strike; each further moment at which endpoints end
+	// multiplies that time by probeFactor, up to maxProbe. Endpoints that end at one moment may have another cause in common.
 	firstProbe  = 3 * time.Second
 	probeFactor = 3
 	maxProbe    = Duration
@@ -119,6 +120,9 @@
 	slices.SortFunc(candidates, compareCandidates)
 	quarantineUnexplained(candidates)
 	releaseExplained(candidates)
+	for _, r := range candidates {
+		r.furtherMoments = r.countFurtherMoments()
+	}
 	var added []string
 	for p, r := range q.records {
 		if r.isQuarantined && !r.wasQuarantined {
@@ -333,8 +337,9 @@
 	// refutedAt is when a request with the part was last known to be completed.
 	refutedAt time.Time
 	probedAt  time.Time
-	// total is the weight of all strikes as of the last decision.
-	total                         int
+	// total is the weight of all strikes as of the last decision, and furtherMoments the number of moments at which endpoints ended
+	// after they had sufficed.
+	total, furtherMoments         int
 	isQuarantined, wasQuarantined bool
 }
 
@@ -364,15 +369,25 @@
 	return weightOf(list)
 }
 
-// weightOf returns the weight of strikes. Answers that had begun count as one strike without an answer at most within momentTime,
-// and not beside strikes without an answer.
+// weightOf returns the weight of strikes.
 func weightOf(list []seen) int {
+	total := 0
+	for _, weight := range momentWeights(list) {
+		total += weight
+	}
+	return total
+}
+
+// momentWeights returns the weights of strikes by moments of momentTime. Answers that had begun count as one strike without an
+// answer at most in a moment, and not beside strikes without an answer.
+func momentWeights(list []seen) []int {
 	list = slices.SortedFunc(slices.Values(list), func(a, b seen) int { return a.at().Compare(b.at()) })
-	total, answers, unanswered := 0, 0, 0
+	var weights []int
+	answers, unanswered := 0, 0
 	var begin time.Time
 	for n, s := range list {
 		if n == 0 || s.at().Sub(begin) > momentTime {
-			total += max(answers, unanswered)
+			weights = append(weights, 0)
 			begin, answers, unanswered = s.at(), 0, 0
 		}
 		if s.weight() == answerWeight {
@@ -380,8 +395,9 @@
 		} else {
 			unanswered += s.weight()
 		}
+		weights[len(weights)-1] = max(answers, unanswered)
 	}
-	return total + max(answers, unanswered)
+	return weights
 }
 
 // covers reports whether there is a strike as heavy at each endpoint where the other part has one.
@@ -404,7 +420,7 @@
 // nextProbe returns when the next probe is due.
 func (r *record) nextProbe() time.Time {
 	wait := firstProbe
-	for n := (r.total - threshold) / fullWeight; n > 0 && wait < maxProbe; n-- {
+	for n := r.furtherMoments; n > 0 && wait < maxProbe; n-- {
 		wait *= probeFactor
 	}
 	wait = min(wait, maxProbe)
@@ -414,3 +430,15 @@
 	}
 	return at.Add(wait)
 }
+
+// countFurtherMoments returns at how many moments endpoints ended after the strikes had sufficed.
+func (r *record) countFurtherMoments() int {
+	total := 0
+	weights := momentWeights(slices.Collect(maps.Values(r.strikes)))
+	for n, weight := range weights {
+		if total += weight; total >= threshold {
+			return len(weights) - n - 1
+		}
+	}
+	return 0
+}
