jobs: failures of an item are counted across the holders of its job

Cause: the count of answers of 500 was in the memory of the runner alone. Each holder began at 0.

Change: the job's record has a field `failures`, the total of each open item at all holders. It is not with the checkpoints: an old build would join an empty checkpoint row and begin the output with a line break, and a new holder reads these rows once, too early for a run that its former holder still finishes. The record reaches every holder through the feed. Every write of the record by a VM carries the totals that it counted, so that a hand-over does, too; without another write they are written at most once in 500 ms for each job. They are totals, merged by maximum and written by compare-and-swap: a repeated or late write counts nothing twice. A stopping VM waits for this write as it does for results. The field of an item goes with its result. A missing field is 0; an old build ignores the field, and drops it when it writes the record, until the holder's next write.

What remains: the failures of the last 500 ms are lost with a VM that ends without a stop, and a VM that can't write to the store keeps its own to itself. An answer of 422 is written at once as the item's result and kept by the VM at a hand-over, as before; if the VM is lost before this write, the item runs again.

--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -257,6 +258,29 @@
 	}, maxWait, 20*time.Millisecond, "the next valid configuration does not become active")
 }
 
+// storeJob stores a job of a lost VM, with further fields of its record.
+func (f *testFleet) storeJob(job string, items []jobItem, fields map[string]any) {
+	f.t.Helper()
+	body, err := json.Marshal(map[string]any{"items": items})
+	require.NoError(f.t, err)
+	req, err := http.NewRequest(http.MethodPut, f.server.URL+"/blob-put/job-"+job, bytesReader(body))
+	require.NoError(f.t, err)
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	_ = res.Body.Close()
+	tokens := make([]int64, 0, len(items))
+	for _, i := range items {
+		tokens = append(tokens, i.Tokens)
+	}
+	record := map[string]any{
+		"id": job, "host": testHost, "routePrefix": "/batch/", "config": 3, "tokens": tokens,
+		"due":    time.Now().Add(18 * time.Second).UnixMilli(),
+		"holder": map[string]any{"vm": "front-lost", "incarnation": 1},
+	}
+	maps.Copy(record, fields)
+	f.store.Put("job", partitionFor(job), job, record)
+}
+
 // TestJobOfLostVMResumesAfterCheckpoints stores a job of a lost VM with checkpoints: another VM must resume the item after
 // the last checkpointed event.
 func TestJobOfLostVMResumesAfterCheckpoints(t *testing.T) {
@@ -264,13 +288,6 @@
 	f := newFleet(t, 1)
 	items := newItems(2)
 	job := newID("job")
-	body, err := json.Marshal(map[string]any{"items": items})
-	require.NoError(t, err)
-	req, err := http.NewRequest(http.MethodPut, f.server.URL+"/blob-put/job-"+job, bytesReader(body))
-	require.NoError(t, err)
-	res, err := http.DefaultClient.Do(req)
-	require.NoError(t, err)
-	_ = res.Body.Close()
 	part := partitionFor(job)
 	save := func(writer string, after, last int64, output string) {
 		head := mustJSON(t, map[string]any{
@@ -282,11 +299,7 @@
 	// Another VM ran the item too: its checkpoints overlap those of writer a and must not be combined with them.
 	save("b", 0, 2, "\n"+standin.EventData(items[0].ID, 1)+"\n"+standin.EventData(items[0].ID, 2))
 	save("a", 1, 2, "\n"+standin.EventData(items[0].ID, 2))
-	f.store.Put("job", part, job, map[string]any{
-		"id": job, "host": testHost, "routePrefix": "/batch/", "config": 3, "tokens": []int{940, 940},
-		"due":    time.Now().Add(18 * time.Second).UnixMilli(),
-		"holder": map[string]any{"vm": "front-lost", "incarnation": 1},
-	})
+	f.storeJob(job, items, nil)
 	for _, r := range f.await(f.vms[0], job, 2).Results {
 		assert.Equal(t, standin.CompleteOutput(r.ID, 6), r.Output)
 	}
--- a/pkg/core/jobrecorder/job.go
+++ b/pkg/core/jobrecorder/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -38,6 +39,8 @@
 	Due       int64 `json:"due"`
 	// Finished lists the items that have a result, by the position of the result.
 	Finished []int `json:"order,omitempty"`
+	// Failures holds the number of failed runs at all holders of each item that has some and no result.
+	Failures map[int]int `json:"failures,omitempty"`
 	// IsEnded reports that the caller ended the job and wants no further results.
 	IsEnded bool `json:"isEnded,omitempty"`
 	// Holder is the VM that runs the items. PreviousHolder is the holder before it, which handed the job over while stopping and
@@ -65,11 +68,15 @@
 	return fmt.Sprintf("inconsistent job record: %s lists item %d, which is out of range or a duplicate", e.Field, e.Item)
 }
 
-// Check returns a *RecordError unless Finished, Kept and each list of Earlier hold only items of the job, each at most once.
+// Check returns a *RecordError unless Finished, Kept and each list of Earlier hold only items of the job, each at most once, and
+// Failures holds only items of the job.
 func (j Job) Check() error {
 	if err := j.checkItems("order", j.Finished); err != nil {
 		return err
 	}
+	if err := j.checkItems("failures", slices.Sorted(maps.Keys(j.Failures))); err != nil {
+		return err
+	}
 	for _, k := range j.kept() {
 		if err := j.checkItems("kept", k.Items); err != nil {
 			return err
@@ -135,8 +142,8 @@
 // DueTime returns the time by which all results are due.
 func (j Job) DueTime() time.Time { return time.UnixMilli(j.Due) }
 
-// Append assigns the next positions to the items. It skips unknown items and those that have a position, and returns the
-// items that it added.
+// Append assigns the next positions to the items, and drops their failures. It skips unknown items and those that have a
+// position, and returns the items that it added.
 func (j Job) Append(items []int) (Job, []int) {
 	order := slices.Clone(j.Finished)
 	var added []int
@@ -148,9 +155,36 @@
 		added = append(added, i)
 	}
 	j.Finished = order
+	if len(added) > 0 && len(j.Failures) > 0 {
+		j.Failures = maps.Clone(j.Failures)
+		maps.DeleteFunc(j.Failures, func(i, _ int) bool { return slices.Contains(added, i) })
+	}
 	return j, added
 }
 
+// RecordFailures returns the job with the larger of the known and the given number of failed runs of each item, and whether a
+// number changed. It skips unknown items and those that have a result.
+//
+// The numbers are totals, so that one that is recorded twice counts once.
+func (j Job) RecordFailures(totals map[int]int) (Job, bool) {
+	var failures map[int]int
+	for i, n := range totals {
+		if i < 0 || i >= len(j.Tokens) || n <= j.Failures[i] || j.IsDone(i) {
+			continue
+		}
+		if failures == nil {
+			failures = map[int]int{}
+			maps.Copy(failures, j.Failures)
+		}
+		failures[i] = n
+	}
+	if failures == nil {
+		return j, false
+	}
+	j.Failures = failures
+	return j, true
+}
+
 // End returns the job as ended by its caller.
 func (j Job) End() Job {
 	j.IsEnded = true
--- a/pkg/core/jobrecorder/job_test.go
+++ b/pkg/core/jobrecorder/job_test.go
@@ -11,7 +11,7 @@
 
 // TestTransitionsKeepResults applies transitions of three VMs to one record. Some start from a stale view, as after a lost
 // answer of the store; the store's compare-and-swap rejects these. Results must keep their positions, and an ended job
-// must stay ended.
+// must stay ended. The failures of an item never decrease while it has no result, and are dropped with it.
 func TestTransitionsKeepResults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 8).Draw(t, "items")
@@ -29,7 +29,7 @@
 			v := &views[rapid.IntRange(0, len(views)-1).Draw(t, "vm")]
 			before := job
 			var next Job
-			switch rapid.IntRange(0, 4).Draw(t, "transition") {
+			switch rapid.IntRange(0, 5).Draw(t, "transition") {
 			case 0:
 				next, _ = v.job.Append(rapid.SliceOfN(rapid.IntRange(-1, n), 0, 3).Draw(t, "finished"))
 			case 1:
@@ -41,6 +41,16 @@
 			case 4:
 				*v = view{job, version}
 				continue
+			case 5:
+				totals := rapid.MapOfN(rapid.IntRange(-1, n), rapid.IntRange(-1, 4), 0, 3).Draw(t, "failures")
+				next, _ = v.job.RecordFailures(totals)
+				for i := range n {
+					if !v.job.IsDone(i) {
+						assert.Equal(t, max(v.job.Failures[i], totals[i]), next.Failures[i])
+					}
+				}
+				_, isChanged := next.RecordFailures(totals)
+				assert.False(t, isChanged, "failures that are recorded twice count twice")
 			}
 			if v.version != version {
 				continue
@@ -52,6 +62,14 @@
 			}
 			assert.True(t, slices.Equal(before.Finished, job.Finished[:len(before.Finished)]), "a result changed its position")
 			assert.True(t, !before.IsEnded || job.IsEnded, "an ended job is open again")
+			for i := range n {
+				if job.IsDone(i) {
+					assert.NotContains(t, job.Failures, i, "an item has a result and failures")
+				} else {
+					assert.GreaterOrEqual(t, job.Failures[i], before.Failures[i], "failures of an open item were lost")
+				}
+			}
+			assert.NoError(t, job.Check())
 			sorted := slices.Clone(job.Finished)
 			slices.Sort(sorted)
 			assert.Len(t, slices.Compact(sorted), len(job.Finished), "an item has two positions")
@@ -62,10 +80,30 @@
 		back := Job{}
 		assert.NoError(t, json.Unmarshal(text, &back))
 		assert.Equal(t, job.WaitingTokens(), back.WaitingTokens())
+		for i := range n {
+			assert.Equal(t, job.Failures[i], back.Failures[i])
+		}
 		assert.Equal(t, job.IsOver(), back.IsOver())
 	})
 }
 
+func TestRecordFailures(t *testing.T) {
+	job := Job{Tokens: []int64{1, 1, 1}, Finished: []int{2}, Failures: map[int]int{0: 2}}
+	next, isChanged := job.RecordFailures(map[int]int{-1: 1, 0: 3, 1: 1, 2: 1, 3: 1})
+	assert.True(t, isChanged)
+	assert.Equal(t, map[int]int{0: 3, 1: 1}, next.Failures)
+	assert.Equal(t, map[int]int{0: 2}, job.Failures, "the job was changed in place")
+	for _, totals := range []map[int]int{nil, {0: 2}, {0: 3, 1: 1}, {1: 0}, {2: 5}} {
+		same, isChanged := next.RecordFailures(totals)
+		assert.False(t, isChanged, "%v", totals)
+		assert.Equal(t, next, same)
+	}
+	done, _ := next.Append([]int{0})
+	assert.Equal(t, map[int]int{1: 1}, done.Failures)
+	assert.Equal(t, map[int]int{0: 3, 1: 1}, next.Failures, "the job was changed in place")
+	assert.Error(t, Job{Tokens: []int64{1}, Failures: map[int]int{1: 1}}.Check())
+}
+
 func TestRunnable(t *testing.T) {
 	a, b := VMRef{VM: "a", Incarnation: 1}, VMRef{VM: "b", Incarnation: 1}
 	job := Job{
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -101,8 +101,7 @@
 			r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
 		case http.StatusInternalServerError:
 			how, outcome = placer.EndedComplete, "failed"
-			t.failures++
-			if t.failures >= route.MaxAttempts {
+			if r.manager.Fail(r.ctx, t.job.id, t.index) >= route.MaxAttempts {
 				r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
 			}
 		case http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -88,8 +88,6 @@
 	lastEvent int64
 	output    []byte
 	hasOutput bool
-	// failures counts the runs that the endpoint answered with status 500.
-	failures  int
 	notBefore time.Time
 	run       *itemRun
 	// runTime is the total time of the earlier runs.
@@ -156,7 +154,7 @@
 	return items
 }
 
-// Running returns the number of items that run or whose result is not in the store yet.
+// Running returns the number of items that run or whose result is not in the store yet, and of jobs with failures that are not.
 func (r *Runner) Running() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,6 +165,9 @@
 				n++
 			}
 		}
+		if r.manager.IsSavingFailures(id) {
+			n++
+		}
 	}
 	return n
 }
--- a/pkg/jobmanager/fuzz_test.go
+++ b/pkg/jobmanager/fuzz_test.go
@@ -22,6 +22,9 @@
 	f.Add([]byte(`{"tokens":[1],"order":[4]}`), []byte(nil))
 	f.Add([]byte(`{"tokens":[1],"order":[0]}`), []byte(`{"accepted":1}`))
 	f.Add([]byte(`{"tokens":[1],"earlier":[{"by":{"vm":"a"},"items":[-1]}]}`), []byte(nil))
+	for _, failures := range []string{`{"0":2}`, `{"0":-1}`, `{"0":9223372036854775807}`, `{"1":1}`, `{"x":1}`, `null`} {
+		f.Add([]byte(`{"tokens":[1],"failures":`+failures+`}`), []byte(nil))
+	}
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		entry := func(row int, value []byte) storer.Entry {
 			return storer.Entry{Table: resultTable, Key: resultKey("j", 0, row), Value: value}
@@ -31,7 +34,11 @@
 			assert.LessOrEqual(t, len(results), 1, "two rows of one position gave several results")
 		}
 		if j, err := decodeJob(storer.Entry{Value: first}); err == nil {
-			_, _ = j.Append([]int{0})
+			done, _ := j.Append([]int{0})
+			assert.Zero(t, done.Failures[0], "an item has a result and failures")
+			failed, _ := j.RecordFailures(map[int]int{0: 1, 1: 1})
+			assert.NoError(t, failed.Check())
+			assert.GreaterOrEqual(t, failed.Failures[0], j.Failures[0])
 			_, _, _ = j.WaitingTokens(), j.Runnable(func(vm jobrecorder.VMRef) bool { return vm.VM == "" }), j.IsOver()
 		}
 		_, _ = decodeCheckpoint(storer.Entry{Value: first})
--- a/pkg/jobmanager/linear_test.go
+++ b/pkg/jobmanager/linear_test.go
@@ -289,11 +289,22 @@
 	vms     []*jobmanager.Manager
 	// contexts end when the VMs stop.
 	contexts []context.Context
+	stops    []context.CancelFunc
 	route    registrar.Route
 
 	mu sync.Mutex
 	// leftAt holds the times at which VMs began to hand their jobs over.
 	leftAt map[int]time.Time
+	// stoppedAt holds the times at which stopVM stopped VMs, since the start of the run.
+	stoppedAt map[int]time.Duration
+}
+
+// stopVM stops a VM at once, without a handover.
+func (p *simulation) stopVM(vm int) {
+	p.mu.Lock()
+	p.stoppedAt[vm] = time.Since(p.start)
+	p.mu.Unlock()
+	p.stops[vm]()
 }
 
 // StateOf reports a VM as lost once it has been stopped for longer than gossiper.SilenceTimeout, and as leaving once its peers
@@ -309,6 +320,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if stopped, wasStopped := p.stoppedAt[n]; wasStopped {
+		at, ok = stopped, true
+	}
 	left, isLeaving := p.leftAt[n]
 	switch {
 	case ok && time.Since(p.start) > at+gossiper.SilenceTimeout:
@@ -364,7 +378,10 @@
 
 // newSimulation starts the VMs and the actions of a plan; it is called within a bubble of synctest. stop ends them.
 func newSimulation(t *testing.T, pl plan, h *history) (p *simulation, stop func()) {
-	p = &simulation{plan: pl, history: h, store: standin.NewStore(), start: time.Now(), leftAt: map[int]time.Time{}}
+	p = &simulation{
+		plan: pl, history: h, store: standin.NewStore(), start: time.Now(),
+		leftAt: map[int]time.Time{}, stoppedAt: map[int]time.Duration{},
+	}
 	p.route = registrar.Route{
 		Host: "h", PathPrefix: "/job/", Kind: registrar.KindBatch, DueAfter: time.Minute, WaitingTokens: pl.MaxWaitingTokens,
 		Splits: []registrar.Split{{Service: "s", Weight: 1}},
@@ -388,7 +405,7 @@
 			time.AfterFunc(at+leaveTime, stopVM)
 		}
 		m.Start(vmCtx)
-		p.vms, p.contexts = append(p.vms, m), append(p.contexts, vmCtx)
+		p.vms, p.contexts, p.stops = append(p.vms, m), append(p.contexts, vmCtx), append(p.stops, stopVM)
 		context.AfterFunc(ctx, stopVM)
 	}
 	for n, at := range pl.Leaves {
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -71,6 +71,9 @@
 	isCommitting bool
 	// checkpoints holds the keys of each item's checkpoint rows.
 	checkpoints map[int][]string
+	// failures holds the total number of failed runs of each item of which this VM had one.
+	failures         map[int]int
+	isSavingFailures bool
 }
 
 type finishedItem struct {
@@ -138,7 +141,7 @@
 		return
 	}
 	if !ok {
-		old = &record{checkpoints: map[int][]string{}}
+		old = &record{checkpoints: map[int][]string{}, failures: map[int]int{}}
 		m.jobs[e.Key] = old
 	}
 	old.job, old.version = j, e.Version
@@ -210,8 +213,8 @@
 	return j, ok, nil
 }
 
-// writeTransition writes a transition of the job by compare-and-swap. If another VM wrote the record first, it applies the
-// transition to the newer record and tries again.
+// writeTransition writes a transition of the job by compare-and-swap, together with the failures that this VM counted. If
+// another VM wrote the record first, it applies the transition to the newer record and tries again.
 //
 // transition returns false if there is nothing to write.
 func (m *Manager) writeTransition(
@@ -230,6 +233,7 @@
 		if !isNeeded {
 			return nil
 		}
+		next, _ = next.RecordFailures(m.failuresOf(id))
 		row, err := encodeJob(next)
 		if err != nil {
 			return err
