isolator: an older refutation from a peer drops a later pending one (failing test)

TestOlderRefutationReplacesNoPendingOne: the other VM quarantines the part, 'Should be empty, but was ca'; 3 rows in the store, no refutation.

--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/platform"
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
@@ -111,3 +112,25 @@
 	}
 	t.Logf("rows %d", s.Count("quarantine"))
 }
+
+// TestOlderRefutationReplacesNoPendingOne has a VM that can't reach the store learn of an older refutation from a peer, after it
+// recorded strikes and completed a request with the part itself.
+func TestOlderRefutationReplacesNoPendingOne(t *testing.T) {
+	s, addr := newStore(t)
+	a, b := newOne(t, addr, 1, false), newOne(t, addr, 2, false)
+	time.Sleep(200 * time.Millisecond)
+	s.SetFault(func(*http.Request) standin.StoreFault { return standin.Busy })
+	older := time.Now()
+	time.Sleep(10 * time.Millisecond)
+	for n := range 3 {
+		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+	}
+	require.Eventually(t, func() bool { return a.Check([]string{"ca"}).Part == "ca" }, time.Second, time.Millisecond)
+	a.Completed([]string{"ca"})
+	a.ApplyPeerRows([]storer.Entry{{Table: isolator.Table, Key: "ca/refuted", Value: fmt.Appendf(nil, "0@%d", older.UnixMilli())}})
+	s.SetFault(func(*http.Request) standin.StoreFault { return standin.NoFault })
+	require.Eventually(t, func() bool { return s.Count("quarantine") >= 3 }, 10*time.Second, 10*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	t.Logf("rows %d", s.Count("quarantine"))
+	assert.Empty(t, b.Check([]string{"ca"}).Part, "the refutation of the strikes was not written")
+}
