isolator: an older refutation from a peer drops no later pending one

Cause: a refutation that arrives replaces the pending one if no known strike is later; strikes that wait for the store, or were just written, were not looked at. The strikes were then written without their refutation.

Change: pending strikes count too, and written rows are known at once.

--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -115,17 +115,27 @@
 	i.add(now, strikes)
 }
 
-// hasStrikeAfter reports whether a known row holds a strike against the part after the time; the lock is held.
+// hasStrikeAfter reports whether a row that is known or waits for the store holds a strike against the part after the time; the lock
+// is held.
 func (i *Isolator) hasStrikeAfter(part string, at time.Time) bool {
 	for key, value := range i.rows {
-		r, err := decodeRow(storer.Entry{Key: key, Value: value})
-		if err == nil && r.Part == part && !r.isRefutation && r.At.After(at) {
+		if isStrikeAfter(key, value, part, at) {
+			return true
+		}
+	}
+	for key, p := range i.puts {
+		if isStrikeAfter(key, p.value, part, at) {
 			return true
 		}
 	}
 	return false
 }
 
+func isStrikeAfter(key string, value []byte, part string, at time.Time) bool {
+	r, err := decodeRow(storer.Entry{Key: key, Value: value})
+	return err == nil && r.Part == part && !r.isRefutation && r.At.After(at)
+}
+
 // Rows returns the known rows of the table and those that wait for the store.
 func (i *Isolator) Rows() []storer.Entry {
 	i.mu.Lock()
@@ -183,6 +193,9 @@
 		// A later refutation than the written one stays.
 		if string(i.puts[e.Key].value) == string(e.Value) {
 			delete(i.puts, e.Key)
+			if i.rows[e.Key] == nil {
+				i.rows[e.Key] = e.Value
+			}
 		}
 	}
 	for _, e := range change.Deletes {
