--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -115,8 +115,8 @@
 	i.add(now, strikes)
 }
 
-// hasStrikeAfter reports whether a row that is known or waits for the store holds a strike against the part after the time; the lock
-// is held.
+// hasStrikeAfter reports whether a row that is known or waits for the store holds a strike against the part after the time; the
+// lock is held.
 func (i *Isolator) hasStrikeAfter(part string, at time.Time) bool {
 	for key, value := range i.rows {
 		if isStrikeAfter(key, value, part, at) {
