relayer: a probe that an engine refuses goes to another engine

Cause: each attempt asked for a probe of its own, and the first one had used up the one that was due. A full engine so kept a sound part refused for another 3 s to 10 min.

Change: a request that no endpoint has run stays the probe that it was.

Result: TestProbeThatAnEngineRefusesGoesToAnother passes; the tests of quarantines in pkg/assembler pass.

--- a/pkg/assembler/gateway_crash_probe_test.go
+++ b/pkg/assembler/gateway_crash_probe_test.go
@@ -13,7 +13,7 @@
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
-// TestProbeThatAnEngineRefusesGoesToAnother quarantines a sound part. The first engine that gets the probe is full and refuses it;
+// TestProbeThatAnEngineRefusesGoesToAnother quarantines a sound part. The first engine that gets the probe is full and refuses;
 // the other one would run it.
 func TestProbeThatAnEngineRefusesGoesToAnother(t *testing.T) {
 	t.Parallel()
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -229,7 +229,9 @@
 	route registrar.Route
 	id    string
 	// parts holds the ids of the shared parts of the prompt.
-	parts    []string
+	parts []string
+	// probed is the quarantined part that the request probes, if any.
+	probed   string
 	body     []byte
 	start    time.Time
 	deadline time.Time
@@ -311,7 +313,7 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
-	if v := q.isolator.Check(q.parts); v.Part != "" && (!v.IsProbeDue || !q.isolator.BeginProbe(v.Part)) {
+	if v := q.isolator.Check(q.parts); v.Part != "" && !q.mayProbe(v) {
 		return placer.Refuse{Reason: "part " + v.Part + " of the prompt crashes endpoints", RetryAfter: v.Left}, nil
 	}
 	now := time.Now()
@@ -325,6 +327,18 @@
 	return d, ticket
 }
 
+// mayProbe reports whether the request may be sent as a probe. One that no endpoint has run yet stays the probe that it was.
+func (q *request) mayProbe(v quarantiner.Verdict) bool {
+	if q.probed == v.Part && q.runs == 0 {
+		return true
+	}
+	if !v.IsProbeDue || !q.isolator.BeginProbe(v.Part) {
+		return false
+	}
+	q.probed = v.Part
+	return true
+}
+
 // attempt sends the request to one endpoint and reports whether the request is over.
 func (q *request) attempt(s placer.Send, ticket *placer.Ticket) bool {
 	_, span := otel.Tracer("relayer").Start(q.ctx, "endpoint "+s.Endpoint.ID)
