relayer: a request is a probe only once it has an endpoint

Cause: the probe was begun before the request was placed, so one that found no endpoint used it up.

Change: the probe begins after the placement.

--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -313,29 +313,40 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
-	if v := q.isolator.Check(q.parts); v.Part != "" && !q.mayProbe(v) {
-		return placer.Refuse{Reason: "part " + v.Part + " of the prompt crashes endpoints", RetryAfter: v.Left}, nil
+	v := q.isolator.Check(q.parts)
+	if v.Part != "" && !v.IsProbeDue && !q.isProbe(v.Part) {
+		return refuseQuarantined(v), nil
 	}
 	now := time.Now()
 	d, ticket := q.balancer.Place(q.ctx, placer.Request{
 		Route: route, Candidates: reg.EndpointsOf(route.ServiceFor(q.id)), Tried: q.tried, Left: q.deadline.Sub(now),
 		Waited: now.Sub(q.start), Connected: dialer.Connected(q.pool, placer.KeyOf),
 	})
-	if s, isSend := d.(placer.Send); isSend {
-		q.endpoint, q.load, q.estimate, q.decision = s.Endpoint.ID, s.Load, s.Estimate, "send"
+	s, isSend := d.(placer.Send)
+	if !isSend {
+		return d, ticket
 	}
+	if v.Part != "" && !q.beginProbe(v.Part) {
+		q.balancer.End(ticket, placer.EndedLocally)
+		return refuseQuarantined(v), nil
+	}
+	q.endpoint, q.load, q.estimate, q.decision = s.Endpoint.ID, s.Load, s.Estimate, "send"
 	return d, ticket
 }
 
-// mayProbe reports whether the request may be sent as a probe. One that no endpoint has run yet stays the probe that it was.
-func (q *request) mayProbe(v quarantiner.Verdict) bool {
-	if q.probed == v.Part && q.runs == 0 {
-		return true
-	}
-	if !v.IsProbeDue || !q.isolator.BeginProbe(v.Part) {
+func refuseQuarantined(v quarantiner.Verdict) placer.Refuse {
+	return placer.Refuse{Reason: "part " + v.Part + " of the prompt crashes endpoints", RetryAfter: v.Left}
+}
+
+// isProbe reports whether the request was sent to probe the part, and no endpoint has run it yet.
+func (q *request) isProbe(part string) bool { return q.probed == part && q.runs == 0 }
+
+// beginProbe makes the request the next probe of the part; it returns false if another request was faster.
+func (q *request) beginProbe(part string) bool {
+	if !q.isProbe(part) && !q.isolator.BeginProbe(part) {
 		return false
 	}
-	q.probed = v.Part
+	q.probed = part
 	return true
 }
 
