quarantiner: VMs take turns in probing a quarantined part

Cause: only the VM that a part hashes to probed it. Of 195 VMs it gets few requests with the part, and none if it is frozen, cut off from callers, or a caller uses another VM; so a sound part stayed refused for up to ten minutes.

Change: once a probe is due, the live VMs have turns in the part's rendezvous order: 1, 2, 4 and so on up to an eighth of them (at least two), in rounds. A turn lasts 500 ms, or a twentieth of the wait. The VM that begins a probe writes the row PART/probed (probe@TIME); the others count the next probe from when they learn of it, from the store or a peer. When the first probe is due and how the waits grow is as before. Turns are no wider than an eighth, as requests that come at once after a pause would else all be probes.

TestProbeKeepsOtherVMsFromProbing fails without the row.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -182,11 +182,10 @@
 func newIsolator(
 	t storer.Table, p *dialer.Pool, w *watcher.Watcher, g *gossiper.Gossiper, log logrus.FieldLogger,
 ) *isolator.Isolator {
-	isOnDuty := func(part string) bool {
-		vm, ok := gossiper.Assign(isolator.Table+" "+part, g.LiveVMs())
-		return ok && vm.Incarnation == g.Incarnation()
+	rank := func(part string) (int, int) {
+		return gossiper.RankOf(isolator.Table+" "+part, g.LiveVMs(), g.Incarnation())
 	}
-	return isolator.New(t, p, w.Current, isOnDuty, log)
+	return isolator.New(t, p, w.Current, rank, log)
 }
 
 func newRelayer(
--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -48,8 +48,10 @@
 	// Part is a quarantined part, and Left how long it stays so.
 	Part string
 	Left time.Duration
-	// IsProbeDue says that the request may be sent as the next probe of the part.
+	// IsProbeDue says that the request may be sent as the next probe of the part, by a VM that has its turn; Turn is the
+	// number of turns that are over, see HasTurn.
 	IsProbeDue bool
+	Turn       int
 }
 
 // Quarantiner holds the strikes that this VM knows of. It is not safe for concurrent use.
@@ -237,7 +239,7 @@
 		}
 		isDue := !now.Before(r.nextProbe())
 		if v.Part == "" || !isDue {
-			v = Verdict{Part: p, Left: left, IsProbeDue: isDue}
+			v = Verdict{Part: p, Left: left, IsProbeDue: isDue, Turn: r.turn(now)}
 		}
 		if !isDue {
 			break
@@ -252,10 +254,18 @@
 	if !ok || now.Before(r.nextProbe()) {
 		return false
 	}
-	r.probedAt = now
+	r.probedAt, r.probeAt = now, now
 	return true
 }
 
+// Probed records that another VM began a probe of the part at the time, by its clock. The next probe counts from now, at which
+// this VM learned of it.
+func (q *Quarantiner) Probed(now time.Time, part string, at time.Time) {
+	if r, ok := q.recordOf(now, part); ok && at.After(r.probeAt) {
+		r.probedAt, r.probeAt = now, at
+	}
+}
+
 // HasStrikes reports whether there are strikes against any part.
 func (q *Quarantiner) HasStrikes() bool {
 	for _, r := range q.records {
@@ -297,7 +307,8 @@
 	lastAt time.Time
 	// refutedAt is when a request with the part was last known to be completed.
 	refutedAt time.Time
-	probedAt  time.Time
+	// probedAt is when this VM began the last probe or learned of it, probeAt when it began by the clock of its VM.
+	probedAt, probeAt time.Time
 	// total is the weight of all strikes as of the last decision, and sufficedAt the end of an endpoint with which it sufficed.
 	total                         int
 	sufficedAt                    time.Time
@@ -372,14 +383,18 @@
 
 // nextProbe returns when the next probe is due.
 func (r *record) nextProbe() time.Time {
-	wait := firstProbe
-	for n := (r.total - threshold) / fullWeight; n > 0 && wait < maxProbe; n-- {
-		wait *= probeFactor
-	}
-	wait = min(wait, maxProbe)
 	at := r.lastAt
 	if r.probedAt.After(at) {
 		at = r.probedAt
 	}
-	return at.Add(wait)
+	return at.Add(r.probeWait())
+}
+
+// probeWait returns how long after the last strike or probe the next probe is due.
+func (r *record) probeWait() time.Duration {
+	wait := firstProbe
+	for n := (r.total - threshold) / fullWeight; n > 0 && wait < maxProbe; n-- {
+		wait *= probeFactor
+	}
+	return min(wait, maxProbe)
 }
--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -14,7 +14,8 @@
 )
 
 // TestScripts replays the load patterns of the scripts. "broke" is a request whose endpoint ended, "completed" one that was
-// completed, each with the shared parts of its prompt; "check" asks whether a request may be sent.
+// completed, each with the shared parts of its prompt; "check" asks whether a request may be sent by the VM of a rank, the only
+// VM if it is not given; "probed" is another VM's probe that began some time ago.
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txt", func(*testing.T) func(scripter.Step) []string {
 		q := New()
@@ -36,12 +37,14 @@
 				for _, p := range q.Completed(s.At, parts) {
 					out = append(out, "refuted "+p)
 				}
+			case "probed":
+				q.Probed(s.At, s.Name, s.At.Add(-s.Duration("ago", 0)))
 			case "check":
 				v := q.Check(s.At, parts)
 				switch {
 				case v.Part == "":
 					out = append(out, "send")
-				case v.IsProbeDue && q.BeginProbe(s.At, v.Part):
+				case v.IsProbeDue && HasTurn(v.Turn, s.Int("rank", 0), s.Int("of", 1)) && q.BeginProbe(s.At, v.Part):
 					out = append(out, "probe "+v.Part)
 				default:
 					out = append(out, fmt.Sprintf("refuse %s for %s", v.Part, v.Left))
--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,6 +100,22 @@
 	return best, found
 }
 
+// RankOf returns the place of a process in the order of the live VMs in which Assign chooses for the key, from 0, and their
+// number; 0 VMs if it is none of them.
+func RankOf(key string, live []VMIncarnation, incarnation int64) (rank, vms int) {
+	n := slices.IndexFunc(live, func(vm VMIncarnation) bool { return vm.Incarnation == incarnation })
+	if n < 0 {
+		return 0, 0
+	}
+	own := xxhash.Sum64String(key + "\x00" + live[n].Name)
+	for _, vm := range live {
+		if xxhash.Sum64String(key+"\x00"+vm.Name) > own {
+			rank++
+		}
+	}
+	return rank, len(live)
+}
+
 // VMCount returns the number of known VMs that are not lost, this one included.
 func (g *Gossiper) VMCount() int {
 	g.mu.Lock()
--- a/pkg/gossiper/members_test.go
+++ b/pkg/gossiper/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,22 @@
 		}
 	})
 }
+
+// TestRankOfFollowsAssign removes the VM that a key is assigned to, one after the other: each one has the next rank.
+func TestRankOfFollowsAssign(t *testing.T) {
+	var live []VMIncarnation
+	for n := range 20 {
+		live = append(live, VMIncarnation{Name: fmt.Sprint("vm-", n), Incarnation: int64(n)})
+	}
+	left := slices.Clone(live)
+	for n := range live {
+		vm, ok := Assign("key", left)
+		require.True(t, ok)
+		rank, vms := RankOf("key", live, vm.Incarnation)
+		assert.Equal(t, n, rank)
+		assert.Equal(t, len(live), vms)
+		left = slices.DeleteFunc(left, func(other VMIncarnation) bool { return other == vm })
+	}
+	_, vms := RankOf("key", live, 99)
+	assert.Zero(t, vms, "a VM that isn't live")
+}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -40,14 +40,17 @@
 	Strikes, Quarantined, Probes atomic.Int64
 }
 
+// Rank returns this VM's place in the order of the live VMs for a part, from 0, and their number; 0 VMs if this one is none of
+// them. The VM of rank 0 deletes the part's expired rows.
+type Rank func(part string) (rank, vms int)
+
 // Isolator holds the quarantined parts of prompts.
 type Isolator struct {
 	store    storer.Table
 	feed     *watcher.Feed
 	dialer   Dialer
 	registry func() *registrar.Registry
-	// isOnDuty reports whether this VM probes a part and deletes its expired rows.
-	isOnDuty func(part string) bool
+	rank     Rank
 	log      logrus.FieldLogger
 	ctx      context.Context
 
@@ -78,10 +81,10 @@
 
 // New returns an isolator that is not started.
 func New(
-	store storer.Table, d Dialer, registry func() *registrar.Registry, isOnDuty func(part string) bool, log logrus.FieldLogger,
+	store storer.Table, d Dialer, registry func() *registrar.Registry, rank Rank, log logrus.FieldLogger,
 ) *Isolator {
 	i := &Isolator{
-		store: store, dialer: d, registry: registry, isOnDuty: isOnDuty, log: log, quarantiner: quarantiner.New(),
+		store: store, dialer: d, registry: registry, rank: rank, log: log, quarantiner: quarantiner.New(),
 		rows: map[string][]byte{}, unconfirmed: map[string]*suspicion{}, puts: map[string]put{}, deletes: map[string]bool{},
 		changed: make(chan struct{}, 1),
 	}
@@ -106,7 +109,10 @@
 	i.mu.Lock()
 	v := i.quarantiner.Check(time.Now(), parts)
 	i.mu.Unlock()
-	v.IsProbeDue = v.IsProbeDue && i.isOnDuty(v.Part)
+	if v.IsProbeDue {
+		rank, vms := i.rank(v.Part)
+		v.IsProbeDue = quarantiner.HasTurn(v.Turn, rank, vms)
+	}
 	return v
 }
 
@@ -114,9 +120,11 @@
 func (i *Isolator) BeginProbe(part string) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.quarantiner.BeginProbe(time.Now(), part) {
+	now := time.Now()
+	if !i.quarantiner.BeginProbe(now, part) {
 		return false
 	}
+	i.putProbe(now, part)
 	i.Counters.Probes.Add(1)
 	i.log.WithField("part", part).Info("request sent to probe a quarantined part of a prompt")
 	return true
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -32,8 +32,13 @@
 func newOne(t *testing.T, addr netip.AddrPort, n int, duty bool) *isolator.Isolator {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	isOnDuty := func(string) bool { return duty }
-	i := isolator.New(platform.NewStore(addr, fmt.Sprint("front-", n)), deadDialer{}, noEndpoints, isOnDuty, log)
+	rank := func(string) (int, int) {
+		if duty {
+			return 0, 2
+		}
+		return 1, 2
+	}
+	i := isolator.New(platform.NewStore(addr, fmt.Sprint("front-", n)), deadDialer{}, noEndpoints, rank, log)
 	i.Start(t.Context())
 	return i
 }
@@ -111,3 +116,40 @@
 	}
 	t.Logf("rows %d", s.Count("quarantine"))
 }
+
+// putStrikes stores the strikes that quarantine a part, and waits until the isolators know them.
+func putStrikes(t *testing.T, s *standin.Store, part string, list ...*isolator.Isolator) {
+	for n := range 3 {
+		s.Put("quarantine", "", fmt.Sprintf("%s/e%d@1", part, n), fmt.Appendf(nil, "1@%d", time.Now().UnixMilli()))
+	}
+	for _, i := range list {
+		require.Eventually(t, func() bool { return i.Check([]string{part}).Part == part }, 5*time.Second, 5*time.Millisecond)
+	}
+}
+
+// TestProbeKeepsOtherVMsFromProbing begins a probe on one VM while no other has its turn: the other, whose turn is next, must not
+// probe, nor must one that knows of the probe by the rows of a peer alone.
+func TestProbeKeepsOtherVMsFromProbing(t *testing.T) {
+	s, addr := newStore(t)
+	a, b, c := newOne(t, addr, 1, true), newOne(t, addr, 2, false), newOne(t, netip.MustParseAddrPort("127.0.0.1:1"), 3, false)
+	putStrikes(t, s, "ca", a, b)
+	c.ApplyPeerRows(a.Rows())
+	require.Equal(t, "ca", c.Check([]string{"ca"}).Part)
+	require.Eventually(t, func() bool { return a.Check([]string{"ca"}).IsProbeDue }, 5*time.Second, 5*time.Millisecond)
+	require.True(t, a.BeginProbe("ca"))
+	c.ApplyPeerRows(a.Rows())
+	isDueElsewhere := func() bool { return b.Check([]string{"ca"}).IsProbeDue || c.Check([]string{"ca"}).IsProbeDue }
+	assert.Never(t, isDueElsewhere, 2500*time.Millisecond, 5*time.Millisecond, "a second VM may probe")
+	assert.False(t, b.BeginProbe("ca"))
+}
+
+// TestNextVMProbesInstead sends requests to the VM of rank 1 alone.
+func TestNextVMProbesInstead(t *testing.T) {
+	s, addr := newStore(t)
+	b := newOne(t, addr, 2, false)
+	begin := time.Now()
+	putStrikes(t, s, "ca", b)
+	require.Eventually(t, func() bool { return b.Check([]string{"ca"}).IsProbeDue }, 5*time.Second, 5*time.Millisecond)
+	assert.GreaterOrEqual(t, time.Since(begin), 3500*time.Millisecond, "it has its turn before the VM of rank 0")
+	assert.True(t, b.BeginProbe("ca"))
+}
--- a/pkg/isolator/row.go
+++ b/pkg/isolator/row.go
@@ -15,18 +15,22 @@
 // Table is the store's table of strikes and refutations.
 //
 // The key of a strike is PART/ENDPOINT@STARTED, with the suffix /answer for Strike.HadAnswer; its value is POSITION@TIME. The key
-// of a refutation is PART/refuted, its value 0@TIME. Times are in Unix milliseconds.
+// of a refutation is PART/refuted, its value 0@TIME. The key of the last probe is PART/probed, its value probe@TIME, which builds
+// that don't know it can't decode and ignore. Times are in Unix milliseconds.
 const Table = "quarantine"
 
 const (
 	answerSuffix = "/answer"
 	refutedName  = "refuted"
+	probedName   = "probed"
+	// probeValue stands in place of the position.
+	probeValue = "probe"
 )
 
-// row is a decoded row: a strike, or the refutation of a part at the time.
+// row is a decoded row: a strike, the refutation of a part at the time, or a probe that began at the time.
 type row struct {
 	quarantiner.Strike
-	isRefutation bool
+	isRefutation, isProbe bool
 }
 
 func strikeKey(s quarantiner.Strike) string {
@@ -39,6 +43,10 @@
 
 func refutationKey(part string) string { return part + "/" + refutedName }
 
+func probeKey(part string) string { return part + "/" + probedName }
+
+func probeValueOf(at time.Time) []byte { return fmt.Appendf(nil, "%s@%d", probeValue, at.UnixMilli()) }
+
 func valueOf(position int, at time.Time) []byte {
 	return fmt.Appendf(nil, "%d@%d", position, at.UnixMilli())
 }
@@ -52,12 +60,18 @@
 	if r.Part, r.Endpoint, isKey = strings.Cut(key, "/"); !isKey || r.Part == "" || r.Endpoint == "" {
 		return r, errors.Errorf("key %q is not PART/ENDPOINT", e.Key)
 	}
-	r.isRefutation = r.Endpoint == refutedName
+	r.isRefutation, r.isProbe = r.Endpoint == refutedName, r.Endpoint == probedName
 	if e.IsRemoved {
 		return r, nil
 	}
 	position, at, _ := strings.Cut(string(e.Value), "@")
-	n, err := strconv.ParseUint(position, 10, 8)
+	n, err := uint64(0), error(nil)
+	switch {
+	case !r.isProbe:
+		n, err = strconv.ParseUint(position, 10, 8)
+	case position != probeValue:
+		err = errors.Errorf("%q is not %q", position, probeValue)
+	}
 	if err != nil {
 		return r, errors.Wrapf(err, "position in row %s", e.Key)
 	}
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -49,6 +49,22 @@
 	i.notify()
 }
 
+// putProbe has the beginning of a probe written; the lock is held.
+func (i *Isolator) putProbe(now time.Time, part string) {
+	i.puts[probeKey(part)] = put{value: probeValueOf(now), due: now}
+	i.notify()
+}
+
+// applyProbe takes over the row of a probe; the lock is held.
+func (i *Isolator) applyProbe(now time.Time, e storer.Entry, r row) {
+	i.rows[e.Key] = e.Value
+	i.quarantiner.Probed(now, r.Part, r.At)
+	pending, err := decodeRow(storer.Entry{Key: e.Key, Value: i.puts[e.Key].value})
+	if err == nil && !pending.At.After(r.At) {
+		delete(i.puts, e.Key)
+	}
+}
+
 func (i *Isolator) notify() {
 	select {
 	case i.changed <- struct{}{}:
@@ -83,7 +99,7 @@
 func (i *Isolator) dropRow(key string) {
 	delete(i.rows, key)
 	r, err := decodeRow(storer.Entry{Key: key, IsRemoved: true})
-	if _, isPending := i.puts[key]; err == nil && !r.isRefutation && !isPending {
+	if _, isPending := i.puts[key]; err == nil && !r.isRefutation && !r.isProbe && !isPending {
 		i.quarantiner.Drop(r.Part, r.Endpoint)
 	}
 }
@@ -100,6 +116,8 @@
 			i.dropRow(e.Key)
 		case now.Sub(r.At) > quarantiner.Duration:
 			i.rows[e.Key] = e.Value
+		case r.isProbe:
+			i.applyProbe(now, e, r)
 		case r.isRefutation:
 			i.rows[e.Key] = e.Value
 			i.quarantiner.Refute(now, r.Part, r.At)
@@ -119,7 +137,7 @@
 func (i *Isolator) hasStrikeAfter(part string, at time.Time) bool {
 	for key, value := range i.rows {
 		r, err := decodeRow(storer.Entry{Key: key, Value: value})
-		if err == nil && r.Part == part && !r.isRefutation && r.At.After(at) {
+		if err == nil && r.Part == part && !r.isRefutation && !r.isProbe && r.At.After(at) {
 			return true
 		}
 	}
@@ -208,7 +226,7 @@
 	return change
 }
 
-// runExpire has expired rows deleted, by the VM on duty for their part.
+// runExpire has expired rows deleted, by the VM of rank 0 for their part.
 func (i *Isolator) runExpire(ctx context.Context) {
 	sleeper.Every(ctx, expireInterval, i.expire)
 }
@@ -218,7 +236,10 @@
 	defer i.mu.Unlock()
 	for key, value := range i.rows {
 		r, err := decodeRow(storer.Entry{Key: key, Value: value})
-		if err == nil && now.Sub(r.At) > quarantiner.Duration && i.isOnDuty(r.Part) {
+		if err != nil || now.Sub(r.At) <= quarantiner.Duration {
+			continue
+		}
+		if rank, vms := i.rank(r.Part); rank == 0 && vms > 0 {
 			i.deletes[key] = true
 			i.notify()
 		}
