--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -21,11 +21,13 @@
 	// recentTime is how long after a request with a part was completed here no strike is recorded for it. Most requests that run
 	// beside the cause have parts of which this VM completes several a second.
 	recentTime = 2 * time.Second
-	// A quarantined part is probed with one request firstProbe after its last strike; each further moment at which endpoints end
-	// multiplies that time by probeFactor, up to maxProbe. Endpoints that end at one moment may have another cause in common.
-	firstProbe  = 3 * time.Second
-	probeFactor = 3
-	maxProbe    = Duration
+	// A quarantined part is probed with one request firstProbe after its last strike; each further end of an endpoint multiplies
+	// that time by probeFactor, up to maxProbe. Of the endpoints that end at one moment maxEndsPerMoment count: they may have
+	// another cause in common.
+	firstProbe       = 3 * time.Second
+	probeFactor      = 4
+	maxProbe         = Duration
+	maxEndsPerMoment = 2
 	// maxParts bounds the parts with strikes, and those of recently completed requests.
 	maxParts = 4096
 )
@@ -48,8 +50,10 @@
 	// Part is a quarantined part, and Left how long it stays so.
 	Part string
 	Left time.Duration
-	// IsProbeDue says that the request may be sent as the next probe of the part.
+	// IsProbeDue says that the request may be sent as the next probe of the part, by a VM that has its turn; Turn is the
+	// number of turns that are over, see HasTurn.
 	IsProbeDue bool
+	Turn       int
 }
 
 // Quarantiner holds the strikes that this VM knows of. It is not safe for concurrent use.
@@ -121,7 +125,7 @@
 	quarantineUnexplained(candidates)
 	releaseExplained(candidates)
 	for _, r := range candidates {
-		r.furtherMoments = r.countFurtherMoments()
+		r.furtherEnds = r.countFurtherEnds()
 	}
 	var added []string
 	for p, r := range q.records {
@@ -233,7 +237,7 @@
 		}
 		isDue := !now.Before(r.nextProbe())
 		if v.Part == "" || !isDue {
-			v = Verdict{Part: p, Left: left, IsProbeDue: isDue}
+			v = Verdict{Part: p, Left: left, IsProbeDue: isDue, Turn: r.turn(now)}
 		}
 		if !isDue {
 			break
@@ -248,10 +252,18 @@
 	if !ok || now.Before(r.nextProbe()) {
 		return false
 	}
-	r.probedAt = now
+	r.probedAt, r.probeAt = now, now
 	return true
 }
 
+// Probed records that another VM began a probe of the part at the time, by its clock. The next probe counts from now, at which
+// this VM learned of it.
+func (q *Quarantiner) Probed(now time.Time, part string, at time.Time) {
+	if r, ok := q.recordOf(now, part); ok && at.After(r.probeAt) {
+		r.probedAt, r.probeAt = now, at
+	}
+}
+
 // HasStrikes reports whether there are strikes against any part.
 func (q *Quarantiner) HasStrikes() bool {
 	for _, r := range q.records {
@@ -336,10 +348,11 @@
 	lastAt time.Time
 	// refutedAt is when a request with the part was last known to be completed.
 	refutedAt time.Time
-	probedAt  time.Time
-	// total is the weight of all strikes as of the last decision, and furtherMoments the number of moments at which endpoints ended
-	// after they had sufficed.
-	total, furtherMoments         int
+	// probedAt is when this VM began the last probe or learned of it, probeAt when it began by the clock of its VM.
+	probedAt, probeAt time.Time
+	// total is the weight of all strikes as of the last decision, and furtherEnds the number of ends that count after those that
+	// had sufficed.
+	total, furtherEnds            int
 	isQuarantined, wasQuarantined bool
 }
 
@@ -372,32 +385,41 @@
 // weightOf returns the weight of strikes.
 func weightOf(list []seen) int {
 	total := 0
-	for _, weight := range momentWeights(list) {
-		total += weight
+	for _, m := range momentsOf(list) {
+		total += m.weight()
 	}
 	return total
 }
 
-// momentWeights returns the weights of strikes by moments of momentTime. Answers that had begun count as one strike without an
-// answer at most in a moment, and not beside strikes without an answer.
-func momentWeights(list []seen) []int {
+// moment holds the ends of endpoints within momentTime.
+type moment struct {
+	begin time.Time
+	ends  int
+	// unanswered is the number of ends under requests without an answer.
+	unanswered int
+}
+
+// weight returns the weight of the ends. Those under answers that had begun count as one strike without an answer at most, and
+// not beside strikes without an answer.
+func (m moment) weight() int {
+	return max(min((m.ends-m.unanswered)*answerWeight, fullWeight), m.unanswered*fullWeight)
+}
+
+// momentsOf returns the moments of strikes, the first one first.
+func momentsOf(list []seen) []moment {
 	list = slices.SortedFunc(slices.Values(list), func(a, b seen) int { return a.at().Compare(b.at()) })
-	var weights []int
-	answers, unanswered := 0, 0
-	var begin time.Time
-	for n, s := range list {
-		if n == 0 || s.at().Sub(begin) > momentTime {
-			weights = append(weights, 0)
-			begin, answers, unanswered = s.at(), 0, 0
+	var moments []moment
+	for _, s := range list {
+		if n := len(moments); n == 0 || s.at().Sub(moments[n-1].begin) > momentTime {
+			moments = append(moments, moment{begin: s.at()})
 		}
-		if s.weight() == answerWeight {
-			answers = min(answers+answerWeight, fullWeight)
-		} else {
-			unanswered += s.weight()
+		m := &moments[len(moments)-1]
+		m.ends++
+		if s.weight() == fullWeight {
+			m.unanswered++
 		}
-		weights[len(weights)-1] = max(answers, unanswered)
 	}
-	return weights
+	return moments
 }
 
 // covers reports whether there is a strike as heavy at each endpoint where the other part has one.
@@ -419,26 +441,31 @@
 
 // nextProbe returns when the next probe is due.
 func (r *record) nextProbe() time.Time {
-	wait := firstProbe
-	for n := r.furtherMoments; n > 0 && wait < maxProbe; n-- {
-		wait *= probeFactor
-	}
-	wait = min(wait, maxProbe)
 	at := r.lastAt
 	if r.probedAt.After(at) {
 		at = r.probedAt
 	}
-	return at.Add(wait)
+	return at.Add(r.probeWait())
 }
 
-// countFurtherMoments returns at how many moments endpoints ended after the strikes had sufficed.
-func (r *record) countFurtherMoments() int {
-	total := 0
-	weights := momentWeights(slices.Collect(maps.Values(r.strikes)))
-	for n, weight := range weights {
-		if total += weight; total >= threshold {
-			return len(weights) - n - 1
+// probeWait returns how long after the last strike or probe the next probe is due.
+func (r *record) probeWait() time.Duration {
+	wait := firstProbe
+	for n := r.furtherEnds; n > 0 && wait < maxProbe; n-- {
+		wait *= probeFactor
+	}
+	return min(wait, maxProbe)
+}
+
+// countFurtherEnds counts the ends of endpoints after the moment with which the strikes had sufficed, at most maxEndsPerMoment of
+// each moment.
+func (r *record) countFurtherEnds() int {
+	total, further := 0, 0
+	for _, m := range momentsOf(slices.Collect(maps.Values(r.strikes))) {
+		if total >= threshold {
+			further += min(m.ends, maxEndsPerMoment)
 		}
+		total += m.weight()
 	}
-	return 0
+	return further
 }
