forwarder: at most two endpoints may end under one request

Cause: each request adds a tenth of a retry to the budget, which holds up to ten, and any of them may go to one request. A request under which endpoints end was sent to the next one as long as the budget, the deadline and the endpoints lasted.

Change: a request gets no further attempt after two with an unknown outcome; each of these may have ended its endpoint. Attempts that did not run, as at an endpoint that is gone, don't count. The caller gets attemptFailed with the last attempt's failure, as before.

--- a/pkg/forwarder/dispatcher.go
+++ b/pkg/forwarder/dispatcher.go
@@ -18,6 +18,9 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/granter"
 )
 
+// maxEnded bounds the endpoints that may end under one request: an attempt whose outcome is Unknown may have ended its endpoint.
+const maxEnded = 2
+
 // Call is what a request needs of an endpoint. Serves names the model or service, Blocks holds the hashes of the prompt's
 // blocks, Tokens limits the answer's length, Bytes is the length of the request's body, and an answer after Deadline is of
 // no use.
@@ -109,7 +112,8 @@
 	d.budget.SetRatio(ratio)
 }
 
-// Do makes attempts until one completes, the retry budget or the time is used up, or another attempt is not allowed.
+// Do makes attempts until one completes, maxEnded of them had an unknown outcome, the retry budget or the time is used up, or
+// another attempt is not allowed.
 //
 // Errors: *RequestFailedError, or the error of a completed attempt.
 func (d *Dispatcher) Do(ctx context.Context, call Call, try Try) error {
@@ -117,7 +121,7 @@
 	defer cancel()
 	d.countRequest()
 	tally := outcome.Tally{}
-	tried := []string{}
+	tried, ended := []string{}, 0
 	for {
 		slot, endpoint, err := d.reserve(ctx, call, tried)
 		if err != nil {
@@ -130,7 +134,10 @@
 			return err
 		}
 		d.log.WithError(err).WithFields(logrus.Fields{"endpoint": endpoint.Name, "outcome": outcome.Name(o)}).Info("attempt failed")
-		if isFinal(err) || !call.IsRepeatable || ctx.Err() != nil || !d.takeRetry() {
+		if _, isUnknown := o.(outcome.Unknown); isUnknown {
+			ended++
+		}
+		if isFinal(err) || !call.IsRepeatable || ended == maxEnded || ctx.Err() != nil || !d.takeRetry() {
 			return d.requestFailed(&tally, len(tried), err)
 		}
 	}
