segmentrunner: failed attempts of items count across holders

Cause: each holder of a segment counted an item's failed attempts from 0, so an item under which endpoints end ran on under each later holder, itemAttempts times or until that holder stopped.

Change: the segment's row holds the failed attempts of its unfinished items. It is written at each renewal and release, and the next holder goes on from there; it runs items that failed before alone. The archiver compares rows in their encoded form now.

A holder that is killed loses the attempts since its last renewal.

--- a/pkg/archiver/archiver_test.go
+++ b/pkg/archiver/archiver_test.go
@@ -133,6 +133,23 @@
 	assert.Equal(t, 10, finished.Completed)
 }
 
+// TestLostAnswerOfFailedAttemptsIsReadBack loses the answer of a write with failed attempts, and of one that another VM overtook.
+func TestLostAnswerOfFailedAttemptsIsReadBack(t *testing.T) {
+	p := emulator.NewPlatform()
+	a := New(p, 10)
+	row := batcher.SegmentRow{Holder: "vm-1", Fence: 1, State: batcher.SegmentRunning, Attempts: map[int]int{3: 2, 7: 1}}
+	p.SetFaults(emulator.PlatformFaults{LoseAnswers: 1})
+	version, err := a.WriteSegment(ctx, "j", 0, row, 0)
+	require.NoError(t, err)
+	segments, err := a.Segments(ctx, "j")
+	require.NoError(t, err)
+	assert.Equal(t, VersionedSegment{SegmentRow: row, Version: version}, segments[0])
+	row.Attempts = map[int]int{3: 3, 7: 1}
+	conflict := (*storer.ConflictError)(nil)
+	_, err = a.WriteSegment(ctx, "j", 0, row, 0)
+	require.ErrorAs(t, err, &conflict, "another row was taken for this one")
+}
+
 // TestLargeJobTakesBoundedMemory uploads the largest specified job, 610,000 items, within the memory of a VM.
 func TestLargeJobTakesBoundedMemory(t *testing.T) {
 	const items = 610_000
--- a/pkg/archiver/segments.go
+++ b/pkg/archiver/segments.go
@@ -89,13 +89,14 @@
 func (a *Archiver) writeSegment(
 	ctx context.Context, key string, row batcher.SegmentRow, version int64, checks ...storer.Check,
 ) (int64, error) {
+	put := storer.PutJSON(key, row)
 	tx := storer.Transaction{
 		Checks: append([]storer.Check{{Key: key, Version: version}}, checks...),
-		Puts:   []storer.Put{storer.PutJSON(key, row)},
+		Puts:   []storer.Put{put},
 	}
 	return a.commit(ctx, tx, key, func(r storer.Row) bool {
 		found := batcher.SegmentRow{}
-		return json.Unmarshal(r.Value, &found) == nil && found == row
+		return json.Unmarshal(r.Value, &found) == nil && bytes.Equal(storer.PutJSON(key, found).Value, put.Value)
 	})
 }
 
--- a/pkg/core/batcher/batcher_test.go
+++ b/pkg/core/batcher/batcher_test.go
@@ -87,6 +87,35 @@
 	}
 }
 
+// TestItemThatFailedUnderEarlierHoldersRunsAlone takes a segment over whose item 1 has one attempt left.
+func TestItemThatFailedUnderEarlierHoldersRunsAlone(t *testing.T) {
+	first := NewSegment(3, 3, nil)
+	for range 3 {
+		i, _ := first.Next()
+		if i == 1 {
+			first.Fail(ItemResult{Index: i, Error: "endpoint crashed"}, false)
+		} else {
+			first.Finish(ItemResult{Index: i})
+		}
+	}
+	assert.Equal(t, map[int]int{1: 1}, first.Attempts())
+	s := NewSegment(3, 3, first.Results()[:1])
+	s.RestoreAttempts(map[int]int{1: 2})
+	i, ok := s.Next()
+	require.True(t, ok)
+	require.Equal(t, 2, i, "the item without a failed attempt comes first")
+	_, ok = s.Next()
+	require.False(t, ok, "an item that has failed started beside another one")
+	s.Finish(ItemResult{Index: 2})
+	i, ok = s.Next()
+	require.True(t, ok)
+	require.Equal(t, 1, i)
+	s.Fail(ItemResult{Index: 1, Error: "endpoint crashed"}, false)
+	assert.True(t, s.IsDone())
+	assert.Empty(t, s.Attempts())
+	assert.Equal(t, "endpoint crashed", s.Results()[1].Error)
+}
+
 // TestLeaseExpiresOnOwnClock checks that a lease never expires earlier than its length after the last renewal.
 func TestLeaseExpiresOnOwnClock(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/core/batcher/segment.go
+++ b/pkg/core/batcher/segment.go
@@ -12,12 +12,13 @@
 )
 
 // SegmentRow is the row of one segment. Fence is its fencing token, which grows with each holder; Beat grows with each heartbeat
-// and each release by the holder.
+// and each release by the holder. Attempts holds the failed attempts of the unfinished items by index.
 type SegmentRow struct {
 	Holder     string       `json:"holder"`
 	Fence      int64        `json:"fence"`
 	State      SegmentState `json:"state"`
 	Checkpoint string       `json:"checkpoint,omitempty"`
+	Attempts   map[int]int  `json:"attempts,omitempty"`
 	Result     string       `json:"result,omitempty"`
 	Completed  int          `json:"completed"`
 	Failed     int          `json:"failed"`
@@ -64,6 +65,32 @@
 	return s
 }
 
+// RestoreAttempts records the attempts that failed under earlier holders, before any item has started.
+func (s *Segment) RestoreAttempts(attempts map[int]int) {
+	waiting := s.pending
+	s.pending = nil
+	for _, i := range waiting {
+		if n := attempts[i]; n > 0 {
+			s.attempts[i] = n
+			s.retryAlone = append(s.retryAlone, i)
+		} else {
+			s.pending = append(s.pending, i)
+		}
+	}
+}
+
+// Attempts returns how many attempts of each item without a result have failed, under this and earlier holders; items without a
+// failed attempt are absent.
+func (s *Segment) Attempts() map[int]int {
+	left := map[int]int{}
+	for i, n := range s.attempts {
+		if _, isDone := s.results[i]; !isDone {
+			left[i] = n
+		}
+	}
+	return left
+}
+
 // Next marks the next item as running and returns it; false if no item may start now.
 //
 // Items whose attempt failed, as when an endpoint crashed, are retried one at a time. Only an item that fails again while
--- a/pkg/segmentrunner/claim.go
+++ b/pkg/segmentrunner/claim.go
@@ -225,6 +225,7 @@
 func (r *Runner) claim(ctx context.Context, job archiver.ActiveRow, n int, old archiver.VersionedSegment) (bool, error) {
 	row := batcher.SegmentRow{
 		Holder: r.holder, Fence: old.Fence + 1, State: batcher.SegmentRunning, Checkpoint: old.Checkpoint,
+		Attempts: old.Attempts,
 	}
 	version, err := r.archiver.WriteSegment(ctx, job.ID, n, row, old.Version)
 	if conflict := (*storer.ConflictError)(nil); errors.As(err, &conflict) {
@@ -269,5 +270,6 @@
 		}
 	}
 	seg.tracker = batcher.NewSegment(len(seg.lines), r.fleet.BatchPolicy().ItemAttempts, done)
+	seg.tracker.RestoreAttempts(seg.row.Attempts)
 	return nil
 }
--- a/pkg/segmentrunner/segment.go
+++ b/pkg/segmentrunner/segment.go
@@ -59,6 +59,7 @@
 	}
 	row, version := seg.row, seg.version
 	row.Beat++
+	row.Attempts = seg.tracker.Attempts()
 	isDirty := seg.tracker.IsDirty()
 	results := seg.tracker.Results()
 	r.mu.Unlock()
@@ -144,10 +145,10 @@
 	seg.writeMu.Lock()
 	defer seg.writeMu.Unlock()
 	r.mu.Lock()
-	row, version, results := seg.row, seg.version, seg.tracker.Results()
+	row, version, results, attempts := seg.row, seg.version, seg.tracker.Results(), seg.tracker.Attempts()
 	r.mu.Unlock()
 	row.Beat++
-	row.Holder = ""
+	row.Holder, row.Attempts = "", attempts
 	name := archiver.CheckpointObject(seg.job.ID, seg.number, row.Fence, row.Beat)
 	if err := r.archiver.PutResults(ctx, name, results); err == nil {
 		row.Checkpoint = name
@@ -215,6 +216,7 @@
 	r.mu.Unlock()
 	row.State = batcher.SegmentDone
 	row.Result = archiver.ResultObject(seg.job.ID, seg.number, row.Fence)
+	row.Attempts = nil
 	row.Completed, row.Failed = 0, 0
 	for _, res := range results {
 		if res.Error == "" {
