forwarder: beginnings of prompts that crash endpoints are quarantined on each VM

Cause: the dispatcher charges a crash to the endpoint alone, so new requests with the same beginning end one endpoint after the other.

An endpoint has ended if its port refuses connections 30 ms after an attempt with an unknown outcome; a connection that times out says nothing. Of the endpoints that end within 1 s three count, so that an outage puts a sound beginning's probe off by 3 s and no more. The ends of an endpoint are told apart by their number on this VM. A refused request gets 503 `quarantined`, not run. Nothing is shared between VMs, and batch items neither ask nor tell.

Result: TestBeginningThatCrashesEnginesIsNotSentOn (24 engines, 40 new requests with one beginning, 20 ms apart) failed before: 24 engines ended. Now at most 6, and the 41st is refused.

--- a/pkg/forwarder/crash_test.go
+++ b/pkg/forwarder/crash_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -30,6 +32,7 @@
 const (
 	testModel = "m"
 	crashMark = "[crash]"
+	loseMark  = "[lose]"
 )
 
 // grantAll grants every reservation.
@@ -41,10 +44,15 @@
 
 func (grantAll) Return(granter.Slot, allocator.Report) {}
 
-// crashingFleet has engines that end, with their ports and connections, when they get a prompt with crashMark.
+// crashingFleet has engines that end, with their ports and connections, when they get a prompt with crashMark, and
+// only lose the answer to one with loseMark.
 type crashingFleet struct {
 	engines map[string]declarer.Endpoint
 	ended   atomic.Int64
+	// servers holds the running engines; while they hang, they answer nothing.
+	servers []*httptest.Server
+	isHung  atomic.Bool
+	inside  atomic.Int64
 	pools   *Pools
 	*Dispatcher
 }
@@ -59,7 +67,19 @@
 // newCrashingFleet returns a dispatcher that may retry a tenth of its requests at n engines.
 func newCrashingFleet(t *testing.T, n int) *crashingFleet {
 	t.Helper()
-	f := &crashingFleet{engines: map[string]declarer.Endpoint{}, pools: NewPools()}
+	f := &crashingFleet{pools: NewPools()}
+	log, _ := logtest.NewNullLogger()
+	shared := NewSharedRouter(rand.New(rand.NewPCG(1, 1)))
+	f.Dispatcher = NewDispatcher(grantAll{}, f, shared, log, func(string) {})
+	f.SetRetryBudget(0.1)
+	f.startEngines(t, n)
+	return f
+}
+
+// startEngines starts n engines under the names of those that ran before.
+func (f *crashingFleet) startEngines(t *testing.T, n int) {
+	t.Helper()
+	f.engines = map[string]declarer.Endpoint{}
 	known := router.Configured{Region: "r", AvailabilityZone: "a"}
 	for i := range n {
 		e := declarer.Endpoint{
@@ -71,12 +91,7 @@
 			Name: e.Name, Region: e.Region, AvailabilityZone: e.AvailabilityZone, Serves: e.Models, Slots: e.Slots,
 		})
 	}
-	log, _ := logtest.NewNullLogger()
-	shared := NewSharedRouter(rand.New(rand.NewPCG(1, 1)))
-	shared.Handle(known)
-	f.Dispatcher = NewDispatcher(grantAll{}, f, shared, log, func(string) {})
-	f.SetRetryBudget(0.1)
-	return f
+	f.router.Handle(known)
 }
 
 func (f *crashingFleet) startEngine(t *testing.T) netip.AddrPort {
@@ -90,7 +105,15 @@
 	s := httptest.NewUnstartedServer(nil)
 	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		if !bytes.Contains(body, []byte(crashMark)) {
+		if f.isHung.Load() {
+			f.inside.Add(1)
+			<-r.Context().Done()
+			return
+		}
+		switch {
+		case bytes.Contains(body, []byte(loseMark)):
+			panic(http.ErrAbortHandler)
+		case !bytes.Contains(body, []byte(crashMark)):
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			handler.ServeHTTP(w, r)
 			return
@@ -103,6 +126,7 @@
 	})
 	s.Start()
 	t.Cleanup(s.Close)
+	f.servers = append(f.servers, s)
 	return netip.MustParseAddrPort(s.Listener.Addr().String())
 }
 
@@ -130,3 +154,80 @@
 	assert.LessOrEqual(t, f.ended.Load(), int64(2), "engines that ended under one request")
 	assert.NoError(t, f.ask(t.Context(), "A card"), "a sound request after it")
 }
+
+// sharedBeginning is longer than two blocks.
+const sharedBeginning = "Charge sheets of the northern kilns, " + crashMark + ", with all the dates, weights, rooms and the " +
+	"names of the staff on duty in that week: "
+
+// TestBeginningThatCrashesEnginesIsNotSentOn sends requests with one beginning that crashes engines, one after the other, each of
+// them new, among sound ones.
+func TestBeginningThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 24)
+	quarantined := (*QuarantinedError)(nil)
+	for i := range 40 {
+		failed := (*RequestFailedError)(nil)
+		require.ErrorAs(t, f.ask(t.Context(), fmt.Sprintf("%s%d", sharedBeginning, i)), &failed)
+		err := f.ask(t.Context(), fmt.Sprintf("Charge sheets of the southern kilns, with all their dates, weights and rooms: %d", i))
+		assert.NotErrorAs(t, err, &quarantined, "a request with another beginning")
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, f.ended.Load(), int64(6), "engines that ended under 40 requests")
+	assert.ErrorAs(t, f.ask(t.Context(), sharedBeginning+"last"), &quarantined)
+}
+
+// TestOutageStopsNoSoundBeginning ends all engines at once while they hang with requests of one beginning, none of which was
+// completed shortly before, and starts them again.
+func TestOutageStopsNoSoundBeginning(t *testing.T) {
+	t.Parallel()
+	const engines, requests = 10, 40
+	const beginning = "Charge sheets of the southern kilns, with all their dates, weights, rooms and names: "
+	f := newCrashingFleet(t, engines)
+	f.SetRetryBudget(0)
+	f.isHung.Store(true)
+	wg := sync.WaitGroup{}
+	for i := range requests {
+		wg.Go(func() { assert.Error(t, f.ask(t.Context(), fmt.Sprintf("%s%d", beginning, i))) })
+	}
+	require.Eventually(t, func() bool { return f.inside.Load() == requests }, 3*time.Second, time.Millisecond)
+	for _, s := range f.servers {
+		_ = s.Config.Close()
+	}
+	wg.Wait()
+	quarantined := (*QuarantinedError)(nil)
+	require.Eventually(t, func() bool { return errors.As(f.ask(t.Context(), beginning), &quarantined) },
+		time.Second, time.Millisecond, "the beginning of requests under which three engines ended")
+	f.isHung.Store(false)
+	f.startEngines(t, engines)
+	assert.Eventually(t, func() bool { return f.ask(t.Context(), beginning) == nil }, 8*time.Second, 50*time.Millisecond,
+		"a request with this beginning after the outage")
+}
+
+// TestEndsOfOneEngineQuarantineABeginning starts the only engine again each time it has ended.
+func TestEndsOfOneEngineQuarantineABeginning(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 1)
+	quarantined := (*QuarantinedError)(nil)
+	for n := range 3 {
+		require.NotErrorAs(t, f.ask(t.Context(), fmt.Sprintf("%s%d", sharedBeginning, n)), &quarantined)
+		require.Eventually(t, func() bool { return f.quarantine.incarnation("engine-0") == n+1 }, time.Second, time.Millisecond)
+		f.startEngines(t, 1)
+	}
+	assert.ErrorAs(t, f.ask(t.Context(), sharedBeginning), &quarantined)
+}
+
+// TestLostAnswersQuarantineNoBeginning makes engines that live on lose the answers to requests with one beginning.
+func TestLostAnswersQuarantineNoBeginning(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 8)
+	beginning := strings.ReplaceAll(sharedBeginning, crashMark, loseMark)
+	quarantined := (*QuarantinedError)(nil)
+	for n := range 12 {
+		err := f.ask(t.Context(), fmt.Sprintf("%s%d", beginning, n))
+		require.Error(t, err)
+		require.NotErrorAs(t, err, &quarantined)
+		time.Sleep(confirmDelay)
+	}
+	time.Sleep(2 * confirmDelay)
+	assert.NotErrorAs(t, f.ask(t.Context(), beginning), &quarantined)
+}
--- a/pkg/forwarder/dispatcher.go
+++ b/pkg/forwarder/dispatcher.go
@@ -88,6 +88,8 @@
 	log       logrus.FieldLogger
 	router    *SharedRouter
 	onLeaving func(endpoint string)
+	// quarantine has a lock of its own.
+	quarantine *quarantine
 
 	mu     sync.Mutex
 	budget *retrier.Budget
@@ -101,7 +103,8 @@
 	r Reserver, c Catalogue, shared *SharedRouter, log logrus.FieldLogger, onLeaving func(endpoint string),
 ) *Dispatcher {
 	return &Dispatcher{
-		reserver: r, catalogue: c, router: shared, log: log, onLeaving: onLeaving, budget: retrier.NewBudget(0),
+		reserver: r, catalogue: c, router: shared, log: log, onLeaving: onLeaving, quarantine: newQuarantine(log),
+		budget: retrier.NewBudget(0),
 	}
 }
 
@@ -122,13 +125,17 @@
 	d.countRequest()
 	tally := outcome.Tally{}
 	tried, ended := []string{}, 0
+	parts := beginnings(call.Blocks)
 	for {
+		if err := d.quarantine.check(parts); err != nil {
+			return d.requestFailed(&tally, len(tried), err)
+		}
 		slot, endpoint, err := d.reserve(ctx, call, tried)
 		if err != nil {
 			return d.requestFailed(&tally, len(tried), err)
 		}
 		tried = append(tried, endpoint.Name)
-		o, err := d.attempt(ctx, slot, endpoint, try)
+		o, err := d.attempt(ctx, slot, endpoint, parts, try)
 		tally.Add(o)
 		if _, isCompleted := o.(outcome.Completed); isCompleted {
 			return err
@@ -151,13 +158,23 @@
 	return errors.As(err, &diverged) || errors.As(err, &callerGone)
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, slot granter.Slot, e declarer.Endpoint, try Try) (outcome.Outcome, error) {
+func (d *Dispatcher) attempt(
+	ctx context.Context, slot granter.Slot, e declarer.Endpoint, parts []string, try Try,
+) (outcome.Outcome, error) {
+	incarnation := d.quarantine.incarnation(e.Name)
 	d.Counts.Attempts.Add(1)
 	d.router.Handle(router.Sent{Endpoint: e.Name})
 	o, report, err := try(ctx, Target{Attempt: slot.ID, Endpoint: e})
 	_, isCompleted := o.(outcome.Completed)
 	d.router.Handle(router.Ended{Endpoint: e.Name, IsFailed: !isCompleted && ctx.Err() == nil})
 	d.reserver.Return(slot, report)
+	_, isUnknown := o.(outcome.Unknown)
+	switch {
+	case len(parts) > 0 && isCompleted && err == nil:
+		d.quarantine.completed(parts)
+	case len(parts) > 0 && isUnknown:
+		go d.quarantine.runConfirm(e, incarnation, parts, report.Tokens > 0)
+	}
 	return o, err
 }
 
@@ -221,6 +238,9 @@
 	if refused := (*granter.RefusedError)(nil); errors.As(cause, &refused) {
 		after = refused.RetryAfter
 	}
+	if quarantined := (*QuarantinedError)(nil); errors.As(cause, &quarantined) {
+		after = quarantined.Left
+	}
 	o := tally.Refuse(cause.Error(), after)
 	return &RequestFailedError{Outcome: o, RetryAfter: after, Attempts: attempts, Cause: cause}
 }
--- a/pkg/server/problem.go
+++ b/pkg/server/problem.go
@@ -131,10 +131,14 @@
 
 func requestFailedProblem(e *forwarder.RequestFailedError) *Problem {
 	var none *forwarder.NoEndpointError
+	var quarantined *forwarder.QuarantinedError
 	status, name, title := http.StatusServiceUnavailable, "overloaded", "No capacity in time"
 	if errors.As(e.Cause, &none) {
 		name, title = "noEndpoint", "No endpoint"
 	}
+	if errors.As(e.Cause, &quarantined) {
+		name, title = "quarantined", "Prompts like this end endpoints"
+	}
 	if _, ok := e.Outcome.(outcome.Unknown); ok {
 		status, name, title = http.StatusBadGateway, "attemptFailed", "Attempt failed"
 	}
