quarantiner, isolator: strikes of clocks that are ahead are refuted, later reports of a strike count

Two faults of one kind: times of several clocks and reports were compared as if they came from one. - A completed request refuted strikes up to its own time. Strikes of a VM whose clock is ahead outlived it, and a sound part stayed quarantined until the other clocks had caught up. The refutation is now dated at the last known strike, if that is later. - A VM ignored the new value of a row of a strike that it knew, so a later report of the same end did not count after a refutation in between; VMs that started later counted it.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -173,14 +173,21 @@
 	}
 }
 
-// Completed records that a request with the parts was completed. It returns those with strikes: they are not the cause, and their
-// strikes are dropped.
-func (q *Quarantiner) Completed(now time.Time, parts []string) []string {
-	var refuted []string
+// Refutation says that a request with the part was completed after all strikes up to the time.
+type Refutation struct {
+	Part string
+	At   time.Time
+}
+
+// Completed records that a request with the parts was completed. It returns the refutations of those with strikes: they are not
+// the cause, and their strikes are dropped, also those of VMs whose clocks are ahead.
+func (q *Quarantiner) Completed(now time.Time, parts []string) []Refutation {
+	var refutations []Refutation
 	for _, p := range parts {
 		if r, ok := q.records[p]; ok && len(r.strikes) > 0 {
-			refuted = append(refuted, p)
-			q.Refute(now, p, now)
+			refutation := Refutation{Part: p, At: r.lastStrike(now)}
+			refutations = append(refutations, refutation)
+			q.Refute(now, p, refutation.At)
 		}
 		if len(q.completed) >= maxParts {
 			q.forgetCompleted(now)
@@ -189,7 +196,7 @@
 			q.completed[p] = now
 		}
 	}
-	return refuted
+	return refutations
 }
 
 // Refute drops the strikes against the part up to the time at which a request with it was completed, here or on another VM.
@@ -356,6 +363,19 @@
 	isQuarantined, wasQuarantined bool
 }
 
+// lastStrike returns the time of the last strike, or now if that is later.
+func (r *record) lastStrike(now time.Time) time.Time {
+	last := now
+	for _, s := range r.strikes {
+		for _, at := range []time.Time{s.unanswered, s.answered} {
+			if at.After(last) {
+				last = at
+			}
+		}
+	}
+	return last
+}
+
 // add records a strike and reports whether it changes anything.
 func (r *record) add(now time.Time, s Strike) bool {
 	r.position = max(r.position, s.Position)
--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/internal/scripter"
@@ -38,8 +39,8 @@
 					out = append(out, "quarantined "+p)
 				}
 			case "completed":
-				for _, p := range q.Completed(s.At, parts) {
-					out = append(out, "refuted "+p)
+				for _, r := range q.Completed(s.At, parts) {
+					out = append(out, "refuted "+r.Part)
 				}
 			case "probed":
 				q.Probed(s.At, s.Name, s.At.Add(-s.Duration("ago", 0)))
@@ -187,3 +188,15 @@
 		assert.Equal(t, verdict(events), verdict(rapid.Permutation(events).Draw(t, "order")))
 	})
 }
+
+// TestStrikesOfAClockAheadAreRefuted adds strikes of a VM whose clock is a minute ahead, and completes a request with the part.
+func TestStrikesOfAClockAheadAreRefuted(t *testing.T) {
+	q := New()
+	now := scripter.Epoch
+	for n := range 3 {
+		q.Add(now, Strike{Part: "caller", Endpoint: fmt.Sprint(n), At: now.Add(time.Minute)})
+	}
+	require.Equal(t, "caller", q.Check(now, []string{"caller"}).Part)
+	q.Completed(now.Add(5*time.Second), []string{"caller"})
+	assert.Empty(t, q.Check(now.Add(5*time.Second), []string{"caller"}).Part, "a completed request does not refute the strikes")
+}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -148,8 +148,8 @@
 			i.log.WithField("part", p).Warn("a request with this quarantined part of a prompt was completed; it is released")
 		}
 	}
-	for _, p := range i.quarantiner.Completed(now, parts) {
-		i.putRefutation(now, p)
+	for _, r := range i.quarantiner.Completed(now, parts) {
+		i.putRefutation(now, r)
 	}
 	i.hasStrikes.Store(i.quarantiner.HasStrikes())
 }
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -176,3 +176,22 @@
 	assert.GreaterOrEqual(t, time.Since(begin), 3500*time.Millisecond, "it has its turn before the VM of rank 0")
 	assert.True(t, b.BeginProbe("ca"))
 }
+
+// TestLaterReportOfAStrikeCounts has a VM overwrite the rows of refuted strikes with later reports of the same ends.
+func TestLaterReportOfAStrikeCounts(t *testing.T) {
+	s, addr := newStore(t)
+	a := newOne(t, addr, 1, false)
+	now := time.Now()
+	put := func(at time.Time) {
+		for n := range 3 {
+			s.Put("quarantine", "", fmt.Sprintf("ca/e%d@1", n), fmt.Appendf(nil, "1@%d", at.UnixMilli()))
+		}
+	}
+	isQuarantined := func() bool { return a.Check([]string{"ca"}).Part == "ca" }
+	put(now.Add(-2 * time.Second))
+	require.Eventually(t, isQuarantined, 5*time.Second, 5*time.Millisecond)
+	s.Put("quarantine", "", "ca/refuted", fmt.Appendf(nil, "0@%d", now.Add(-time.Second).UnixMilli()))
+	require.Eventually(t, func() bool { return !isQuarantined() }, 5*time.Second, 5*time.Millisecond)
+	put(now)
+	assert.Eventually(t, isQuarantined, 5*time.Second, 5*time.Millisecond, "the later reports were ignored")
+}
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -40,12 +40,12 @@
 }
 
 // putRefutation has a refutation written; the lock is held.
-func (i *Isolator) putRefutation(now time.Time, part string) {
+func (i *Isolator) putRefutation(now time.Time, r quarantiner.Refutation) {
 	due := now
-	if !i.quarantiner.IsQuarantined(part) {
+	if !i.quarantiner.IsQuarantined(r.Part) {
 		due = now.Add(rand.N(maxRefutationDelay))
 	}
-	i.puts[refutationKey(part)] = put{value: valueOf(0, now), due: due}
+	i.puts[refutationKey(r.Part)] = put{value: valueOf(0, r.At), due: due}
 	i.notify()
 }
 
@@ -125,7 +125,7 @@
 				// It is as good as a pending one of this VM.
 				delete(i.puts, e.Key)
 			}
-		case i.rows[e.Key] == nil:
+		case string(i.rows[e.Key]) != string(e.Value):
 			i.rows[e.Key] = e.Value
 			strikes = append(strikes, r.Strike)
 		}
