quarantiner: a test of a refutation that comes before its strikes

The mutation that ignores such refutations passed on the merged code: a VM now knows the rows that it has written itself, so TestStrikeWrittenAfterItsRefutationCountsForNothing no longer meets that order. The new test does, and the mutation is caught by it.

--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -200,3 +200,14 @@
 	q.Completed(now.Add(5*time.Second), []string{"caller"})
 	assert.Empty(t, q.Check(now.Add(5*time.Second), []string{"caller"}).Part, "a completed request does not refute the strikes")
 }
+
+// TestStrikeKnownAfterItsRefutationCountsForNothing learns of a refutation before the strikes that it refutes.
+func TestStrikeKnownAfterItsRefutationCountsForNothing(t *testing.T) {
+	q := New()
+	now := scripter.Epoch
+	q.Refute(now, "p", now)
+	for n := range 3 {
+		q.Add(now.Add(time.Second), Strike{Part: "p", Endpoint: fmt.Sprint(n), At: now.Add(-time.Second)})
+	}
+	assert.False(t, q.IsQuarantined("p"))
+}
