peersyncer: a VM that learns of a newer configuration fetches it from the peer that has it

What callers saw: a request is refused with 404 as an older configuration says, more than configApplyMs after the newer one was acknowledged.

Cause: a VM took the configuration from its own watch alone while calls to the store seemed to succeed, and asked a random peer only after two calls had failed in a row. A store that answers but is behind was never found out; one that gives some VMs no answer after 7 s. Class of fault: the only sign of a fault is the failure that it may not cause. The failure detector's messages had room for the version of the configuration, which nothing on the platform filled.

Each VM announces the version of its configuration's row with the failure detector's messages. One that is behind for 150 ms after it has heard of a newer one fetches the rows from that VM. A message grows by the bytes of one number; nothing else is sent while all VMs agree.

The log line of a configuration that becomes active says whether it came from the store or from a peer.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -128,11 +128,17 @@
 
 func newTable(s *platform.Store) storer.Table { return s }
 
-func newWatcher(t storer.Table, b *balancer.Balancer, log logrus.FieldLogger) *watcher.Watcher {
+func newWatcher(
+	t storer.Table, b *balancer.Balancer, g *gossiper.Gossiper, log logrus.FieldLogger,
+) *watcher.Watcher {
+	onChange := func(r *registrar.Registry) {
+		b.Configure(r)
+		g.AnnounceConfig(r.ConfigRow.Version)
+	}
 	return watcher.New(t, watcher.Decoder{
 		ConfigTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, EndpointTable: platform.EndpointTable,
 		Config: platform.DecodeConfig, Endpoint: platform.DecodeEndpoint,
-	}, b.Configure, log)
+	}, onChange, log)
 }
 
 func newBalancer(
@@ -247,6 +253,7 @@
 	g.Gossiper.SetHandler(gossiper.Handler{
 		Payload:         g.Balancer.Receive,
 		EndpointLeaving: func(key string) { g.Watcher.MarkLeaving(key) },
+		ConfigLearned:   g.PeerSyncer.ConfigLearned,
 	})
 	if err := g.exportCounters(); err != nil {
 		return err
--- a/pkg/core/registrar/endpoint.go
+++ b/pkg/core/registrar/endpoint.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // Endpoint is one incarnation of a model engine or of an instance of a plain service.
@@ -21,9 +22,20 @@
 	Version int64
 }
 
+// ConfigRow says where a VM's configuration comes from.
+type ConfigRow struct {
+	// Version is the store's version of the row, 0 while no configuration is known.
+	Version int64
+	// Source is "store" if the row was read there, and "peer" if another VM passed it on.
+	Source string
+	// ActiveSince is the time at which the configuration became active on this VM.
+	ActiveSince time.Time
+}
+
 // Registry is a snapshot of the configuration and the endpoints.
 type Registry struct {
 	Config    *Config
+	ConfigRow ConfigRow
 	Endpoints map[string]Endpoint
 	// byService holds the endpoints of each service that are not draining.
 	byService map[string][]Endpoint
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/configurator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
@@ -65,6 +66,8 @@
 	Payload func(payload []byte)
 	// EndpointLeaving is called when a peer has learned that an endpoint leaves.
 	EndpointLeaving func(endpoint string)
+	// ConfigLearned is called when the peer vm has a newer configuration than this VM, with the version of its row in the store.
+	ConfigLearned func(row int64, vm string)
 }
 
 // member is what this VM knows of another one besides the detector's state.
@@ -101,6 +104,8 @@
 	storeSeenAt time.Time
 
 	isLeaving atomic.Bool
+	// configRow is the version of the row of the active configuration.
+	configRow atomic.Int64
 	// isRegistered says that this VM's row was written; unlisted signals that it was deleted since.
 	isRegistered atomic.Bool
 	unlisted     chan struct{}
@@ -164,6 +169,13 @@
 	}})
 }
 
+// AnnounceConfig notifies the peers of the configuration that is active on this VM, by the version of its row in the store.
+func (g *Gossiper) AnnounceConfig(row int64) {
+	if g.configRow.Swap(row) != row {
+		g.handle(time.Now(), detector.HeadActivated{Head: configurator.Head{Revision: row}})
+	}
+}
+
 // Incarnation returns this VM's incarnation.
 func (g *Gossiper) Incarnation() int64 { return g.cfg.Incarnation }
 
@@ -196,6 +208,7 @@
 func (g *Gossiper) handle(now time.Time, in detector.Input) {
 	g.mu.Lock()
 	var leaving []string
+	var newer []detector.HeadLearned
 	for _, out := range g.detector.Handle(now, in) {
 		switch out := out.(type) {
 		case detector.Send:
@@ -207,6 +220,7 @@
 				leaving = append(leaving, out.Update.Endpoint)
 			}
 		case detector.HeadLearned:
+			newer = append(newer, out)
 		}
 	}
 	handler := g.handler
@@ -216,6 +230,11 @@
 			handler.EndpointLeaving(e)
 		}
 	}
+	for _, n := range newer {
+		if handler.ConfigLearned != nil {
+			handler.ConfigLearned(n.Head.Revision, n.VM)
+		}
+	}
 }
 
 // recordChange records the new state of a VM; the lock is held.
--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -159,6 +159,14 @@
 	return near[rand.IntN(len(near))], true
 }
 
+// AddressOf returns the address of the VM; false if it is unknown.
+func (g *Gossiper) AddressOf(vm string) (netip.AddrPort, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.states[vm]
+	return m.Address, ok
+}
+
 // applyTable applies an update of the table of VMs, and signals if this VM's row is missing.
 func (g *Gossiper) applyTable(u watcher.Update) {
 	now := time.Now()
--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -23,12 +23,16 @@
 	// which a new configuration has to become active.
 	fetchInterval = 500 * time.Millisecond
 	fetchTimeout  = 400 * time.Millisecond
+	// watchLead is how long a VM waits for its own watch once it has learned that a peer has a newer configuration.
+	watchLead = 150 * time.Millisecond
 )
 
 // Peers provides the address of a peer.
 type Peers interface {
 	// AnyPeer returns the address of a live peer, preferably in the same region; false if there is none.
 	AnyPeer() (netip.AddrPort, bool)
+	// AddressOf returns the address of the VM; false if it is unknown.
+	AddressOf(vm string) (netip.AddrPort, bool)
 }
 
 // Source holds rows of the store's tables that peers may need while they can't reach it.
@@ -39,8 +43,17 @@
 	ApplyPeerRows(entries []storer.Entry)
 }
 
-// Syncer serves table rows to peers, and fetches them from a peer while the store is lost.
+// newerConfig says that a VM has the configuration of a row, at the row's version.
+type newerConfig struct {
+	row int64
+	vm  string
+}
+
+// Syncer serves table rows to peers. It fetches them from a peer while the store is lost, and from a peer that has a newer
+// configuration.
 type Syncer struct {
+	// newer holds the peer to fetch from next, if any.
+	newer   chan newerConfig
 	address netip.AddrPort
 	watcher *watcher.Watcher
 	sources []Source
@@ -51,7 +64,9 @@
 
 // New returns a syncer that listens on the address once started; it passes on the rows of the watcher and of the other sources.
 func New(address netip.AddrPort, w *watcher.Watcher, p Peers, log logrus.FieldLogger, others ...Source) *Syncer {
-	return &Syncer{address: address, watcher: w, sources: append([]Source{w}, others...), peers: p, log: log}
+	return &Syncer{
+		newer: make(chan newerConfig, 1), address: address, watcher: w, sources: append([]Source{w}, others...), peers: p, log: log,
+	}
 }
 
 // Start serves peers, and fetches from them while the store is lost, until ctx ends. It returns an error if it can't listen.
@@ -75,12 +90,51 @@
 	}
 }
 
+// ConfigLearned makes the syncer fetch from the VM, which has the configuration of a row at this version, unless this VM's own
+// watch brings one as new.
+//
+// A watch can fail without a sign: the store answers but is behind, or the connection has fallen silent.
+func (s *Syncer) ConfigLearned(row int64, vm string) {
+	if row <= s.watcher.Current().ConfigRow.Version {
+		return
+	}
+	select {
+	case s.newer <- newerConfig{row, vm}:
+	default:
+	}
+}
+
 func (s *Syncer) runFetch(ctx context.Context) {
-	sleeper.Every(ctx, fetchInterval, func(time.Time) {
-		if s.watcher.IsLost() {
-			s.fetchFromAnyPeer(ctx)
+	tick := time.NewTicker(fetchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-s.newer:
+			s.fetchNewer(ctx, n)
+		case <-tick.C:
+			if s.watcher.IsLost() {
+				s.fetchFromAnyPeer(ctx)
+			}
 		}
-	})
+	}
+}
+
+func (s *Syncer) fetchNewer(ctx context.Context, n newerConfig) {
+	if !sleeper.Sleep(ctx, watchLead) {
+		return
+	}
+	known := s.watcher.Current().ConfigRow.Version
+	peer, ok := s.peers.AddressOf(n.vm)
+	if n.row <= known || !ok {
+		return
+	}
+	log := s.log.WithFields(logrus.Fields{"peer": n.vm, "row": n.row, "knownRow": known})
+	log.Warn("peer has a newer configuration, and the store's feed has not brought it; fetching it from the peer")
+	if err := s.fetch(ctx, peer); err != nil {
+		log.WithError(err).Info("peer did not send its rows")
+	}
 }
 
 func (s *Syncer) fetchFromAnyPeer(ctx context.Context) {
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -43,6 +43,7 @@
 	// leaving holds the endpoints that said in an answer that they leave.
 	leaving       registrar.Leaving
 	configRow     storer.Entry
+	configSource  registrar.ConfigRow
 	cfg           *registrar.Config
 	pendingExpiry *time.Timer
 }
@@ -105,7 +106,7 @@
 		switch e.Table {
 		case w.decoder.ConfigTable:
 			if e.Key == w.decoder.ConfigKey {
-				w.applyConfig(e)
+				w.applyConfig(e, sourcePeer)
 			}
 		case w.decoder.EndpointTable:
 			w.applyEndpoint(e, now, false)
@@ -119,13 +120,19 @@
 	defer w.mu.Unlock()
 	for _, e := range u.Entries {
 		if e.Key == w.decoder.ConfigKey {
-			w.applyConfig(e)
+			w.applyConfig(e, sourceStore)
 		}
 	}
 }
 
-// applyConfig activates the configuration of the row unless a newer one is known; the lock is held.
-func (w *Watcher) applyConfig(e storer.Entry) {
+// Sources of the configuration's row.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
+// applyConfig activates the configuration of the row from the source unless a newer one is known; the lock is held.
+func (w *Watcher) applyConfig(e storer.Entry, source string) {
 	if e.IsRemoved || e.Version <= w.configRow.Version {
 		return
 	}
@@ -140,7 +147,8 @@
 		return
 	}
 	w.configRow, w.cfg = e, cfg
-	w.log.WithFields(logrus.Fields{"version": cfg.Version, "row": e.Version, "routes": len(cfg.Routes)}).
+	w.configSource = registrar.ConfigRow{Version: e.Version, Source: source, ActiveSince: time.Now()}
+	w.log.WithFields(logrus.Fields{"version": cfg.Version, "row": e.Version, "routes": len(cfg.Routes), "source": source}).
 		Info("configuration in force")
 	w.publish()
 }
@@ -247,6 +255,7 @@
 		}
 	}
 	r := registrar.NewRegistry(w.cfg, endpoints)
+	r.ConfigRow = w.configSource
 	w.current.Store(r)
 	w.onChange(r)
 }
