--- a/pkg/core/registrar/config.go
+++ b/pkg/core/registrar/config.go
@@ -18,6 +18,8 @@
 	KindNonIdempotent
 	KindStream
 	KindBatch
+	// KindUnsupported is that of a route which this build can't use: its requests are refused, and go to no other route.
+	KindUnsupported
 )
 
 // Split is the share of a route's requests that goes to one service, by weight.
@@ -110,6 +112,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// RouteErrors says why routes are unsupported.
+	RouteErrors []error
 
 	byHost map[string][]Route
 }
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -334,6 +334,9 @@
 	waiting := map[string][]time.Time{}
 	for _, t := range r.waiting(now) {
 		route, ok := reg.Config.Match(t.job.host, t.item.Path)
+		if route.Kind == registrar.KindUnsupported {
+			continue
+		}
 		if !ok || route.Kind != registrar.KindBatch {
 			r.abandonIfGone(t, reg)
 			continue
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -228,6 +228,10 @@
 		l.relayer.Refuse(w, r, http.StatusNotFound, "no route has this host and path")
 		return
 	}
+	if route.Kind == registrar.KindUnsupported {
+		l.relayer.Refuse(w, r, http.StatusServiceUnavailable, "route "+route.Name+" can't be used by this build")
+		return
+	}
 	if isSubmission {
 		l.jobs.Submit(w, r, route)
 		return
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -186,9 +186,11 @@
 
 // Refuse answers and logs a request that the active configuration doesn't admit and that has not run.
 func (l *Relayer) Refuse(w http.ResponseWriter, r *http.Request, status int, detail string) {
+	reg := l.registry()
 	l.log.WithFields(logrus.Fields{
-		"request": r.Header.Get(l.headers.RequestID), "host": r.Host, "path": r.URL.Path, "status": status,
-		"config": l.registry().Config.Version, "cause": detail,
+		"request": r.Header.Get(l.headers.RequestID), "host": r.Host, "path": r.URL.Path, "status": status, "cause": detail,
+		"config": reg.Config.Version, "configRow": reg.ConfigRow.Version, "configSource": reg.ConfigRow.Source,
+		"configAge": ms(time.Since(reg.ConfigRow.ActiveSince)),
 	}).Info("request not admitted")
 	WriteError(w, status, detail)
 }
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -150,6 +150,9 @@
 	w.configSource = registrar.ConfigRow{Version: e.Version, Source: source, ActiveSince: time.Now()}
 	w.log.WithFields(logrus.Fields{"version": cfg.Version, "row": e.Version, "routes": len(cfg.Routes), "source": source}).
 		Info("configuration in force")
+	for _, err := range cfg.RouteErrors {
+		w.log.WithError(err).WithField("version", cfg.Version).Error("route can't be used by this build; its requests are refused")
+	}
 	w.publish()
 }
 
