watcher: a store that has lost the history again and again is not read without a pause

On the platform the calls would be limited by the round trip, and then by 429 for all VMs. The first loss is still followed by a scan at once; the pause after each further one doubles up to 0.4 s.

--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -45,8 +45,10 @@
 	// gap is the pause between two calls, for a table that changes often.
 	gap time.Duration
 
-	version       int64
-	isSynced      bool
+	version  int64
+	isSynced bool
+	// historyLosses counts the watches in a row whose history was lost.
+	historyLosses int
 	failures      int
 	lastFailureAt time.Time
 
@@ -87,7 +89,9 @@
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err == nil {
-			pause = minRetryPause
+			if f.historyLosses == 0 {
+				pause = minRetryPause
+			}
 			if f.gap > 0 {
 				sleeper.Sleep(ctx, f.gap)
 			}
@@ -114,8 +118,15 @@
 	if errors.As(err, &lost) {
 		f.log.WithField("after", f.version).Info("store no longer has the changes after this version; reading the whole table")
 		f.isSynced = false
+		if f.historyLosses++; f.historyLosses > 1 {
+			// The store is behind with reads, or drops its history faster than it is read: run pauses.
+			return err
+		}
 		return nil
 	}
+	if err == nil {
+		f.historyLosses = 0
+	}
 	return f.handleResult(ctx, Update{Entries: page.Entries, Version: page.Version}, err)
 }
 
--- a/pkg/watcher/feed_test.go
+++ b/pkg/watcher/feed_test.go
@@ -42,3 +42,29 @@
 	}
 	assert.Equal(t, []string{"k"}, keys)
 }
+
+// forgetfulTable is a table that never has the history that a watch needs.
+type forgetfulTable struct {
+	storer.Table
+	scans int
+}
+
+func (t *forgetfulTable) Scan(context.Context, storer.Range) (storer.Page, error) {
+	t.scans++
+	return storer.Page{Version: 7}, nil
+}
+
+func (t *forgetfulTable) Watch(_ context.Context, table string, after int64, _ time.Duration) (storer.Page, error) {
+	return storer.Page{}, &storer.HistoryLostError{Table: table, After: after}
+}
+
+// TestStoreWithoutHistoryIsNotReadInALoop guards against a feed that reads a table again and again without a pause.
+func TestStoreWithoutHistoryIsNotReadInALoop(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	table := &forgetfulTable{}
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	NewFeed(table, "t", []string{""}, func(Update) {}, log).run(ctx)
+	assert.GreaterOrEqual(t, table.scans, 2, "the first loss is followed by a scan at once")
+	assert.Less(t, table.scans, 8)
+}
