--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/peersyncer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/prober"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/resumer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
@@ -80,6 +81,7 @@
 	Prober     *prober.Prober
 	Pool       *dialer.Pool
 	Isolator   *isolator.Isolator
+	Resumer    *resumer.Resumer
 	JobManager *jobmanager.Manager
 	ItemRunner *itemrunner.Runner
 	Listener   *listener.Listener
@@ -103,7 +105,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newRelayer, newJobManager, newItemRunner,
+			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newResumer, newRelayer, newJobManager, newItemRunner,
 			newListener,
 		),
 		fx.Invoke(runGateway),
@@ -129,9 +131,10 @@
 func newTable(s *platform.Store) storer.Table { return s }
 
 func newWatcher(
-	t storer.Table, b *balancer.Balancer, g *gossiper.Gossiper, log logrus.FieldLogger,
+	t storer.Table, b *balancer.Balancer, g *gossiper.Gossiper, rs *resumer.Resumer, log logrus.FieldLogger,
 ) *watcher.Watcher {
 	onChange := func(r *registrar.Registry) {
+		rs.Observe(r)
 		b.Configure(r)
 		g.AnnounceConfig(r.ConfigRow.Version)
 	}
@@ -194,11 +197,21 @@
 	return isolator.New(t, p, w.Current, rank, log)
 }
 
+func newResumer(
+	s platform.Settings, t storer.Table, g *gossiper.Gossiper, log logrus.FieldLogger,
+) *resumer.Resumer {
+	rank := func(service string) int {
+		rank, _ := gossiper.RankOf(resumer.Table+" "+service, g.LiveVMs(), g.Incarnation())
+		return rank
+	}
+	return resumer.New(s.VM.ID, g, t, rank, log)
+}
+
 func newRelayer(
-	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator, m *tracer.Meter,
-	log logrus.FieldLogger,
+	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator,
+	rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
 ) *relayer.Relayer {
-	return relayer.New(platform.Headers(), w.Current, b, p, i, leavingNotifier(w, g), m, log)
+	return relayer.New(platform.Headers(), w.Current, b, p, i, rs, leavingNotifier(w, g), m, log)
 }
 
 func newJobManager(
@@ -212,9 +225,9 @@
 
 func newItemRunner(
 	jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
-	i *isolator.Isolator, m *tracer.Meter, log logrus.FieldLogger,
+	i *isolator.Isolator, rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
 ) *itemrunner.Runner {
-	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, leavingNotifier(w, g), m, log)
+	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, rs.OnlySoftware, leavingNotifier(w, g), m, log)
 }
 
 func newListener(
@@ -251,7 +264,7 @@
 
 func (g *gateway) start(context.Context) error {
 	g.Gossiper.SetHandler(gossiper.Handler{
-		Payload:         g.Balancer.Receive,
+		Payload:         g.receivePayload,
 		EndpointLeaving: func(key string) { g.Watcher.MarkLeaving(key) },
 		ConfigLearned:   g.PeerSyncer.ConfigLearned,
 	})
@@ -267,6 +280,7 @@
 		return err
 	}
 	g.Isolator.Start(g.ctx)
+	g.Resumer.Start(g.ctx)
 	g.Prober.Start(g.ctx)
 	g.JobManager.Start(g.ctx)
 	g.ItemRunner.Start(g.ctx)
@@ -282,9 +296,16 @@
 	return nil
 }
 
+// receivePayload passes a payload of another VM to the component that it is for.
+func (g *gateway) receivePayload(payload []byte) {
+	if !g.Resumer.Receive(payload) {
+		g.Balancer.Receive(payload)
+	}
+}
+
 // exportCounters exports the counters of the messages between VMs and of the quarantine.
 func (g *gateway) exportCounters() error {
-	b, m, i := &g.Balancer.Counters, &g.Gossiper.Counters, &g.Isolator.Counters
+	b, m, i, rs := &g.Balancer.Counters, &g.Gossiper.Counters, &g.Isolator.Counters, &g.Resumer.Counters
 	for _, c := range []struct {
 		name, description string
 		counter           *atomic.Int64
@@ -301,6 +322,9 @@
 		{"datagrams_malformed", "datagrams dropped because they can't be decoded", &m.Malformed},
 		{"quarantine_strikes", "endpoints that ended under a request, by part of its prompt", &i.Strikes},
 		{"quarantine_parts", "parts of prompts that were quarantined", &i.Quarantined},
+		{"resumed_known", "resumed streams of which it is known which software version began them", &rs.Known},
+		{"resumed_unknown", "resumed streams that were refused, since it can't be told which software version began them", &rs.Unknown},
+		{"resumer_malformed", "messages about the beginnings of streams that can't be decoded", &rs.Malformed},
 		{"quarantine_probes", "requests sent to probe a quarantined part", &i.Probes},
 	} {
 		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
--- a/pkg/assembler/gateway_config_test.go
+++ b/pkg/assembler/gateway_config_test.go
@@ -12,8 +12,8 @@
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
-// TestConfigurationIsInForceInTime changes the configuration while one VM's watches of it are no use: the VM learns from its peers
-// that there is a newer one.
+// TestConfigurationIsInForceInTime changes the configuration while one VM's watches of it are no use: the VM learns from its
+// peers that there is a newer one.
 func TestConfigurationIsInForceInTime(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -22,7 +22,10 @@
 	"go.uber.org/fx"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/assembler"
+	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/resumer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
 	"github.com/dogwoodledge/dogwoodledge/platform"
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
@@ -54,6 +57,8 @@
 	ip   netip.Addr
 	app  *fx.App
 	base string
+	// gossiper is that of the VM's app.
+	gossiper *gossiper.Gossiper
 }
 
 func route(kind, prefix, service string, extra map[string]any) map[string]any {
@@ -169,6 +174,29 @@
 	f.awaitRoute("/mark/")
 }
 
+// awaitPeers waits until every VM knows all others.
+func (f *testFleet) awaitPeers() {
+	f.t.Helper()
+	for _, vm := range f.vms {
+		require.Eventually(f.t, func() bool { return len(vm.gossiper.LiveVMs()) == len(f.vms) }, maxWait, 10*time.Millisecond,
+			"%s does not know all VMs", vm.name)
+	}
+}
+
+// awaitRecord waits until the store holds the record of the service's software versions, n of which are current.
+func (f *testFleet) awaitRecord(service string, n int) {
+	f.t.Helper()
+	table := platform.NewStore(netip.MustParseAddrPort(f.server.Listener.Addr().String()), "test")
+	require.Eventually(f.t, func() bool {
+		page, err := table.Scan(f.t.Context(), storer.Range{Table: resumer.Table, From: service, To: service + "\x00"})
+		if err != nil || len(page.Entries) == 0 {
+			return false
+		}
+		row := struct{ Current []uint64 }{}
+		return json.Unmarshal(page.Entries[0].Value, &row) == nil && len(row.Current) == n
+	}, maxWait, 10*time.Millisecond, "no record of %d software versions of service %s", n, service)
+}
+
 // requireNoRequests sends requests to the VM and checks that none of them reaches the endpoint.
 func (f *testFleet) requireNoRequests(vm *testVM, e *standin.Endpoint) {
 	f.t.Helper()
@@ -196,10 +224,8 @@
 func (f *testFleet) addVM() *testVM {
 	f.t.Helper()
 	s := f.settings(fmt.Sprintf("front-%d", len(f.vms)+1))
-	vm := &testVM{
-		name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String(),
-		app: assembler.NewGateway(s, fx.Replace(tracer.NewLogQueue(io.Discard))),
-	}
+	vm := &testVM{name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String()}
+	vm.app = assembler.NewGateway(s, fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper))
 	require.NoError(f.t, vm.app.Start(context.Background()))
 	f.vms = append(f.vms, vm)
 	f.t.Cleanup(func() { _ = vm.app.Stop(context.Background()) })
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,8 @@
 	asks map[uint64]*ask
 	// waiting holds the due times of the batch items that wait at this VM, the soonest first, by service.
 	waiting map[string][]time.Time
+	// bound holds, for the items of waiting whose output has begun, the only software version that may run them, zero for any.
+	bound map[string][]registrar.Software
 	// offers holds the slots offered to batch items of this VM, by service.
 	offers map[string][]offer
 	// preempt is the number of batch items to stop at each endpoint.
@@ -116,15 +119,31 @@
 
 // TakeOffer returns a slot that was offered to a batch item of the service, and counts the item there; false if there is none.
 func (b *Balancer) TakeOffer(service string) (registrar.Endpoint, *placer.Ticket, bool) {
+	return b.TakeOfferAt(service, func(registrar.Endpoint) bool { return true })
+}
+
+// TakeOfferAt is TakeOffer for a slot at an endpoint that accept accepts. Other offers stay, until they expire.
+func (b *Balancer) TakeOfferAt(
+	service string, accept func(registrar.Endpoint) bool,
+) (registrar.Endpoint, *placer.Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expireOffers(time.Now())
 	list := b.offers[service]
-	if len(list) == 0 {
+	i := slices.IndexFunc(list, func(o offer) bool { return accept(o.endpoint) })
+	if i < 0 {
 		return registrar.Endpoint{}, nil, false
 	}
-	b.offers[service] = list[1:]
-	return list[0].endpoint, list[0].ticket, true
+	taken := list[i]
+	b.offers[service] = slices.Delete(list, i, i+1)
+	return taken.endpoint, taken.ticket, true
+}
+
+// OfferCount returns the number of slots that are offered to batch items of the service.
+func (b *Balancer) OfferCount(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.offers[service])
 }
 
 // expireOffers releases the slots that no item took in time; the lock is held.
@@ -175,6 +194,23 @@
 	b.markDirty(k)
 }
 
+// SetBound sets, by service, the only software versions that may run the items next passed to SetWaiting, in their order; zero,
+// as for missing entries, means any.
+func (b *Balancer) SetBound(bound map[string][]registrar.Software) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, groups := range b.groups {
+		if slices.Equal(b.bound[service], bound[service]) {
+			continue
+		}
+		for _, g := range groups {
+			g.isDirty = true
+		}
+		notify(b.changed)
+	}
+	b.bound = bound
+}
+
 // SetWaiting sets the due times of the batch items that wait at this VM, the soonest first, by service.
 func (b *Balancer) SetWaiting(waiting map[string][]time.Time) {
 	b.mu.Lock()
--- a/pkg/balancer/group.go
+++ b/pkg/balancer/group.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// hasAny reports whether one of the endpoints belongs to the group.
+func (g *group) hasAny(endpoints []registrar.Endpoint) bool {
+	for _, e := range endpoints {
+		if _, ok := g.endpoints[placer.KeyOf(e.ID)]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // recordReply records that the VM replied, or that it did not.
 func (g *group) recordReply(now time.Time, vm string, hasReplied bool) {
 	if hasReplied {
--- a/pkg/balancer/message.go
+++ b/pkg/balancer/message.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 const (
@@ -19,6 +20,8 @@
 	reportType = 0x71
 	ordersType = 0x72
 	limitsType = 0x73
+	// softwareReportType is that of a softwareReportMessage. Builds that don't know it give no reply.
+	softwareReportType = 0x74
 	// maxMessageBytes is the size limit of a message, so that it fits into one packet on every link.
 	maxMessageBytes = 1300
 	// maxConnected bounds the endpoints with an idle connection that a question names.
@@ -58,6 +61,16 @@
 	Connected   []uint64
 }
 
+// softwareReportMessage is a report that names software versions: Software is the one that the question's endpoint must have, or
+// zero, and Bound holds those of the waiting items.
+type softwareReportMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Report   reportMessage
+	Software uint64
+	Bound    []uint64
+}
+
 // loadMessage holds the number of the sender's requests in flight at an endpoint.
 type loadMessage struct {
 	_ struct{} `cbor:",toarray"`
@@ -151,6 +164,7 @@
 	for k, n := range in.Engines {
 		m.Engines = append(m.Engines, engineMessage{Key: uint64(k), Requests: clampCount(n)})
 	}
+	named := softwareReportMessage{}
 	if question != nil {
 		r := question.Request
 		m.Number, m.Route, m.ObjectiveMs = question.Number, r.Route.Name, r.Route.Objective.Milliseconds()
@@ -163,23 +177,35 @@
 				m.Connected = append(m.Connected, uint64(k))
 			}
 		}
+		software, _ := r.Software.Get()
+		named.Software = uint64(software)
+	}
+	for _, s := range in.Report.Bound {
+		named.Bound = append(named.Bound, uint64(s))
 	}
-	return m.encode()
+	if named.Software == 0 && len(named.Bound) == 0 {
+		return m.encode(reportType, func(m reportMessage) any { return m })
+	}
+	return m.encode(softwareReportType, func(m reportMessage) any {
+		named.Report = m
+		named.Bound = named.Bound[:min(len(named.Bound), len(m.WaitingMs))]
+		return named
+	})
 }
 
 // encode leaves out what a report can do without, in the order of what is missed least, until the message fits a packet; of the
-// loads, those of the endpoints with the fewest requests.
-func (m reportMessage) encode() ([]byte, error) {
+// loads, those of the endpoints with the fewest requests. The message sent is the one that wrap returns.
+func (m reportMessage) encode(kind byte, wrap func(reportMessage) any) ([]byte, error) {
 	slices.SortFunc(m.Loads, func(a, b loadMessage) int {
 		return cmp.Compare(int(b.Online)+int(b.Batch), int(a.Online)+int(a.Batch))
 	})
 	for {
-		b, err := cbor.Marshal(m)
+		b, err := cbor.Marshal(wrap(m))
 		if err != nil {
 			return nil, errors.Wrap(err, "encode report")
 		}
 		if len(b) <= maxMessageBytes {
-			return append([]byte{reportType}, b...), nil
+			return append([]byte{kind}, b...), nil
 		}
 		switch {
 		case len(m.Observations) > 0:
@@ -260,10 +286,13 @@
 	return time.Duration(max(-limit, min(ms, limit))) * time.Millisecond
 }
 
-// message is a reportMessage, an ordersMessage or a limitsMessage.
+// message is a reportMessage, a softwareReportMessage, an ordersMessage or a limitsMessage.
 type message interface{ isMessage() }
 
 func (reportMessage) isMessage() {}
+
+func (softwareReportMessage) isMessage() {}
+
 func (ordersMessage) isMessage() {}
 func (limitsMessage) isMessage() {}
 
@@ -279,6 +308,12 @@
 			return nil, errors.Errorf("report can't be decoded: %v", err)
 		}
 		return m, nil
+	case softwareReportType:
+		m := softwareReportMessage{}
+		if err := cbor.Unmarshal(b[1:], &m); err != nil || m.Report.VM == "" {
+			return nil, errors.Errorf("report with a software version can't be decoded: %v", err)
+		}
+		return m, nil
 	case ordersType:
 		m := ordersMessage{}
 		if err := cbor.Unmarshal(b[1:], &m); err != nil || m.VM == "" {
@@ -328,6 +363,24 @@
 	return in
 }
 
+// reported returns the report as the assigner takes it.
+func (m softwareReportMessage) reported() assigner.Reported {
+	in := m.Report.reported()
+	for _, s := range m.Bound[:min(len(m.Bound), len(in.Report.Waiting))] {
+		in.Report.Bound = append(in.Report.Bound, registrar.Software(s))
+	}
+	return in
+}
+
+// asked returns the question that the message holds, if there is one.
+func (m softwareReportMessage) asked() (assigner.Asked, bool) {
+	in, ok := m.Report.asked()
+	if m.Software != 0 {
+		in.Request.Software = option.Some(registrar.Software(m.Software))
+	}
+	return in, ok
+}
+
 // asked returns the question that the message holds, if there is one.
 func (m reportMessage) asked() (assigner.Asked, bool) {
 	if m.Number == 0 {
--- a/pkg/balancer/message_test.go
+++ b/pkg/balancer/message_test.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/assigner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 func sampleReport() assigner.Reported {
@@ -174,3 +175,23 @@
 	}}
 	assert.Empty(t, m.limits(time.Now()))
 }
+
+// TestSoftwareVersionsRoundTrip checks that the software versions of a question and of waiting items reach the assigner.
+func TestSoftwareVersionsRoundTrip(t *testing.T) {
+	in, question := sampleReport(), sampleQuestion()
+	in.Report.Bound = []registrar.Software{0, 12}
+	question.Request.Software = option.Some(registrar.Software(1<<64 - 1))
+	for i := range 40 {
+		in.Report.Loads[placer.Key(uint64(1<<63)+uint64(i))] = placer.Load{Online: 300, Batch: 30}
+	}
+	b, err := encodeReport(11, in, &question)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(b), maxMessageBytes+1)
+	m, err := decode(b)
+	require.NoError(t, err)
+	r := m.(softwareReportMessage)
+	assert.Equal(t, in.Report.Bound, r.reported().Report.Bound)
+	got, ok := r.asked()
+	assert.True(t, ok)
+	assert.Equal(t, question, got)
+}
--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -90,6 +90,9 @@
 	defer b.mu.Unlock()
 	var near, far []*group
 	for _, g := range b.groups[r.Candidates[0].Service] {
+		if _, isBound := r.Software.Get(); isBound && !g.hasAny(r.Candidates) {
+			continue
+		}
 		if b.isNear(g) {
 			near = append(near, g)
 		} else {
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -142,12 +142,12 @@
 			r.Slow = append(r.Slow, k)
 		}
 	}
-	waiting := b.waiting[g.Service]
-	for _, due := range waiting[min(len(b.offers[g.Service]), len(waiting)):] {
-		if len(r.Waiting) == maxWaiting {
-			break
+	waiting, bound := b.waiting[g.Service], b.bound[g.Service]
+	for i := len(b.offers[g.Service]); i < len(waiting) && len(r.Waiting) < maxWaiting; i++ {
+		r.Waiting = append(r.Waiting, waiting[i].Sub(now))
+		if i < len(bound) {
+			r.Bound = append(r.Bound, bound[i])
 		}
-		r.Waiting = append(r.Waiting, due.Sub(now))
 	}
 	return r
 }
@@ -286,7 +286,9 @@
 	}
 	switch m := m.(type) {
 	case reportMessage:
-		b.receiveReport(now, m)
+		b.receiveReport(now, m, m)
+	case softwareReportMessage:
+		b.receiveReport(now, m.Report, m)
 	case limitsMessage:
 		b.receiveLimits(now, m)
 	case ordersMessage:
@@ -303,15 +305,22 @@
 	}
 }
 
-func (b *Balancer) receiveReport(now time.Time, m reportMessage) {
+// reportSource is a message that holds a report, and perhaps a question.
+type reportSource interface {
+	reported() assigner.Reported
+	asked() (assigner.Asked, bool)
+}
+
+// receiveReport handles a report with the header m; the lock is held.
+func (b *Balancer) receiveReport(now time.Time, m reportMessage, source reportSource) {
 	g, ok := b.byGroup[assigner.GroupKey(m.Group)]
 	if !ok || m.VM == b.cfg.VM {
 		// The sender gets no reply and decides alone, until both know the same endpoints.
 		b.Counters.Malformed.Add(1)
 		return
 	}
-	b.handle(now, g, m.reported())
-	if question, ok := m.asked(); ok {
+	b.handle(now, g, source.reported())
+	if question, ok := source.asked(); ok {
 		b.handle(now, g, question)
 	}
 }
--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -7,8 +7,10 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 // vmTimeout is the age of a VM's last report at which its counts are dropped: four of the intervals at which a VM with requests
@@ -235,7 +237,10 @@
 		return out
 	}
 	for _, w := range a.waiting(now) {
-		e, ok := a.placer.ChooseBatchEndpoint(now, a.vms[w.vm].zone, a.endpoints)
+		e, ok := a.placer.ChooseBatchEndpoint(now, a.vms[w.vm].zone, continuer.Candidates(w.bound, a.endpoints))
+		if _, isBound := w.bound.Get(); !ok && isBound {
+			continue
+		}
 		if !ok {
 			return out
 		}
@@ -253,6 +258,8 @@
 	// isFar says that the VM is in another region than the group.
 	isFar   bool
 	urgency time.Duration
+	// bound is the software version that must run the item; none means any.
+	bound option.Option[registrar.Software]
 }
 
 // waiting returns the waiting batch items that have no offer yet, in the order in which they get slots.
@@ -269,10 +276,15 @@
 				offers++
 			}
 		}
-		for _, urgency := range v.report.Waiting[min(offers, len(v.report.Waiting)):] {
-			list = append(list, waitingItem{
-				vm: name, isFar: a.regions[v.zone] != region, urgency: urgency - now.Sub(v.heardAt),
-			})
+		for i, urgency := range v.report.Waiting {
+			if i < offers {
+				continue
+			}
+			item := waitingItem{vm: name, isFar: a.regions[v.zone] != region, urgency: urgency - now.Sub(v.heardAt)}
+			if i < len(v.report.Bound) && v.report.Bound[i] != 0 {
+				item.bound = option.Some(v.report.Bound[i])
+			}
+			list = append(list, item)
 		}
 	}
 	slices.SortFunc(list, func(a, b waitingItem) int {
--- a/pkg/core/assigner/assigner_test.go
+++ b/pkg/core/assigner/assigner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 var t0 = time.Unix(1_000_000, 0)
@@ -181,7 +183,39 @@
 }
 
 // TestGroups checks that VMs form the same groups whatever the order of the endpoints, that no group is too large, and that an
-// endpoint that comes or goes moves no other one.
+// endpoint that comes or goes moves no other one. TestItemsGetSlotsAtTheirSoftwareVersion guards against items that wait beside
+// free slots, since each slot that is offered to them is at another software version than the one that began their output.
+func TestItemsGetSlotsAtTheirSoftwareVersion(t *testing.T) {
+	endpoints := endpointsOf("e1", "e2", "e3")
+	endpoints[2].SoftwareVersion = "v2"
+	v2 := endpoints[2].Software()
+	a := New(regions, rand.New(rand.NewPCG(1, 1)), 0)
+	a.Handle(t0, Configured{Endpoints: endpoints})
+	report := placer.Report{VM: "v", Waiting: make([]time.Duration, 4), Bound: []registrar.Software{v2, 99, 0, v2}}
+	a.Handle(t0, Reported{VM: "v", AvailabilityZone: "syd-a", Incarnation: 1, Sequence: 1})
+	now := t0.Add(takeOverTime)
+	a.Handle(now, Reported{VM: "v", AvailabilityZone: "syd-a", Incarnation: 1, Sequence: 2, Report: report})
+	now = now.Add(100 * time.Millisecond)
+	at := map[string]int{}
+	for _, out := range a.Handle(now, Woken{}) {
+		at[out.(BatchOffered).Endpoint.ID]++
+	}
+	assert.Equal(t, 2, at["e3"], "the items that need its version: %v", at)
+	assert.Equal(t, 1, at["e1"]+at["e2"], "the item of the version that no endpoint has must not hold the others back: %v", at)
+
+	for range 10 {
+		out := a.Handle(now, Asked{VM: "v", Number: 1, Request: placer.Request{
+			Route: registrar.Route{Name: "r"}, AvailabilityZone: "syd-a", Left: time.Second, Software: option.Some(v2),
+		}})
+		i := slices.IndexFunc(out, func(o Output) bool {
+			_, ok := o.(Placed)
+			return ok
+		})
+		require.GreaterOrEqual(t, i, 0)
+		assert.Equal(t, "e3", out[i].(Placed).Decision.(placer.Send).Endpoint.ID)
+	}
+}
+
 func TestGroups(t *testing.T) {
 	var endpoints []registrar.Endpoint
 	for i := range 600 {
--- a/pkg/core/placer/load.go
+++ b/pkg/core/placer/load.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 )
 
 // reportTimeout is the age at which a peer's counts are dropped: four of the intervals at which a peer reports when nothing
@@ -28,7 +30,10 @@
 	VM string
 	// Waiting holds, for each batch item that waits for a slot at the VM, the time until it is due, the soonest first.
 	Waiting []time.Duration
-	Loads   map[Key]Load
+	// Bound holds, for each entry of Waiting, the only software version that may run the item, zero for any; missing entries
+	// are zero.
+	Bound []registrar.Software
+	Loads map[Key]Load
 	// Faults holds the number of recent failures at each endpoint; the weight of a failure falls with its age.
 	Faults map[Key]float64
 	// Slow lists the endpoints at which a request has waited too long for its first byte.
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 // Distance is the network distance between this VM and an endpoint.
@@ -78,6 +79,8 @@
 	Candidates []registrar.Endpoint
 	// Tried holds the ids of endpoints that earlier attempts of this request were sent to.
 	Tried map[string]bool
+	// Software is the software version that the endpoint must have; none means any.
+	Software option.Option[registrar.Software]
 	// Connected holds the endpoints to which the VM that sends the request has an idle connection.
 	Connected map[Key]bool
 	// AvailabilityZone is the zone of the VM that sends the request; empty means this VM's own.
@@ -86,6 +89,12 @@
 	Left, Waited time.Duration
 }
 
+// acceptsSoftware reports whether the endpoint has the software version that the request needs.
+func (r Request) acceptsSoftware(e registrar.Endpoint) bool {
+	software, ok := r.Software.Get()
+	return !ok || e.Software() == software
+}
+
 // Decision is Send or Refuse.
 type Decision interface{ isDecision() }
 
@@ -189,7 +198,7 @@
 	topology := p.topologyOf(r.AvailabilityZone)
 	best, found := candidate{}, false
 	for _, e := range r.Candidates {
-		if r.Tried[e.ID] || !p.allows(now, e) {
+		if r.Tried[e.ID] || !r.acceptsSoftware(e) || !p.allows(now, e) {
 			continue
 		}
 		c := p.estimate(now, topology, r.Route, e)
@@ -215,7 +224,7 @@
 // reasonWithout returns why there is no endpoint for the request.
 func (p *Placer) reasonWithout(now time.Time, r Request) string {
 	for _, e := range r.Candidates {
-		if !r.Tried[e.ID] && !p.allows(now, e) {
+		if !r.Tried[e.ID] && r.acceptsSoftware(e) && !p.allows(now, e) {
 			return "the endpoints' rate limits are reached"
 		}
 	}
--- a/pkg/core/registrar/endpoint.go
+++ b/pkg/core/registrar/endpoint.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Endpoint is one incarnation of a model engine or of an instance of a plain service.
@@ -20,6 +22,16 @@
 	StartedAtMs int64
 	// Version is the version of the endpoint's row.
 	Version int64
+	// SoftwareVersion names the version of the endpoint's software; endpoints that name none have the same one.
+	SoftwareVersion string
+}
+
+// Software identifies a software version of one service in messages and rows; zero stands for none.
+type Software uint64
+
+// Software returns what identifies the endpoint's service and software version.
+func (e Endpoint) Software() Software {
+	return Software(max(xxhash.Sum64String(e.Service+"\x00"+e.SoftwareVersion), 1))
 }
 
 // ConfigRow says where a VM's configuration comes from.
@@ -39,19 +51,40 @@
 	Endpoints map[string]Endpoint
 	// byService holds the endpoints of each service that are not draining.
 	byService map[string][]Endpoint
+	// software holds the software versions of these endpoints in ascending order, by service.
+	software map[string][]Software
 }
 
 // NewRegistry returns a snapshot; cfg is nil while no configuration is known.
 func NewRegistry(cfg *Config, endpoints map[string]Endpoint) *Registry {
-	r := &Registry{Config: cfg, Endpoints: endpoints, byService: map[string][]Endpoint{}}
+	r := &Registry{Config: cfg, Endpoints: endpoints, byService: map[string][]Endpoint{}, software: map[string][]Software{}}
 	for _, e := range endpoints {
-		if !e.IsDraining {
-			r.byService[e.Service] = append(r.byService[e.Service], e)
+		if e.IsDraining {
+			continue
+		}
+		r.byService[e.Service] = append(r.byService[e.Service], e)
+		list := r.software[e.Service]
+		if i, ok := slices.BinarySearch(list, e.Software()); !ok {
+			r.software[e.Service] = slices.Insert(list, i, e.Software())
 		}
 	}
 	return r
 }
 
+// SoftwareOf returns the software versions of the service's endpoints that are not draining, in ascending order; the caller
+// must not change the list.
+func (r *Registry) SoftwareOf(service string) []Software { return r.software[service] }
+
+// IsMixed reports whether endpoints of several software versions of a service accept requests.
+func (r *Registry) IsMixed() bool {
+	for _, list := range r.software {
+		if len(list) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // EndpointsOf returns the service's endpoints that are not draining; the caller must not change the list.
 func (r *Registry) EndpointsOf(service string) []Endpoint {
 	return r.byService[service]
--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
@@ -116,6 +117,17 @@
 	return rank, len(live)
 }
 
+// RankLive returns the first n live VMs in the order of preference for the key; this VM may be one.
+func (g *Gossiper) RankLive(key string, n int) []string {
+	live := g.LiveVMs()
+	names := make([]string, 0, len(live))
+	for _, vm := range live {
+		names = append(names, vm.Name)
+	}
+	ranked := hasher.Rank(key, names)
+	return ranked[:min(n, len(ranked))]
+}
+
 // VMCount returns the number of known VMs that are not lost, this one included.
 func (g *Gossiper) VMCount() int {
 	g.mu.Lock()
--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -28,8 +28,9 @@
 			if t.isOver || t.lastEvent < t.savedEvent+minCheckpointEvents {
 				continue
 			}
+			software, _ := t.begun.Get()
 			byJob[id] = append(byJob[id], jobmanager.Checkpoint{
-				Item: i, After: t.savedEvent, LastEvent: t.lastEvent, Writer: j.writer, IsFirstOfWriter: !t.hasSaved,
+				Item: i, Software: software, After: t.savedEvent, LastEvent: t.lastEvent, Writer: j.writer, IsFirstOfWriter: !t.hasSaved,
 				Output: append([]byte(nil), t.output[t.savedBytes:]...),
 			})
 		}
@@ -53,7 +54,7 @@
 		return
 	}
 	for _, c := range list {
-		if t, ok := j.tasks[c.Item]; ok {
+		if t, ok := j.tasks[c.Item]; ok && t.savedEvent == c.After {
 			t.savedBytes += len(c.Output)
 			t.savedEvent = c.LastEvent
 			t.hasSaved = true
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -16,6 +16,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 )
 
@@ -60,7 +61,7 @@
 	defer r.mu.Unlock()
 	isCurrent := t.run == run
 	if isCurrent {
-		t.run = nil
+		t.run, t.idleSince = nil, time.Now()
 		t.runTime += time.Since(run.started)
 	}
 	outcome := r.recordEnd(t, run, route, err, cause, isCurrent)
@@ -233,6 +234,9 @@
 	if len(t.output)+len(e.Data) > maxOutputBytes {
 		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
 	}
+	if _, hasBegun := t.begun.Get(); !hasBegun {
+		t.begun = option.Some(run.endpoint.Software())
+	}
 	if e.Data != nil {
 		if t.hasOutput {
 			t.output = append(t.output, '\n')
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -10,12 +10,14 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/scheduler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
@@ -46,8 +48,10 @@
 	isolator relayer.Isolator
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
-	metrics   Metrics
-	log       logrus.FieldLogger
+	// onlySoftware returns the software version that alone may have begun outputs of the service lately, if there is one.
+	onlySoftware func(service string) option.Option[registrar.Software]
+	metrics      Metrics
+	log          logrus.FieldLogger
 
 	mu        sync.Mutex
 	jobs      map[string]*jobState
@@ -88,6 +92,10 @@
 	lastEvent int64
 	output    []byte
 	hasOutput bool
+	// begun is the software version that began the output; none while there is none.
+	begun option.Option[registrar.Software]
+	// idleSince is when its last run ended, or when this VM got the item.
+	idleSince time.Time
 	notBefore time.Time
 	run       *itemRun
 	// runTime is the total time of the earlier runs.
@@ -113,10 +121,12 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
+	i relayer.Isolator, onlySoftware func(service string) option.Option[registrar.Software],
+	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
-		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, onLeaving: onLeaving, metrics: m, log: log,
+		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, onlySoftware: onlySoftware,
+		onLeaving: onLeaving, metrics: m, log: log,
 		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(),
 	}
 }
@@ -229,9 +239,12 @@
 
 // newTask returns the task of an item, which continues after the item's saved output.
 func (r *Runner) newTask(j *jobState, i int) *task {
-	t := &task{job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: -1, savedEvent: -1}
+	t := &task{
+		job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: noEvent, savedEvent: noEvent,
+		idleSince: time.Now(),
+	}
 	if c, ok := j.saved[i]; ok {
-		t.lastEvent, t.output, t.hasOutput = c.LastEvent, c.Output, true
+		t.lastEvent, t.output, t.hasOutput, t.begun = c.LastEvent, c.Output, true, option.Some(c.Software)
 		t.savedBytes, t.savedEvent = len(c.Output), c.LastEvent
 		delete(j.saved, i)
 	}
@@ -324,15 +337,15 @@
 	t.run.cancel(cause)
 	t.runTime += time.Since(t.run.started)
 	r.balancer.End(t.run.ticket, placer.EndedLocally)
-	t.run = nil
+	t.run, t.idleSince = nil, time.Now()
 }
 
 // startItems starts waiting items, in the order of the plan, in the slots that were offered to them; the lock is held.
 func (r *Runner) startItems(ctx context.Context, now time.Time) {
 	r.planItems(now)
 	reg := r.registry()
-	waiting := map[string][]time.Time{}
-	for _, t := range r.waiting(now) {
+	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
+	for _, t := range r.boundFirst(r.waiting(now), reg) {
 		route, ok := reg.Config.Match(t.job.host, t.item.Path)
 		if route.Kind == registrar.KindUnsupported {
 			continue
@@ -347,7 +360,8 @@
 			continue
 		}
 		service := route.ServiceFor(t.item.ID)
-		if len(waiting[service]) == 0 && r.startItem(ctx, now, t, route, service) {
+		served := reg.SoftwareOf(service)
+		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
 			if verdict.Part != "" {
 				r.isolator.BeginProbe(verdict.Part)
 			}
@@ -358,22 +372,79 @@
 			due = now.Add(lateUrgency)
 		}
 		waiting[service] = append(waiting[service], due)
+		if bound, ok := continuer.BoundTo(t.begun, served).Get(); ok {
+			// Missing entries before this one are those of items that any version may run.
+			software := make([]registrar.Software, len(waiting[service]))
+			copy(software, boundTo[service])
+			software[len(software)-1] = bound
+			boundTo[service] = software
+		}
 	}
+	r.balancer.SetBound(boundTo)
 	r.balancer.SetWaiting(waiting)
 }
 
-// startItem starts the item in a slot that was offered to the service's items; false if there is none. The lock is held.
-func (r *Runner) startItem(ctx context.Context, now time.Time, t *task, route registrar.Route, service string) bool {
-	e, ticket, ok := r.balancer.TakeOffer(service)
+// boundFirst returns the items with those first that only one of several software versions may run, so that no other item takes a
+// slot that was offered to them; the lock is held.
+func (r *Runner) boundFirst(list []*task, reg *registrar.Registry) []*task {
+	if !reg.IsMixed() {
+		return list
+	}
+	var bound, free []*task
+	for _, t := range list {
+		route, ok := reg.Config.Match(t.job.host, t.item.Path)
+		if ok && route.Kind == registrar.KindBatch {
+			served := reg.SoftwareOf(route.ServiceFor(t.item.ID))
+			if _, ok := continuer.BoundTo(t.begun, served).Get(); ok {
+				bound = append(bound, t)
+				continue
+			}
+		}
+		free = append(free, t)
+	}
+	return append(bound, free...)
+}
+
+// startItem starts the item in a slot that was offered to the service's items; false if there is none where it may go on. The
+// lock is held.
+func (r *Runner) startItem(
+	ctx context.Context, now time.Time, t *task, route registrar.Route, service string, served []registrar.Software,
+) bool {
+	if software, ok := t.begun.Get(); ok && software == continuer.Ambiguous {
+		// The output is from checkpoints of a build that did not record the version.
+		if only, ok := r.onlySoftware(service).Get(); ok {
+			t.begun = option.Some(only)
+		}
+	}
+	waited := now.Sub(t.idleSince)
+	e, ticket, ok := r.balancer.TakeOfferAt(service, func(e registrar.Endpoint) bool {
+		return continuer.At(t.begun, e, served, waited) != continuer.Await
+	})
 	if !ok {
 		return false
 	}
+	if continuer.At(t.begun, e, served, waited) == continuer.Restart {
+		r.log.WithFields(logrus.Fields{
+			"job": t.job.id, "item": t.item.ID, "lastEvent": t.lastEvent, "endpoint": e.ID, "softwareVersion": e.SoftwareVersion,
+		}).Info("output of item discarded: no slot at the software version that began it")
+		t.discardOutput()
+	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
 	go r.runItem(runCtx, t, t.run, route)
 	return true
 }
 
+// discardOutput makes the item's next run begin anew.
+func (t *task) discardOutput() {
+	t.output, t.hasOutput, t.lastEvent = nil, false, noEvent
+	t.begun = option.None[registrar.Software]()
+	t.savedBytes, t.savedEvent, t.hasSaved = 0, noEvent, false
+}
+
+// noEvent is the id of the last event before the first.
+const noEvent = -1
+
 // lateUrgency is the time until due that the balancer receives for items that can no longer meet their due time.
 const lateUrgency = time.Minute
 
--- a/pkg/jobmanager/checkpoint.go
+++ b/pkg/jobmanager/checkpoint.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
@@ -19,7 +20,9 @@
 	// started to continue after event After, so its output follows what other writers saved up to there.
 	Writer          string `json:"writer"`
 	IsFirstOfWriter bool   `json:"isFirst,omitempty"`
-	Output          []byte `json:"-"`
+	// Software is the software version that wrote the output; zero, as in the rows of earlier builds, if it is unknown.
+	Software registrar.Software `json:"software,omitempty"`
+	Output   []byte             `json:"-"`
 }
 
 // checkpointKey sorts an item's checkpoints by their first event, also if several writers save without coordination.
@@ -98,18 +101,19 @@
 	return saved, nil
 }
 
-// joinCheckpoint appends a checkpoint to the item's output if it starts where that ends, and is by the same writer or the
-// first of a new one: a run's events may follow those of another run only if it was started to continue there.
+// joinCheckpoint appends a checkpoint to the item's output if it starts where that ends, and is by the same writer or the first
+// of a new one: a run's events may follow those of another run only if it was started to continue there, at an endpoint of the
+// same software version.
 func joinCheckpoint(saved map[int]Checkpoint, c Checkpoint) {
 	old, ok := saved[c.Item]
 	if !ok {
 		old = Checkpoint{Item: c.Item, After: noEvent, LastEvent: noEvent}
 	}
-	if c.After != old.LastEvent || (c.Writer != old.Writer && !c.IsFirstOfWriter) {
+	if c.After != old.LastEvent || (c.Writer != old.Writer && !c.IsFirstOfWriter) || (ok && c.Software != old.Software) {
 		return
 	}
 	old.Output = append(old.Output, c.Output...)
-	old.LastEvent, old.Writer = c.LastEvent, c.Writer
+	old.LastEvent, old.Writer, old.Software = c.LastEvent, c.Writer, c.Software
 	saved[c.Item] = old
 }
 
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 // maxBufferedBytes is the size up to which an answer is read completely before any of it is forwarded: if it breaks off, the
@@ -95,7 +96,8 @@
 func (q *request) forwardStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	events := NewEventReader(x)
 	flush := http.NewResponseController(q.w)
-	for hasBegun := false; ; {
+	hasBegun, isRecorded := false, false
+	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasBegun && x.EndsAtClose() {
 			err = io.ErrUnexpectedEOF
@@ -126,6 +128,11 @@
 		if !q.hasAnswer {
 			q.writeHead(x.Response, -1)
 		}
+		if e.IsProgress() && !isRecorded {
+			isRecorded = true
+			q.begun = option.Some(s.Endpoint.Software())
+			q.resumer.Began(q.stream, s.Endpoint)
+		}
 		if _, err := q.w.Write(e.Raw); err != nil {
 			q.cause, q.decision, q.mustAbort = err, "caller left", true
 			return true, placer.EndedLocally
@@ -147,5 +154,10 @@
 		how = placer.EndedLocally
 	}
 	q.cause = errors.Wrap(err, "read stream of endpoint "+s.Endpoint.ID)
+	if e, ok := q.registry().Endpoints[s.Endpoint.ID]; ok && e.Software() != s.Endpoint.Software() {
+		// Its version changed under its id: it can't be told which one wrote what was forwarded.
+		q.endUnanswered(q.cause)
+		return true, how
+	}
 	return q.endUnlessRetryable(q.cause), how
 }
--- a/pkg/relayer/end_test.go
+++ b/pkg/relayer/end_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -20,6 +21,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
 )
 
@@ -41,6 +43,15 @@
 
 func (hookedIsolator) BrokeOff(registrar.Endpoint, []string, bool) {}
 
+// noResumer knows no streams.
+type noResumer struct{}
+
+func (noResumer) SoftwareOf(context.Context, string, string) option.Option[registrar.Software] {
+	return option.None[registrar.Software]()
+}
+
+func (noResumer) Began(string, registrar.Endpoint) {}
+
 // newTestRelayer returns a relayer with one endpoint, which answers by the handler, and its route.
 func newTestRelayer(t *testing.T, i Isolator, endpoint http.HandlerFunc) (*Relayer, registrar.Route) {
 	t.Helper()
@@ -62,7 +73,7 @@
 	m, err := tracer.NewMeter(nil)
 	require.NoError(t, err)
 	return New(Headers{RequestID: "X-Id", Signature: "X-Signed"}, func() *registrar.Registry { return reg }, b,
-		dialer.NewPool(func(string) int { return 1 }), i, func(registrar.Endpoint) {}, m, log), route
+		dialer.NewPool(func(string) int { return 1 }), i, noResumer{}, func(registrar.Endpoint) {}, m, log), route
 }
 
 func newTestRequest(t *testing.T) *http.Request {
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -10,6 +10,8 @@
 // Headers holds the names of the headers that the relayer reads and sets; Timeout is that of the milliseconds that are left.
 type Headers struct {
 	RequestID, Timeout, ExpectInstance, NotExecuted, Signature, LastEventID string
+	// Resumes is set in a request that resumes a stream: the id of the attempt that brought the stream's first event.
+	Resumes string
 	// Leaving is set in the answers of an endpoint that is about to stop.
 	Leaving string
 	// RateLimit returns the requests a second that an endpoint's answer says it takes from all VMs together.
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -14,11 +14,13 @@
 	"go.opentelemetry.io/otel"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/drainer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 const (
@@ -54,6 +56,15 @@
 	BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool)
 }
 
+// Resumer knows which software version began a stream.
+type Resumer interface {
+	// SoftwareOf returns the software version that began the stream of the service, by the id of the attempt that brought its
+	// first event; none if it can't be told.
+	SoftwareOf(ctx context.Context, service, stream string) option.Option[registrar.Software]
+	// Began records that the endpoint brings the first event of the stream, or continues it; it must not block.
+	Began(stream string, e registrar.Endpoint)
+}
+
 // Relayer serves the online requests of callers.
 type Relayer struct {
 	headers  Headers
@@ -61,6 +72,7 @@
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
 	isolator Isolator
+	resumer  Resumer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	metrics   Metrics
@@ -74,13 +86,13 @@
 
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
-	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator,
+	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator, rs Resumer,
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
 	ending, end := context.WithCancel(context.Background())
 	return &Relayer{
 		ending: ending, end: end,
-		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, onLeaving: onLeaving, metrics: m, log: log,
+		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, resumer: rs, onLeaving: onLeaving, metrics: m, log: log,
 	}
 }
 
@@ -121,6 +133,7 @@
 			l.headers.PartsOf(r.Header), []string{quarantiner.RequestPart(r.Method, r.Host, r.RequestURI, body)},
 		),
 	}
+	q.stream = q.id
 	q.deadline = start.Add(q.timeLimit())
 	// The body may have come slowly, so the time of its end counts.
 	if d := l.drain.Load(); d != nil && !d.Accepts(time.Now(), q.deadline) {
@@ -134,7 +147,9 @@
 	q.ctx = ctx
 	q.outlastEnd = context.AfterFunc(l.ending, func() { end(errStopping) })
 	defer q.outlastEnd()
-	q.run()
+	if q.findBeginning() {
+		q.run()
+	}
 	q.logEnd()
 	if q.mustAbort {
 		panic(http.ErrAbortHandler)
@@ -256,6 +271,10 @@
 	lastEvent int64
 	// events counts the events forwarded.
 	events int
+	// stream is the id of the attempt that brought the stream's first event, and begun the software version that did; none while
+	// no event was brought.
+	stream string
+	begun  option.Option[registrar.Software]
 	// mustAbort says that the caller's connection must be aborted, since an answer was begun and can't be completed.
 	mustAbort bool
 
@@ -288,6 +307,25 @@
 	return limit
 }
 
+// findBeginning finds which software version began the stream that the request resumes, if it does. It refuses the request if
+// that can't be told, and returns false: what another version writes would not fit.
+func (q *request) findBeginning() bool {
+	if q.route.Kind != registrar.KindStream || q.r.Header.Get(q.headers.LastEventID) == "" {
+		return true
+	}
+	if id := q.r.Header.Get(q.headers.Resumes); id != "" {
+		q.stream = id
+	}
+	q.begun = q.resumer.SoftwareOf(q.ctx, q.route.ServiceFor(q.stream), q.stream)
+	if _, ok := q.begun.Get(); !ok {
+		q.refuse(placer.Refuse{
+			Reason: "it is not known which software version began the stream", RetryAfter: unknownRetryAfter,
+		})
+		return false
+	}
+	return true
+}
+
 // run makes attempts until the request has its final answer.
 func (q *request) run() {
 	for {
@@ -323,9 +361,13 @@
 	if v.Part != "" && !v.IsProbeDue && !q.isProbe(v.Part) {
 		return refuseQuarantined(v), nil
 	}
+	candidates := continuer.Candidates(q.begun, reg.EndpointsOf(route.ServiceFor(q.stream)))
+	if _, isBound := q.begun.Get(); isBound && len(candidates) == 0 {
+		return placer.Refuse{Reason: "no endpoint of the software version that began the stream accepts requests"}, nil
+	}
 	now := time.Now()
 	d, ticket := q.balancer.Place(q.ctx, placer.Request{
-		Route: route, Candidates: reg.EndpointsOf(route.ServiceFor(q.id)), Tried: q.tried, Left: q.deadline.Sub(now),
+		Route: route, Candidates: candidates, Tried: q.tried, Software: q.begun, Left: q.deadline.Sub(now),
 		Waited: now.Sub(q.start), Connected: dialer.Connected(q.pool, placer.KeyOf),
 	})
 	s, isSend := d.(placer.Send)
@@ -579,6 +621,9 @@
 // between VMs.
 const minRetryAfter = 50 * time.Millisecond
 
+// unknownRetryAfter is the Retry-After for a stream of which it is not known what began it: the VM that knows may be starting.
+const unknownRetryAfter = 300 * time.Millisecond
+
 func (q *request) logEnd() {
 	took := time.Since(q.start)
 	q.metrics.RequestEnded(q.route.Name, q.decision, took)
@@ -590,6 +635,12 @@
 	if q.events > 0 {
 		fields["events"] = q.events
 	}
+	if q.stream != q.id {
+		fields["resumes"] = q.stream
+	}
+	if software, ok := q.begun.Get(); ok {
+		fields["software"] = software
+	}
 	if q.cause != nil {
 		fields["cause"] = q.cause.Error()
 		fields["parts"], fields["method"], fields["path"] = q.parts, q.r.Method, q.r.URL.Path
--- /dev/null
+++ b/pkg/resumer/resumer.go
@@ -0,0 +1,313 @@
+package resumer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+const (
+	// keepers is the number of VMs to which the beginning of a stream is passed on: the loss of some VMs at once seldom takes all.
+	keepers = 3
+	// askedVMs is the number of VMs asked for the beginning of a stream: the keepers, and those that rank next once others are lost.
+	askedVMs = 5
+	// answerTimeout bounds the wait for the answers: two round trips between regions. confirmTimeout is that of a VM that knows one
+	// possible version only, and asks in case it has not heard yet of another one: several round trips within a region.
+	answerTimeout  = 100 * time.Millisecond
+	confirmTimeout = 30 * time.Millisecond
+	// announceWindow is the age up to which beginnings are passed on once a second software version serves; streams are shorter.
+	announceWindow = 10 * time.Second
+)
+
+// Network reaches the other VMs.
+type Network interface {
+	// RankLive returns n live VMs in an order of preference that depends on the key; this VM may be one.
+	RankLive(key string, n int) []string
+	// Send sends a payload to a VM once; a lost one is not resent.
+	Send(vm string, payload []byte)
+}
+
+// Counters count the streams that callers resumed, by what is known of their beginning, and malformed messages.
+type Counters struct {
+	Known, Unknown, Malformed atomic.Int64
+}
+
+// Resumer knows which software version began streams; it is safe for concurrent use.
+type Resumer struct {
+	vm      string
+	network Network
+	records *records
+	log     logrus.FieldLogger
+
+	mu      sync.Mutex
+	history *continuer.History
+	ledger  *continuer.Ledger
+	// software holds the software version of each known endpoint, by id.
+	software map[string]registrar.Software
+	// isMixed says that several software versions of a service may have begun streams.
+	isMixed bool
+	lastAsk uint64
+	asks    map[uint64]chan answerMessage
+
+	// Counters can be read from any goroutine.
+	Counters Counters
+}
+
+// New returns a resumer for the VM; rank returns the VM's place among those that store the record of a service.
+func New(
+	vm string, n Network, store storer.Table, rank func(service string) int, log logrus.FieldLogger,
+) *Resumer {
+	r := &Resumer{
+		vm: vm, network: n, log: log, history: continuer.NewHistory(time.Now()), ledger: continuer.NewLedger(),
+		software: map[string]registrar.Software{}, asks: map[uint64]chan answerMessage{},
+	}
+	r.records = newRecords(r, store, rank, log)
+	return r
+}
+
+// Start stores the records of services, until ctx ends.
+func (r *Resumer) Start(ctx context.Context) { go r.records.run(ctx) }
+
+// Observe records the endpoints of a new registry.
+func (r *Resumer) Observe(reg *registrar.Registry) {
+	r.mu.Lock()
+	now := time.Now()
+	changed := r.history.Observe(now, reg)
+	doubtful := r.observeEndpoints(reg)
+	begun := doubtful
+	if len(changed) > 0 {
+		wasMixed := r.isMixed
+		r.updateMixed(now, reg)
+		if r.isMixed && !wasMixed {
+			begun = append(begun, r.ledger.Since(now.Add(-announceWindow))...)
+		}
+	}
+	r.mu.Unlock()
+	for _, service := range changed {
+		r.records.changed(now, service)
+	}
+	r.passOn(begun)
+}
+
+// observeEndpoints returns the beginnings that are in doubt, since their endpoints changed their version under the same id; the
+// lock is held.
+func (r *Resumer) observeEndpoints(reg *registrar.Registry) []continuer.Beginning {
+	var doubtful []continuer.Beginning
+	software := make(map[string]registrar.Software, len(reg.Endpoints))
+	for id, e := range reg.Endpoints {
+		software[id] = e.Software()
+		if old, ok := r.software[id]; ok && old != software[id] {
+			r.log.WithFields(logrus.Fields{"endpoint": id, "softwareVersion": e.SoftwareVersion}).
+				Warn("endpoint changed its software version under the same id; streams that it began are not resumed")
+			doubtful = append(doubtful, r.ledger.Doubt(id)...)
+		}
+	}
+	r.software = software
+	return doubtful
+}
+
+// updateMixed sets isMixed; the lock is held.
+func (r *Resumer) updateMixed(now time.Time, reg *registrar.Registry) {
+	r.isMixed = false
+	for _, service := range reg.Services() {
+		if possible, _ := r.history.Possible(now, service); len(possible) > 1 {
+			r.isMixed = true
+		}
+	}
+}
+
+// Began records that the endpoint brings the first event of the stream, or continues it; stream is the id of the attempt that
+// began it.
+func (r *Resumer) Began(stream string, e registrar.Endpoint) {
+	b := continuer.Beginning{Stream: continuer.StreamOf(stream), Software: e.Software()}
+	r.mu.Lock()
+	r.ledger.Add(time.Now(), b, e.ID)
+	possible, _ := r.history.Possible(time.Now(), e.Service)
+	r.mu.Unlock()
+	if len(possible) > 1 {
+		r.passOn([]continuer.Beginning{b})
+	}
+}
+
+// passOn sends beginnings to their keepers.
+func (r *Resumer) passOn(begun []continuer.Beginning) {
+	byVM := map[string][]continuer.Beginning{}
+	for _, b := range begun {
+		for _, vm := range r.network.RankLive(rankKey(b.Stream), keepers) {
+			if vm != r.vm {
+				byVM[vm] = append(byVM[vm], b)
+			}
+		}
+	}
+	for vm, list := range byVM {
+		for part := range slices.Chunk(list, maxBeginnings) {
+			payload, err := encodeBegun(part)
+			if err != nil {
+				r.log.WithError(err).WithField("streams", len(part)).Error("beginnings of streams not passed on")
+				continue
+			}
+			r.network.Send(vm, payload)
+		}
+	}
+}
+
+func rankKey(s continuer.Stream) string {
+	b := [9]byte{'s'}
+	for i := range 8 {
+		b[i+1] = byte(s >> (8 * i))
+	}
+	return string(b[:])
+}
+
+// SoftwareOf returns the software version that began the stream of the service; none if it can't be told. It waits for other VMs
+// at most some tenths of a second.
+func (r *Resumer) SoftwareOf(ctx context.Context, service, stream string) option.Option[registrar.Software] {
+	found := r.softwareOf(ctx, service, continuer.StreamOf(stream))
+	if s, ok := found.Get(); !ok || s == continuer.Ambiguous {
+		r.Counters.Unknown.Add(1)
+		return option.None[registrar.Software]()
+	}
+	r.Counters.Known.Add(1)
+	return found
+}
+
+func (r *Resumer) softwareOf(ctx context.Context, service string, s continuer.Stream) option.Option[registrar.Software] {
+	found, only, isComplete := r.look(service, s)
+	if _, ok := found.Get(); ok {
+		return found
+	}
+	if !isComplete {
+		r.records.restore(ctx, service)
+		_, only, _ = r.look(service, s)
+	}
+	timeout := answerTimeout
+	if _, ok := only.Get(); ok {
+		timeout = confirmTimeout
+	}
+	software, ok := r.ask(ctx, s, timeout).Get()
+	if !ok {
+		return only
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Add(time.Now(), continuer.Beginning{Stream: s, Software: software}, "")
+	return option.Some(software)
+}
+
+// OnlySoftware returns the software version that alone may have begun outputs of the service within continuer.Memory, as far as
+// this VM has seen; none if there are several.
+func (r *Resumer) OnlySoftware(service string) option.Option[registrar.Software] {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	possible, _ := r.history.Possible(time.Now(), service)
+	if len(possible) != 1 {
+		return option.None[registrar.Software]()
+	}
+	return option.Some(possible[0])
+}
+
+// look returns the software version that began the stream as far as this VM knows, the only one that may have begun it, and
+// whether this VM knows all versions that may.
+func (r *Resumer) look(
+	service string, s continuer.Stream,
+) (found, only option.Option[registrar.Software], isComplete bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	found = r.ledger.Find(now, s)
+	possible, isComplete := r.history.Possible(now, service)
+	if isComplete && len(possible) == 1 {
+		only = option.Some(possible[0])
+	}
+	return found, only, isComplete
+}
+
+// ask asks other VMs which software version began the stream, until one knows, all have answered or the timeout has passed.
+func (r *Resumer) ask(ctx context.Context, s continuer.Stream, timeout time.Duration) option.Option[registrar.Software] {
+	asked := slices.DeleteFunc(r.network.RankLive(rankKey(s), askedVMs), func(vm string) bool { return vm == r.vm })
+	answers := make(chan answerMessage, len(asked))
+	r.mu.Lock()
+	r.lastAsk++
+	number := r.lastAsk
+	r.asks[number] = answers
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.asks, number)
+	}()
+	payload, err := encode(askType, askMessage{VM: r.vm, Number: number, Stream: uint64(s)})
+	if err != nil {
+		r.log.WithError(err).Error("question about a stream not sent")
+		return option.None[registrar.Software]()
+	}
+	for _, vm := range asked {
+		r.network.Send(vm, payload)
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for range asked {
+		select {
+		case a := <-answers:
+			if a.IsKnown {
+				return option.Some(registrar.Software(a.Software))
+			}
+		case <-timer.C:
+			return option.None[registrar.Software]()
+		case <-ctx.Done():
+			return option.None[registrar.Software]()
+		}
+	}
+	return option.None[registrar.Software]()
+}
+
+// Receive handles a payload of another VM, and reports whether it is one of a resumer; malformed ones are counted and dropped.
+func (r *Resumer) Receive(payload []byte) bool {
+	if !isOwn(payload) {
+		return false
+	}
+	m, err := decode(payload)
+	if err != nil {
+		r.Counters.Malformed.Add(1)
+		return true
+	}
+	switch m := m.(type) {
+	case begunMessage:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, b := range m.beginnings() {
+			r.ledger.Add(time.Now(), b, "")
+		}
+	case askMessage:
+		r.answer(m)
+	case answerMessage:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		select {
+		case r.asks[m.Number] <- m:
+		default:
+		}
+	}
+	return true
+}
+
+func (r *Resumer) answer(m askMessage) {
+	r.mu.Lock()
+	software, ok := r.ledger.Find(time.Now(), continuer.Stream(m.Stream)).Get()
+	r.mu.Unlock()
+	payload, err := encode(answerType, answerMessage{Number: m.Number, IsKnown: ok, Software: uint64(software)})
+	if err != nil {
+		r.log.WithError(err).Error("answer about a stream not sent")
+		return
+	}
+	r.network.Send(m.VM, payload)
+}
