dialer: a connection that carried a refusal is not used again

What operators of similar systems saw: a runner wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or these ran at a second runner.

It can happen here: an answer without a request's id was taken for the request's own, whatever the connection had carried, and an item that was refused may be sent to the same endpoint on the same connection under the same id. Class of fault: an answer is trusted by what it says, not by whether it can be another's.

A connection on which an endpoint refused a request (421, 429, 503), or gave an answer that names no request, is closed after it. So a refusal that names no request is only taken on a connection that has carried none before.

TestRepeatedRefusalIsNoAnswerToTheNextRequest: two of its three cases fail before (the refusal names no request; the same request is sent again). The price is a connection for each refusal.

--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -73,9 +73,22 @@
 	}
 	x.Response = res
 	c.setIdleTimeout(res)
+	if mayAnswerAnother(r, res) {
+		c.idleTimeout = 0
+	}
 	return x, nil
 }
 
+// mayAnswerAnother reports whether the answer, if the endpoint wrote it once more, would pass for that of a later request on the
+// connection: it names no request, or it refuses one that may be sent again under its id.
+func mayAnswerAnother(r Request, res *http.Response) bool {
+	switch res.StatusCode {
+	case http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return r.IDHeader != "" && res.Header.Get(r.IDHeader) == ""
+}
+
 func (x *Exchange) runWrite(r Request) {
 	x.written <- writeRequest(x.conn, r)
 }
--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -246,3 +247,40 @@
 	p.Sweep(time.Now())
 	assert.Empty(t, p.idle, "an endpoint that is gone, so has limit 0, must have no connections")
 }
+
+// TestRepeatedRefusalIsNoAnswerToTheNextRequest has an endpoint write its refusal of the first request once more when the next one
+// arrives, which it runs.
+func TestRepeatedRefusalIsNoAnswerToTheNextRequest(t *testing.T) {
+	for _, c := range []struct{ name, header, next string }{
+		{"the refusal names no request", "", "2"},
+		{"the refusal names its request", "X-Id: 1\r\n", "2"},
+		{"the same request is sent again", "X-Id: 1\r\n", "1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n" + c.header + "\r\nfull"
+			hasRefused := atomic.Bool{}
+			addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+				isRefused := false
+				answerEach(br, func(id string) bool {
+					if hasRefused.CompareAndSwap(false, true) {
+						isRefused = true
+						_, _ = io.WriteString(conn, refusal)
+						return true
+					}
+					if isRefused {
+						_, _ = io.WriteString(conn, refusal)
+					}
+					_, _ = io.WriteString(conn, reply(id, "Content-Length: 2\r\n", "ok"))
+					return true
+				})
+			})
+			p := NewPool(atMost(4))
+			text, err := roundTrip(t, p, addr, "1", []byte("body"))
+			require.NoError(t, err)
+			assert.Equal(t, "full", text)
+			text, err = roundTrip(t, p, addr, c.next, []byte("body"))
+			require.NoError(t, err)
+			assert.Equal(t, "ok", text, "the first refusal answers a request that the endpoint runs")
+		})
+	}
+}
