--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -248,8 +248,8 @@
 	assert.Empty(t, p.idle, "an endpoint that is gone, so has limit 0, must have no connections")
 }
 
-// TestRepeatedRefusalIsNoAnswerToTheNextRequest has an endpoint write its refusal of the first request once more when the next one
-// arrives, which it runs.
+// TestRepeatedRefusalIsNoAnswerToTheNextRequest has an endpoint write its refusal of the first request once more when the next
+// one arrives, which it runs.
 func TestRepeatedRefusalIsNoAnswerToTheNextRequest(t *testing.T) {
 	for _, c := range []struct{ name, header, next string }{
 		{"the refusal names no request", "", "2"},
