--- a/pkg/resumer/resumer.go
+++ b/pkg/resumer/resumer.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// keepers is the number of VMs to which the beginning of a stream is passed on: the loss of some VMs at once seldom takes all.
-	keepers = 3
-	// askedVMs is the number of VMs asked for the beginning of a stream: the keepers, and those that rank next once others are lost.
+	// copies is the number of VMs to which the beginning of a stream is passed on: the loss of some VMs at once seldom takes all.
+	copies = 3
+	// askedVMs is the number of VMs asked for the beginning of a stream: those with a copy, and those that rank next once others are
+	// lost.
 	askedVMs = 5
 	// answerTimeout bounds the wait for the answers: two round trips between regions. confirmTimeout is that of a VM that knows one
 	// possible version only, and asks in case it has not heard yet of another one: several round trips within a region.
@@ -138,11 +139,11 @@
 	}
 }
 
-// passOn sends beginnings to their keepers.
+// passOn sends each beginning to the VMs that rank first for its stream.
 func (r *Resumer) passOn(begun []continuer.Beginning) {
 	byVM := map[string][]continuer.Beginning{}
 	for _, b := range begun {
-		for _, vm := range r.network.RankLive(rankKey(b.Stream), keepers) {
+		for _, vm := range r.network.RankLive(rankKey(b.Stream), copies) {
 			if vm != r.vm {
 				byVM[vm] = append(byVM[vm], b)
 			}
