--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -122,44 +123,64 @@
 	return breaks
 }
 
-// extraAnswer has one of two runners send now and then an answer a second time, late. It is the answer of 500 to the first run of a
-// batch item, and comes where the answer to the item's next run is expected. The second and the fourth run of each item succeed,
+// extraAnswer has one of three runners send now and then an answer a second time, late. It is the answer of 500 to the first run
+// of a batch item, and comes where the answer to the item's next run is expected. The second and the fourth run of each item succeed,
 // the others fail. Other requests keep the share of such answers under the limit.
 func extraAnswer(w *world) ([]string, error) {
 	const (
-		jobs = 17
-		// window and limit are for_s and x of the disruption: of the runner's answers in a window at most this share comes twice.
-		window, limit = 5 * time.Second, 0.03
+		playFor = 40 * time.Second
+		// lasts and share are for_s and x of the disruption, which comes each period: of the runner's answers in the time lasts at most
+		// this share comes twice.
+		lasts, period, share = 5 * time.Second, 9 * time.Second, 0.03
 	)
 	runs := &ledger{}
-	garbling := ""
-	extras := 0
+	began := time.Now().Add(lasts)
+	var mu sync.Mutex
+	var extras []time.Time
 	m := model{
 		events: 40, first: 150 * time.Millisecond, step: 15 * time.Millisecond, shortPath: "/lohu930/", shortEvents: 2,
 		fails: func(a *attempt) bool { return strings.HasPrefix(a.path, "/pule252/") && a.n%2 == 1 },
 		sendsExtra: func(a *attempt) bool {
-			if !w.isTroubled || a.n != 1 || a.runner != garbling || 1/float64(runs.answeredBy(garbling, window)) > limit {
+			mu.Lock()
+			defer mu.Unlock()
+			now := time.Now()
+			if !w.isTroubled || a.n != 1 || now.Before(began) || now.Sub(began)%period > lasts {
 				return false
 			}
-			extras++
+			lately := 1
+			for _, at := range extras {
+				if now.Sub(at) < lasts {
+					lately++
+				}
+			}
+			if float64(lately) > share*float64(runs.answeredBy(a.runner, lasts)) {
+				return false
+			}
+			extras = append(extras, now)
 			return true
 		},
 	}
-	stream := streamRoute("/lohu930/", "huvo11a")
-	w.configure([]map[string]any{batchRoute("/pule252/", "huvo11a"), stream}, []map[string]any{engineService("huvo11a")})
-	if err := w.startRunners(2, "huvo11a", m, runs); err != nil {
+	services := []map[string]any{engineService("huvo11a"), plainService("wuno96b")}
+	w.configure([]map[string]any{
+		batchRoute("/pule252/", "huvo11a"), streamRoute("/lohu930/", "huvo11a"), safeRoute("r-status", "/puxa403/", "wuno96b"),
+	}, services)
+	if err := w.startRunners(1, "huvo11a", m, runs); err != nil {
 		return nil, err
 	}
+	for n := range 2 {
+		if _, err := w.startRunner(40+n, "wuno96b", m, runs); err != nil {
+			return nil, err
+		}
+	}
 	if err := w.startMachines(3); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	sent := w.traffic(ctx, "/lohu930/2f", 40*time.Millisecond, w.machines[1:])
-	time.Sleep(window)
+	sent := w.traffic(ctx, "/lohu930/2f", 50*time.Millisecond, w.machines[1:])
+	time.Sleep(time.Until(began.Add(-time.Second)))
 	var breaks []string
-	for range jobs {
-		began := time.Now()
+	for len(breaks) == 0 && time.Since(began) < playFor {
 		id, one := newID(), newItem("/pule252/3/"+newID()[:4], "9c2e41")
 		if err := w.submitAt(w.machines[:1], id, "/pule252/"+id[:6], []item{one}); err != nil {
 			return nil, err
@@ -169,19 +190,10 @@
 			return nil, err
 		}
 		breaks = append(breaks, abandonedTooEarly(w, id, []item{one}, found, runs)...)
-		if len(breaks) > 0 {
-			break
-		}
-		if garbling == "" {
-			garbling = runs.of(one.ID)[0].runner
-			w.logf("runner %s sends answers a second time from now on", garbling)
-		}
-		// An extra answer a window keeps to the limit.
-		time.Sleep(time.Until(began.Add(window)))
 	}
 	cancel()
 	sent.Wait()
-	w.logf("%d answers came twice", extras)
+	w.logf("%d answers were to come twice", len(extras))
 	return breaks, nil
 }
 
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -132,6 +132,8 @@
 	// events of a stream, step apart, the first one after first.
 	events      int
 	first, step time.Duration
+	// padding is the number of bytes that are added to the data of each event.
+	padding int
 	// shortEvents is the number of events of requests whose path begins with shortPath, if that is set.
 	shortPath   string
 	shortEvents int
@@ -153,6 +155,7 @@
 	slots    chan struct{}
 	listener net.Listener
 	born     int64
+	version  string
 
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
@@ -161,13 +164,18 @@
 
 // startRunner starts a runner at the n-th runner's address and registers it in the store.
 func (w *world) startRunner(n int, service string, m model, l *ledger) (*runner, error) {
+	return w.startVersion(n, service, "v1", m, l)
+}
+
+// startVersion starts a runner of a software version.
+func (w *world) startVersion(n int, service, version string, m model, l *ledger) (*runner, error) {
 	r := &runner{
 		w: w, id: "i-" + newID()[:10], service: service, address: fmt.Sprintf("%s%d:%d", w.net, 100+n, runnerPort), model: m,
-		ledger: l, slots: make(chan struct{}, 8), conns: map[net.Conn]bool{}, born: time.Now().UnixMilli(),
+		ledger: l, slots: make(chan struct{}, 8), conns: map[net.Conn]bool{}, born: time.Now().UnixMilli(), version: version,
 	}
 	var err error
 	for range 50 {
-		if r.listener, err = net.Listen("tcp4", r.address); err == nil {
+		if r.listener, err = listen(r.address); err == nil {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -179,14 +187,20 @@
 	w.runners = append(w.runners, r)
 	w.mu.Unlock()
 	go r.accept()
-	w.store.Put("servers", "", r.id, map[string]any{
-		"service": service, "address": r.address, "zone": "syd-a", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-		"seq": 1, "born": r.born, "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
-	})
+	r.register("ready")
 	w.logf("runner %s of %s started at %s", r.id, service, r.address)
 	return r, nil
 }
 
+// register writes the runner's entry.
+func (r *runner) register(state string) {
+	r.w.store.Put("servers", "", r.id, map[string]any{
+		"service": r.service, "address": r.address, "zone": "syd-a", "version": r.version, "slots": 8, "state": state,
+		"coldLeftMs": 0, "seq": 1, "born": r.born, "stage": "both",
+		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
+	})
+}
+
 func (r *runner) accept() {
 	for {
 		conn, err := r.listener.Accept()
@@ -241,7 +255,6 @@
 				return
 			}
 			r.w.logf("runner %s: extra copy of an earlier answer sent before the answer to %s", r.id, req.Header.Get("X-Request-Id"))
-			late = ""
 		}
 		gone := make(chan struct{})
 		next := make(chan error, 1)
@@ -264,12 +277,12 @@
 // answer runs a request; it returns an answer that is to be sent once more, late.
 func (r *runner) answer(conn net.Conn, req *http.Request, body []byte, gone <-chan struct{}) (string, error) {
 	id := req.Header.Get("X-Request-Id")
-	switch {
-	case req.URL.Path == "/report":
+	switch req.URL.Path {
+	case "/report":
 		return "", write(conn, http.StatusOK, "Content-Type: application/json\r\n", fmt.Sprintf(
 			`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":2,"waiting":0,"running":%d,`+
 				`"kvUsed":%d,"kvTotal":101945,"handles":0}`, len(r.slots), 500*len(r.slots)))
-	case req.URL.Path == "/healthz":
+	case "/healthz":
 		return "", write(conn, http.StatusOK, "X-Instance-Id: "+r.id+"\r\n", "")
 	}
 	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
@@ -327,7 +340,7 @@
 		case <-time.After(wait):
 		}
 		wait = r.model.step
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", next, eventData(a.id, next))
+		event := fmt.Sprintf("id: %d\ndata: %s%s\n\n", next, eventData(a.id, next), strings.Repeat("x", r.model.padding))
 		if _, err := fmt.Fprintf(conn, "%s%x\r\n%s\r\n", head, len(event), event); err != nil {
 			return err
 		}
@@ -342,15 +355,6 @@
 
 func eventData(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
 
-// wholeOutput returns the output of an item of so many events.
-func wholeOutput(id string, events int) string {
-	lines := make([]string, 0, events)
-	for n := 1; n <= events; n++ {
-		lines = append(lines, eventData(id, n))
-	}
-	return strings.Join(lines, "\n")
-}
-
 func text(status int, headers, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), headers, len(body), body)
 }
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -62,7 +62,7 @@
 		net: fmt.Sprintf("127.%d.%d.", 2+mrand.IntN(250), 1+mrand.IntN(250)),
 	}
 	w.storeAddr = fmt.Sprintf("%s1:%d", w.net, storePort)
-	listener, err := net.Listen("tcp4", w.storeAddr)
+	listener, err := listen(w.storeAddr)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +72,12 @@
 	return w, nil
 }
 
+// listen opens a port.
+func listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{}
+	return c.Listen(context.Background(), "tcp4", address)
+}
+
 // logf writes a line to the record.
 func (w *world) logf(format string, args ...any) {
 	w.mu.Lock()
@@ -280,7 +286,8 @@
 	done := m.done
 	m.mu.Unlock()
 	go func() {
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		m.w.logf("%s: process ended: %v", m.name, err)
 		_ = log.Close()
 		close(done)
 	}()
@@ -296,15 +303,6 @@
 	return os.TempDir()
 }
 
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd != nil {
-		_ = m.cmd.Process.Signal(s)
-		m.w.logf("%s: %v", m.name, s)
-	}
-}
-
 // kill ends the process and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
@@ -319,6 +317,18 @@
 	m.w.logf("%s: process killed", m.name)
 }
 
+// hasEnded reports whether the process has ended.
+func (m *machine) hasEnded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitReady waits until the readiness check answers 200.
 func (m *machine) awaitReady(limit time.Duration) error {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
