--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -124,8 +124,8 @@
 }
 
 // extraAnswer has one of three runners send now and then an answer a second time, late. It is the answer of 500 to the first run
-// of a batch item, and comes where the answer to the item's next run is expected. The second and the fourth run of each item succeed,
-// the others fail. Other requests keep the share of such answers under the limit.
+// of a batch item, and comes where the answer to the item's next run is expected. The second and the fourth run of each item
+// succeed, the others fail. Other requests keep the share of such answers under the limit.
 func extraAnswer(w *world) ([]string, error) {
 	const (
 		playFor = 40 * time.Second
--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -87,8 +87,8 @@
 }
 
 // silentConnections has the machines' connections to the store fall silent. When they are long in touch again, two of five
-// runners are replaced, one after the other; their entries are removed at once. A runner that is gone must get no request later than
-// drainMs after that.
+// runners are replaced, one after the other; their entries are removed at once. A runner that is gone must get no request later
+// than drainMs after that.
 func silentConnections(w *world) ([]string, error) {
 	const replacementGap = 800 * time.Millisecond
 	runs := &ledger{}
