--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -132,6 +132,8 @@
 	// events of a stream, step apart, the first one after first.
 	events      int
 	first, step time.Duration
+	// isUnframed says that streams have neither a length nor chunks, and end with their connections.
+	isUnframed bool
 	// padding is the number of bytes that are added to the data of each event.
 	padding int
 	// shortEvents is the number of events of requests whose path begins with shortPath, if that is set.
@@ -214,7 +216,8 @@
 	}
 }
 
-// crash ends the runner: its port is closed and its connections are reset. It sends nothing to the store.
+// crash ends the runner: its port is closed and its connections are reset, or closed as the kernel does for a process that is
+// killed if its answers are unframed. It sends nothing to the store.
 func (r *runner) crash() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -224,7 +227,7 @@
 	r.hasEnded = true
 	_ = r.listener.Close()
 	for conn := range r.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if tcp, ok := conn.(*net.TCPConn); ok && !r.model.isUnframed {
 			_ = tcp.SetLinger(0)
 		}
 		_ = conn.Close()
@@ -323,7 +326,11 @@
 
 // stream sends the events of a run that is asked to go on after lastEvent.
 func (r *runner) stream(conn net.Conn, a *attempt, signed string, gone <-chan struct{}) error {
-	head := "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	framing, end := "Transfer-Encoding: chunked", "0\r\n\r\n"
+	if r.model.isUnframed {
+		framing, end = "Connection: close", ""
+	}
+	head := "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\n" + framing + "\r\n\r\n"
 	next := 1
 	if n, err := strconv.Atoi(a.lastEvent); err == nil {
 		next = n + 1
@@ -341,16 +348,22 @@
 		}
 		wait = r.model.step
 		event := fmt.Sprintf("id: %d\ndata: %s%s\n\n", next, eventData(a.id, next), strings.Repeat("x", r.model.padding))
-		if _, err := fmt.Fprintf(conn, "%s%x\r\n%s\r\n", head, len(event), event); err != nil {
+		if !r.model.isUnframed {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(conn, head+event); err != nil {
 			return err
 		}
 		head = ""
 	}
-	_, err := io.WriteString(conn, head+"0\r\n\r\n")
-	if err == nil {
-		a.end("whole")
+	if _, err := io.WriteString(conn, head+end); err != nil {
+		return err
 	}
-	return err
+	a.end("whole")
+	if r.model.isUnframed {
+		return io.EOF
+	}
+	return nil
 }
 
 func eventData(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
