--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,9 @@
 [ -x target/dogwoodledged ] || { echo "not run: build first with the build line of deploy/system.toml"; exit 2; }
 LOGS=$(mktemp -d) || exit 2
 export LOGS
-target/review/harness narrower-route review/3
+target/review/harness narrower-route review/3 &
+trap 'kill $!' TERM INT
+wait $!
 code=$?
 rm -rf "$LOGS"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -242,10 +242,8 @@
 			continue
 		}
 		i := n % runners
-		w.logf("runner %s crashes", places[i].id)
-		places[i].crash()
+		places[i].crashAndFade()
 		time.Sleep(downFor)
-		w.store.Remove("servers", "", places[i].id)
 		r, err := w.startRunner(i, "huvo11a", m, runs)
 		if err != nil {
 			return nil, err
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -84,6 +84,9 @@
 	if err != nil {
 		return err
 	}
+	for _, i := range items {
+		w.logf("client: batch job %s has item %s, %s", id, i.ID, i.Path)
+	}
 	for n := range 10 {
 		m := machines[n%len(machines)]
 		status, _, err := w.call(m, http.MethodPost, path, map[string]string{
--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -110,7 +110,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if w.isTroubled {
-		w.storePort.Silence()
+		w.storeConns.Silence()
 		w.logf("the open connections to the store are silent from now on; new ones work")
 	}
 	silent := time.Now()
--- a/review/harness/releases.go
+++ b/review/harness/releases.go
@@ -38,6 +38,9 @@
 			_, err = io.Copy(io.Discard, res.Body)
 			_ = res.Body.Close()
 		}
+		if err == nil {
+			w.logf("client: request %s on a kept connection to %s: %d", id, m.name, res.StatusCode)
+		}
 		if err != nil && ctx.Err() == nil {
 			isPassedOn := len(runs.of(id)) > 0
 			w.logf("client: request %s on a kept connection to %s has no answer: %v; passed on: %t", id, m.name, err, isPassedOn)
@@ -54,7 +57,7 @@
 func releases(w *world) ([]string, error) {
 	const (
 		runners = 18
-		gap     = 740 * time.Millisecond
+		gap     = time.Second
 	)
 	runs := &ledger{}
 	w.store.SetDelay(interRegion)
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -234,6 +234,13 @@
 	}
 }
 
+// crashAndFade crashes the runner; the store removes its entry later.
+func (r *runner) crashAndFade() {
+	r.w.logf("runner %s crashes", r.id)
+	r.crash()
+	time.AfterFunc(entryLife, func() { r.w.store.Remove("servers", "", r.id) })
+}
+
 // serve answers the requests of one connection, one at a time.
 func (r *runner) serve(conn net.Conn) {
 	defer func() {
--- a/review/harness/unframed.go
+++ b/review/harness/unframed.go
@@ -32,10 +32,7 @@
 	}
 	time.Sleep(1500 * time.Millisecond)
 	if w.isTroubled {
-		r := w.allRunners()[0]
-		w.logf("runner %s crashes", r.id)
-		r.crash()
-		w.store.Remove("servers", "", r.id)
+		w.allRunners()[0].crashAndFade()
 	}
 	found, err := w.await(id, 30*time.Second)
 	if err != nil {
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -23,15 +23,27 @@
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
-// The ports of all machines; addresses are drawn anew for each run.
-const (
-	frontPort    = 18144
-	readyPort    = 18140
-	internalPort = 17660
-	storePort    = 18142
-	runnerPort   = 18080
-	host         = "ficu95.example"
-)
+// host is the host of all routes.
+const host = "ficu95.example"
+
+// entryLife is how long the entry of a runner that crashed stays: three of its heartbeats.
+const entryLife = 3 * 1200 * time.Millisecond
+
+// The ports of all machines, of the store and of the runners; they are drawn anew for each run, as the addresses are.
+var frontPort, readyPort, internalPort, storePort, runnerPort int
+
+// drawPorts draws ports that are free at the address.
+func drawPorts(ip string) error {
+	for _, port := range []*int{&frontPort, &readyPort, &internalPort, &storePort, &runnerPort} {
+		l, err := listen(ip + ":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }()
+		*port = l.Addr().(*net.TCPAddr).Port
+	}
+	return nil
+}
 
 // world is a small deployment: machines with daemons, the store, and runners.
 type world struct {
@@ -42,7 +54,7 @@
 	net        string
 	store      *standin.Store
 	storeSrv   *http.Server
-	storePort  *standin.Port
+	storeConns *standin.Port
 	storeAddr  string
 
 	mu       sync.Mutex
@@ -61,13 +73,16 @@
 		isTroubled: isTroubled, start: time.Now(), folder: folder, record: record, store: standin.NewStore(),
 		net: fmt.Sprintf("127.%d.%d.", 2+mrand.IntN(250), 1+mrand.IntN(250)),
 	}
+	if err := drawPorts(w.net + "1"); err != nil {
+		return nil, err
+	}
 	w.storeAddr = fmt.Sprintf("%s1:%d", w.net, storePort)
 	listener, err := listen(w.storeAddr)
 	if err != nil {
 		return nil, err
 	}
-	w.storeSrv, w.storePort = &http.Server{Handler: w.store}, standin.NewPort(listener)
-	go func() { _ = w.storeSrv.Serve(w.storePort) }()
+	w.storeSrv, w.storeConns = &http.Server{Handler: w.store}, standin.NewPort(listener)
+	go func() { _ = w.storeSrv.Serve(w.storeConns) }()
 	w.logf("start; disruption: %t", isTroubled)
 	return w, nil
 }
@@ -244,7 +259,7 @@
 blobBytes = 8388608
 blobMs = 25.0
 blobMbS = 80.0
-`, m.name, m.ip, internalPort, internalPort+15, frontPort, readyPort, m.w.storeAddr)
+`, m.name, m.ip, internalPort, min(internalPort+15, 65535), frontPort, readyPort, m.w.storeAddr)
 }
 
 // command returns the words of the run line of the deploy file.
