--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -68,7 +68,7 @@
 	r.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
 		"job": t.job.id, "item": t.item.ID, "endpoint": run.endpoint.ID, "outcome": outcome,
-		"lastEvent": t.lastEvent, "took": time.Since(run.started).Milliseconds(),
+		"firstEvent": run.firstEvent, "lastEvent": t.lastEvent, "endsAtClose": run.endsAtClose, "took": time.Since(run.started).Milliseconds(),
 		"dueIn": time.Until(t.job.due).Milliseconds(),
 	}
 	if err != nil {
@@ -133,6 +133,7 @@
 		return err
 	}
 	defer x.Close()
+	run.endsAtClose = x.EndsAtClose()
 	if x.Response.Header.Get(r.headers.Leaving) != "" {
 		r.onLeaving(run.endpoint)
 	}
@@ -228,6 +229,9 @@
 	if t.run != run {
 		return errNotNeeded
 	}
+	if run.firstEvent < 0 {
+		run.firstEvent = e.ID
+	}
 	if e.ID >= 0 && t.lastEvent >= 0 && e.ID != t.lastEvent+1 {
 		return errors.Errorf("gap in the event stream: event %d follows event %d", e.ID, t.lastEvent)
 	}
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -116,6 +116,10 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
+	// firstEvent is the id of the run's first event, noEvent before it; endsAtClose says that its answer has neither a length nor
+	// chunks. Both are for the log.
+	firstEvent  int64
+	endsAtClose bool
 }
 
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
@@ -430,7 +434,7 @@
 		t.discardOutput()
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
-	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
+	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now, firstEvent: noEvent}
 	go r.runItem(runCtx, t, t.run, route)
 	return true
 }
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -118,6 +118,9 @@
 			q.balancer.FirstByte(ticket, s.NeedsPreemption)
 			q.recordFirstByte()
 		}
+		if e.ID >= 0 && q.firstEvent < 0 {
+			q.firstEvent = e.ID
+		}
 		if e.ID >= 0 && e.ID <= q.lastEvent {
 			continue
 		}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -128,7 +128,7 @@
 	}
 	q := &request{
 		Relayer: l, w: w, r: r, route: route, body: body, start: start,
-		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, lastEvent: -1,
+		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, lastEvent: -1, firstEvent: -1,
 		parts: slices.Concat(
 			l.headers.PartsOf(r.Header), []string{quarantiner.RequestPart(r.Method, r.Host, r.RequestURI, body)},
 		),
@@ -286,8 +286,12 @@
 
 	// The fields below are logged when the request ends.
 
-	endpoint  string
-	decision  string
+	endpoint string
+	// endsAtClose says that the last answer had neither a length nor chunks.
+	endsAtClose bool
+	// firstEvent is the id of the first event of the last attempt, -1 before it.
+	firstEvent int64
+	decision   string
 	estimate  time.Duration
 	load      placer.Load
 	firstByte time.Duration
@@ -346,6 +350,7 @@
 		if isOver {
 			return
 		}
+		q.logAttempt()
 	}
 }
 
@@ -408,6 +413,7 @@
 	ending := placer.EndedFailed
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
+	q.endsAtClose, q.firstEvent = false, -1
 	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address)
 	if err != nil {
 		q.cause = err
@@ -443,6 +449,7 @@
 		return q.endUnlessRetryable(err)
 	}
 	defer x.Close()
+	q.endsAtClose = x.EndsAtClose()
 	if x.Response.Header.Get(q.headers.Leaving) != "" {
 		q.onLeaving(s.Endpoint)
 	}
@@ -624,6 +631,26 @@
 // unknownRetryAfter is the Retry-After for a stream of which it is not known what began it: the VM that knows may be starting.
 const unknownRetryAfter = 300 * time.Millisecond
 
+// logAttempt logs an attempt after which the request is not over.
+func (q *request) logAttempt() {
+	fields := logrus.Fields{"request": q.id, "endpoint": q.endpoint, "runs": q.runs, "refusals": q.refusals}
+	q.addEventFields(fields)
+	if q.cause != nil {
+		fields["cause"] = q.cause.Error()
+	}
+	q.log.WithFields(fields).Info("attempt ended")
+}
+
+// addEventFields adds which events the last attempt brought, and how the end of its answer was marked.
+func (q *request) addEventFields(fields logrus.Fields) {
+	if q.events > 0 {
+		fields["firstEvent"], fields["lastEvent"] = q.firstEvent, q.lastEvent
+	}
+	if q.endsAtClose {
+		fields["endsAtClose"] = true
+	}
+}
+
 func (q *request) logEnd() {
 	took := time.Since(q.start)
 	q.metrics.RequestEnded(q.route.Name, q.decision, took)
@@ -635,6 +662,7 @@
 	if q.events > 0 {
 		fields["events"] = q.events
 	}
+	q.addEventFields(fields)
 	if q.stream != q.id {
 		fields["resumes"] = q.stream
 	}
