confirmer: the close of a connection is the end of an answer only if its endpoint lives on

An answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process as a living one closes them after its answer. relayer and itemrunner took io.EOF of such an answer for its end.

Now an answer whose end is not marked is whole once its endpoint has answered a question about itself, on a new connection, that was sent after that end, as the same instance. Otherwise the answer broke off: it is resumed, repeated or aborted as any other. The connection is kept for the next request, in place of the one that ended. The quarantine of prompts needs no confirmation of its own for such answers any more (EndedAtClose).

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/confirmer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/drainer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -105,8 +106,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newResumer, newRelayer, newJobManager, newItemRunner,
-			newListener,
+			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newRelayer,
+			newJobManager, newItemRunner, newListener,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -197,6 +198,10 @@
 	return isolator.New(t, p, w.Current, rank, log)
 }
 
+func newConfirmer(p *dialer.Pool, w *watcher.Watcher) *confirmer.Confirmer {
+	return confirmer.New(platform.ConfirmProtocol(), w.Current, p)
+}
+
 func newResumer(
 	s platform.Settings, t storer.Table, g *gossiper.Gossiper, log logrus.FieldLogger,
 ) *resumer.Resumer {
@@ -209,9 +214,9 @@
 
 func newRelayer(
 	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator,
-	rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
+	c *confirmer.Confirmer, rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
 ) *relayer.Relayer {
-	return relayer.New(platform.Headers(), w.Current, b, p, i, rs, leavingNotifier(w, g), m, log)
+	return relayer.New(platform.Headers(), w.Current, b, p, i, c, rs, leavingNotifier(w, g), m, log)
 }
 
 func newJobManager(
@@ -225,9 +230,9 @@
 
 func newItemRunner(
 	jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
-	i *isolator.Isolator, rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
+	i *isolator.Isolator, c *confirmer.Confirmer, rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
 ) *itemrunner.Runner {
-	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, rs.OnlySoftware, leavingNotifier(w, g), m, log)
+	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, c, rs.OnlySoftware, leavingNotifier(w, g), m, log)
 }
 
 func newListener(
--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -127,7 +127,8 @@
 	f.store.Put("op", "", "config", map[string]any{
 		"version": f.version, "routes": f.routes,
 		"services": []map[string]any{
-			{"name": "llm", "maxConns": 100, "engine": map[string]any{"slots": 8}}, {"name": "app", "maxConns": 100},
+			{"name": "llm", "maxConns": 100, "healthPath": standin.HealthPath, "engine": map[string]any{"slots": 8}},
+			{"name": "app", "maxConns": 100, "healthPath": standin.HealthPath},
 		},
 		"limits": map[string]any{
 			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
--- /dev/null
+++ b/pkg/confirmer/confirmer_test.go
@@ -0,0 +1,100 @@
+package confirmer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+)
+
+// TestEndAtCloseNeedsALiveEndpoint has an answer without a length or chunks end with its connection, and checks for each later
+// state of the endpoint whether the answer is whole.
+func TestEndAtCloseNeedsALiveEndpoint(t *testing.T) {
+	t.Parallel()
+	const whole = ""
+	cases := []struct {
+		name string
+		// later answers the question after the end of the answer; nil closes the port before.
+		later http.HandlerFunc
+		// want is a part of the error.
+		want string
+	}{
+		{"lives", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance", "e") }, whole},
+		{"lives and names nothing", func(http.ResponseWriter, *http.Request) {}, whole},
+		{"lives and has no room", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, whole},
+		{"states its start", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "7") }, whole},
+		{"port closed", nil, "refused"},
+		{"another endpoint", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance", "f") }, "f answers"},
+		{"started again", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "8") }, "next incarnation"},
+		{"says nothing", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "deadline exceeded"},
+		{"closes the connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "EOF"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var server *httptest.Server
+			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/health" {
+					c.later(w, r)
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if !assert.NoError(t, err) {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody")
+				if c.later == nil {
+					_ = server.Listener.Close()
+				}
+				_ = conn.Close()
+			}))
+			t.Cleanup(func() {
+				server.CloseClientConnections()
+				server.Close()
+			})
+			e := registrar.Endpoint{
+				ID: "e", Service: "s", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), StartedAtMs: 7,
+			}
+			cfg := &registrar.Config{Services: map[string]registrar.Service{"s": {Name: "s", HealthPath: "/health"}}}
+			pool := dialer.NewPool(func(string) int { return 1 })
+			confirmer := New(Protocol{InstanceID: "Instance", StartedAtMs: startOf},
+				func() *registrar.Registry { return registrar.NewRegistry(cfg, nil) }, pool)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			conn, err := pool.Get(ctx, e.ID, e.Address)
+			require.NoError(t, err)
+			x, err := pool.Do(ctx, conn, dialer.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
+			require.NoError(t, err)
+			defer x.Close()
+			body, err := io.ReadAll(confirmer.BodyOf(ctx, x, e))
+			assert.Equal(t, "body", string(body))
+			if c.want == whole {
+				assert.NoError(t, err)
+				return
+			}
+			unconfirmed := (*UnconfirmedEndError)(nil)
+			require.ErrorAs(t, err, &unconfirmed)
+			assert.Contains(t, unconfirmed.Detail, c.want)
+			assert.NotErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
+// startOf takes a body of one digit for the endpoint's start.
+func startOf(body []byte) option.Option[int64] {
+	if text := strings.TrimSpace(string(body)); len(text) == 1 {
+		return option.Some(int64(text[0] - '0'))
+	}
+	return option.None[int64]()
+}
--- a/pkg/core/registrar/config.go
+++ b/pkg/core/registrar/config.go
@@ -92,6 +92,8 @@
 	Name string
 	// MaxConnections bounds the connections of all VMs together to one endpoint.
 	MaxConnections int
+	// HealthPath is the path of the endpoints' health check; empty if they have none.
+	HealthPath string
 	// IsEngine is set for a service of model engines.
 	IsEngine bool
 	// Slots is how many requests an engine runs at once; 0 if only the endpoints' rows say that.
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -56,12 +56,12 @@
 	if c := p.takeIdle(id, addr); c != nil {
 		return c, nil
 	}
-	return p.dial(ctx, id, addr)
+	return p.Open(ctx, id, addr)
 }
 
 // Reach opens a connection to the endpoint with the id and keeps it for reuse; the error is a *ConnectError.
 func (p *Pool) Reach(ctx context.Context, id string, addr netip.AddrPort) error {
-	c, err := p.dial(ctx, id, addr)
+	c, err := p.Open(ctx, id, addr)
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,8 @@
 	return nil
 }
 
-func (p *Pool) dial(ctx context.Context, id string, addr netip.AddrPort) (*Conn, error) {
+// Open opens a connection to the endpoint with the id; the error is a *ConnectError.
+func (p *Pool) Open(ctx context.Context, id string, addr netip.AddrPort) (*Conn, error) {
 	start := time.Now()
 	d := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -78,8 +78,6 @@
 	endpoint registrar.Endpoint
 	// strikes are recorded if it has ended.
 	strikes []quarantiner.Strike
-	// completed are the parts of requests that are complete if it has not.
-	completed [][]string
 }
 
 // New returns an isolator that is not started.
@@ -176,20 +174,6 @@
 	}
 }
 
-// EndedAtClose records that the answer to a request with the parts ended with its connection. It is complete if the endpoint has
-// not ended, else it broke off.
-func (i *Isolator) EndedAtClose(e registrar.Endpoint, parts []string) {
-	if len(parts) == 0 {
-		return
-	}
-	i.BrokeOff(e, parts, true)
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if s, ok := i.suspect(e); ok {
-		s.completed = append(s.completed, parts)
-	}
-}
-
 // suspect returns the suspicion against the endpoint, and begins to confirm it if it is new; false if there are too many. The
 // lock is held.
 func (i *Isolator) suspect(e registrar.Endpoint) (*suspicion, bool) {
@@ -203,7 +187,7 @@
 	return s, ok
 }
 
-// runConfirm finds out whether an endpoint has ended, and records the strikes or the completed requests.
+// runConfirm finds out whether an endpoint has ended, and records the strikes if it has.
 func (i *Isolator) runConfirm(s *suspicion) {
 	hasEnded := i.hasEnded(s.endpoint)
 	i.mu.Lock()
@@ -214,10 +198,6 @@
 	}
 	if hasEnded {
 		i.recordEnd(s.strikes)
-		return
-	}
-	for _, parts := range s.completed {
-		i.recordCompleted(parts)
 	}
 }
 
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -68,8 +68,8 @@
 	r.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
 		"job": t.job.id, "item": t.item.ID, "endpoint": run.endpoint.ID, "outcome": outcome,
-		"firstEvent": run.firstEvent, "lastEvent": t.lastEvent, "endsAtClose": run.endsAtClose, "took": time.Since(run.started).Milliseconds(),
-		"dueIn": time.Until(t.job.due).Milliseconds(),
+		"firstEvent": run.firstEvent, "lastEvent": t.lastEvent, "endsAtClose": run.endsAtClose,
+		"took": time.Since(run.started).Milliseconds(), "dueIn": time.Until(t.job.due).Milliseconds(),
 	}
 	if err != nil {
 		fields["cause"] = err.Error()
@@ -143,14 +143,14 @@
 	if err := r.checkResponse(x, t, run); err != nil {
 		return err
 	}
-	events := relayer.NewEventReader(x)
+	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint))
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasFirstEvent && x.EndsAtClose() {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
-			r.recordComplete(x, t, run)
+			r.isolator.Completed(t.parts)
 			return nil
 		}
 		if err != nil {
@@ -174,15 +174,6 @@
 	}
 }
 
-// recordComplete records that the answer was complete, as far as it can be told.
-func (r *Runner) recordComplete(x *dialer.Exchange, t *task, run *itemRun) {
-	if x.EndsAtClose() {
-		r.isolator.EndedAtClose(run.endpoint, t.parts)
-		return
-	}
-	r.isolator.Completed(t.parts)
-}
-
 // recordBreak records that the run broke off at its endpoint, unless this VM ended it.
 func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
 	if ctx.Err() == nil {
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -40,12 +40,13 @@
 
 // Runner runs the items of the batch jobs that this VM holds.
 type Runner struct {
-	headers  relayer.Headers
-	manager  *jobmanager.Manager
-	registry func() *registrar.Registry
-	balancer *balancer.Balancer
-	pool     *dialer.Pool
-	isolator relayer.Isolator
+	headers   relayer.Headers
+	manager   *jobmanager.Manager
+	registry  func() *registrar.Registry
+	balancer  *balancer.Balancer
+	pool      *dialer.Pool
+	isolator  relayer.Isolator
+	confirmer relayer.Confirmer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	// onlySoftware returns the software version that alone may have begun outputs of the service lately, if there is one.
@@ -125,11 +126,11 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, onlySoftware func(service string) option.Option[registrar.Software],
+	i relayer.Isolator, c relayer.Confirmer, onlySoftware func(service string) option.Option[registrar.Software],
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
-		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, onlySoftware: onlySoftware,
+		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, confirmer: c, onlySoftware: onlySoftware,
 		onLeaving: onLeaving, metrics: m, log: log,
 		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(),
 	}
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -49,7 +49,7 @@
 	require.NoError(t, err)
 	i := isolator.New(nil, pool, registry, nil, log)
 	headers := relayer.Headers{RequestID: "X-Id", Timeout: "X-Timeout"}
-	rl := relayer.New(headers, registry, b, pool, i, nil, func(registrar.Endpoint) {}, m, log)
+	rl := relayer.New(headers, registry, b, pool, i, nil, nil, func(registrar.Endpoint) {}, m, log)
 	return New(Config{
 		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics",
 		HasPeers:  func() bool { return true },
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -20,13 +20,13 @@
 
 // forwardBody forwards an answer that is not a stream of events.
 func (q *request) forwardBody(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
-	head := bytes.Buffer{}
-	_, err := io.CopyN(&head, x, maxBufferedBytes)
+	body, head := q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint), bytes.Buffer{}
+	_, err := io.CopyN(&head, body, maxBufferedBytes)
 	q.balancer.FirstByte(ticket, s.NeedsPreemption)
 	q.recordFirstByte()
 	switch {
 	case err == nil:
-		return q.forwardLargeBody(x, head.Bytes(), s)
+		return q.forwardLargeBody(x, io.MultiReader(&head, body), s)
 	case !errors.Is(err, io.EOF):
 		q.recordBreak(s.Endpoint, head.Len() > 0)
 		q.cause = errors.Wrap(err, "read answer of endpoint "+s.Endpoint.ID)
@@ -38,21 +38,19 @@
 	return true, placer.EndedComplete
 }
 
-// forwardLargeBody forwards an answer that is too large to be buffered; head holds the bytes read so far.
-func (q *request) forwardLargeBody(x *dialer.Exchange, head []byte, s placer.Send) (bool, placer.Ending) {
+// forwardLargeBody forwards an answer whose body is too large to be buffered.
+func (q *request) forwardLargeBody(x *dialer.Exchange, body io.Reader, s placer.Send) (bool, placer.Ending) {
 	if !q.beginAnswer() {
 		q.endUnanswered(errStopping)
 		return true, placer.EndedLocally
 	}
 	q.writeHead(x.Response, x.Response.ContentLength)
-	if _, err := q.w.Write(head); err == nil {
-		_, err = io.Copy(q.w, x)
-		if err == nil {
-			q.decision = "served"
-			return true, placer.EndedComplete
-		}
-		q.cause = err
+	_, err := io.Copy(q.w, body)
+	if err == nil {
+		q.decision = "served"
+		return true, placer.EndedComplete
 	}
+	q.cause = err
 	if q.r.Context().Err() == nil {
 		q.recordBreak(s.Endpoint, true)
 	}
@@ -94,7 +92,7 @@
 
 // forwardStream forwards complete events as they arrive, and skips those that an earlier attempt has forwarded.
 func (q *request) forwardStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
-	events := NewEventReader(x)
+	events := NewEventReader(q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint))
 	flush := http.NewResponseController(q.w)
 	hasBegun, isRecorded := false, false
 	for {
--- a/pkg/relayer/end_test.go
+++ b/pkg/relayer/end_test.go
@@ -37,12 +37,17 @@
 
 func (hookedIsolator) BeginProbe(string) bool { return false }
 
-func (hookedIsolator) EndedAtClose(registrar.Endpoint, []string) {}
-
 func (hookedIsolator) Completed([]string) {}
 
 func (hookedIsolator) BrokeOff(registrar.Endpoint, []string, bool) {}
 
+// allWhole takes all answers for whole.
+type allWhole struct{}
+
+func (allWhole) BodyOf(_ context.Context, x *dialer.Exchange, _ registrar.Endpoint) io.Reader {
+	return x
+}
+
 // noResumer knows no streams.
 type noResumer struct{}
 
@@ -73,7 +78,7 @@
 	m, err := tracer.NewMeter(nil)
 	require.NoError(t, err)
 	return New(Headers{RequestID: "X-Id", Signature: "X-Signed"}, func() *registrar.Registry { return reg }, b,
-		dialer.NewPool(func(string) int { return 1 }), i, noResumer{}, func(registrar.Endpoint) {}, m, log), route
+		dialer.NewPool(func(string) int { return 1 }), i, allWhole{}, noResumer{}, func(registrar.Endpoint) {}, m, log), route
 }
 
 func newTestRequest(t *testing.T) *http.Request {
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -50,12 +50,16 @@
 	BeginProbe(part string) bool
 	// Completed records that a request with the parts was completed.
 	Completed(parts []string)
-	// EndedAtClose records that the answer to a request with the parts ended with its connection to the endpoint.
-	EndedAtClose(e registrar.Endpoint, parts []string)
 	// BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun.
 	BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool)
 }
 
+// Confirmer tells whole answers from parts.
+type Confirmer interface {
+	// BodyOf returns a reader of the answer's body, which returns io.EOF only if the answer is whole.
+	BodyOf(ctx context.Context, x *dialer.Exchange, e registrar.Endpoint) io.Reader
+}
+
 // Resumer knows which software version began a stream.
 type Resumer interface {
 	// SoftwareOf returns the software version that began the stream of the service, by the id of the attempt that brought its
@@ -67,12 +71,13 @@
 
 // Relayer serves the online requests of callers.
 type Relayer struct {
-	headers  Headers
-	registry func() *registrar.Registry
-	balancer *balancer.Balancer
-	pool     *dialer.Pool
-	isolator Isolator
-	resumer  Resumer
+	headers   Headers
+	registry  func() *registrar.Registry
+	balancer  *balancer.Balancer
+	pool      *dialer.Pool
+	isolator  Isolator
+	confirmer Confirmer
+	resumer   Resumer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	metrics   Metrics
@@ -86,13 +91,14 @@
 
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
-	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator, rs Resumer,
+	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator, c Confirmer, rs Resumer,
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
 	ending, end := context.WithCancel(context.Background())
 	return &Relayer{
 		ending: ending, end: end,
-		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, resumer: rs, onLeaving: onLeaving, metrics: m, log: log,
+		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, confirmer: c, resumer: rs,
+		onLeaving: onLeaving, metrics: m, log: log,
 	}
 }
 
@@ -292,11 +298,11 @@
 	// firstEvent is the id of the first event of the last attempt, -1 before it.
 	firstEvent int64
 	decision   string
-	estimate  time.Duration
-	load      placer.Load
-	firstByte time.Duration
-	status    int
-	cause     error
+	estimate   time.Duration
+	load       placer.Load
+	firstByte  time.Duration
+	status     int
+	cause      error
 }
 
 // timeLimit returns the shorter of the route's timeout and the one that the caller's header states in milliseconds.
@@ -457,20 +463,11 @@
 	isOver, how := q.handleAnswer(x, ticket, s)
 	ending = how
 	if how == placer.EndedComplete && x.Response.StatusCode < 300 {
-		q.recordComplete(x, s.Endpoint)
+		q.isolator.Completed(q.parts)
 	}
 	return isOver
 }
 
-// recordComplete records that the answer was complete, as far as it can be told.
-func (q *request) recordComplete(x *dialer.Exchange, e registrar.Endpoint) {
-	if x.EndsAtClose() {
-		q.isolator.EndedAtClose(e, q.parts)
-		return
-	}
-	q.isolator.Completed(q.parts)
-}
-
 // recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
 func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
 	if q.attemptCtx.Err() == nil {
