relayer: a stream goes on only with its own next event

After a break, forwardStream took any signed answer below 300 for the rest: it forwarded higher ids, dropped lower ones, took an answer of another status or type for the end, and forwarded blocks of lines that are no event.

Now continuer.Sequence decides: each event has the id after that of the one before, over all attempts, from the caller's own Last-Event-Id on; an output with events without ids is not resumed. An answer is the rest only with the same status and media type.

--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
@@ -72,7 +73,7 @@
 	if length >= 0 && hasBody(q.r.Method, res.StatusCode) {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	q.hasAnswer, q.status = true, res.StatusCode
+	q.hasAnswer, q.status, q.mediaType = true, res.StatusCode, mediaTypeOf(res.Header)
 	q.w.WriteHeader(res.StatusCode)
 }
 
@@ -90,7 +91,7 @@
 	}
 }
 
-// forwardStream forwards complete events as they arrive, and skips those that an earlier attempt has forwarded.
+// forwardStream forwards complete events as they arrive, as long as each follows the one before it.
 func (q *request) forwardStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	events := NewEventReader(q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint))
 	flush := http.NewResponseController(q.w)
@@ -116,11 +117,13 @@
 			q.balancer.FirstByte(ticket, s.NeedsPreemption)
 			q.recordFirstByte()
 		}
-		if e.ID >= 0 && q.firstEvent < 0 {
+		if e.ID >= 0 && q.firstEvent == continuer.NoEvent {
 			q.firstEvent = e.ID
 		}
-		if e.ID >= 0 && e.ID <= q.lastEvent {
-			continue
+		if e.IsProgress() {
+			if err := q.sequence.Add(e.ID); err != nil {
+				return q.endBrokenStream(err, s)
+			}
 		}
 		if !q.beginAnswer() {
 			q.endUnanswered(errStopping)
@@ -139,9 +142,6 @@
 			return true, placer.EndedLocally
 		}
 		q.events++
-		if e.ID >= 0 {
-			q.lastEvent = e.ID
-		}
 		if !events.HasMore() {
 			_ = flush.Flush()
 		}
--- a/pkg/relayer/events.go
+++ b/pkg/relayer/events.go
@@ -22,6 +22,16 @@
 	Data []byte
 }
 
+// EventError says that what an endpoint sent is no event: Line is the start of a line that no event has there.
+type EventError struct {
+	Line string
+}
+
+func (e *EventError) Error() string { return "not an event of a stream: line " + strconv.Quote(e.Line) }
+
+// maxErrorLine is the number of bytes of a line that are put into an error.
+const maxErrorLine = 80
+
 // IsProgress reports whether the event carries an id or data. Comments and empty lines keep a connection open, but say nothing
 // about the work.
 func (e Event) IsProgress() bool { return e.ID >= 0 || e.Data != nil }
@@ -46,6 +56,8 @@
 // within one.
 func (r *EventReader) Next() (Event, error) {
 	e := Event{ID: -1}
+	// An event may begin with one line of a field that is not known here.
+	var unknown []byte
 	for {
 		line, err := r.br.ReadSlice('\n')
 		if len(e.Raw)+len(line) > maxEventBytes {
@@ -67,9 +79,14 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			return e, nil
+			return e, e.check(unknown)
+		}
+		if !e.parseLine(text) {
+			if unknown != nil || e.IsProgress() {
+				return e, newEventError(text)
+			}
+			unknown = bytes.Clone(text)
 		}
-		e.parseLine(text)
 	}
 }
 
@@ -87,7 +104,20 @@
 	}
 }
 
-func (e *Event) parseLine(text []byte) {
+// check returns an *EventError if the event has a line of an unknown field and is none otherwise.
+func (e *Event) check(unknown []byte) error {
+	if unknown == nil || e.IsProgress() {
+		return nil
+	}
+	return newEventError(unknown)
+}
+
+func newEventError(line []byte) error {
+	return &EventError{Line: string(line[:min(len(line), maxErrorLine)])}
+}
+
+// parseLine adds a line to the event; it returns false if no event stream has a field of that name.
+func (e *Event) parseLine(text []byte) bool {
 	name, value, _ := bytes.Cut(text, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -103,5 +133,10 @@
 		if e.Data == nil {
 			e.Data = []byte{}
 		}
+	case "", "event", "retry":
+		// An empty name begins a comment.
+	default:
+		return false
 	}
+	return true
 }
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -134,12 +134,12 @@
 	}
 	q := &request{
 		Relayer: l, w: w, r: r, route: route, body: body, start: start,
-		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, lastEvent: -1, firstEvent: -1,
+		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, firstEvent: continuer.NoEvent,
 		parts: slices.Concat(
 			l.headers.PartsOf(r.Header), []string{quarantiner.RequestPart(r.Method, r.Host, r.RequestURI, body)},
 		),
 	}
-	q.stream = q.id
+	q.stream, q.sequence = q.id, continuer.NewSequence(q.resumedAfter())
 	q.deadline = start.Add(q.timeLimit())
 	// The body may have come slowly, so the time of its end counts.
 	if d := l.drain.Load(); d != nil && !d.Accepts(time.Now(), q.deadline) {
@@ -273,8 +273,10 @@
 	tried map[string]bool
 	// hasAnswer says that the head of an answer has been forwarded.
 	hasAnswer bool
-	// lastEvent is the id of the last event forwarded, -1 before the first.
-	lastEvent int64
+	// sequence is that of the events that were forwarded, to the caller's earlier attempts too if the request resumes their stream.
+	sequence continuer.Sequence
+	// mediaType is that of the answer that was begun.
+	mediaType string
 	// events counts the events forwarded.
 	events int
 	// stream is the id of the attempt that brought the stream's first event, and begun the software version that did; none while
@@ -295,7 +297,7 @@
 	endpoint string
 	// endsAtClose says that the last answer had neither a length nor chunks.
 	endsAtClose bool
-	// firstEvent is the id of the first event of the last attempt, -1 before it.
+	// firstEvent is the id of the first event of the last attempt, continuer.NoEvent before it.
 	firstEvent int64
 	decision   string
 	estimate   time.Duration
@@ -317,6 +319,18 @@
 	return limit
 }
 
+// resumedAfter returns the id of the event after which the request resumes a stream, or continuer.NoEvent.
+func (q *request) resumedAfter() int64 {
+	if q.route.Kind != registrar.KindStream || !q.route.IsResumable {
+		return continuer.NoEvent
+	}
+	last, err := strconv.ParseInt(q.r.Header.Get(q.headers.LastEventID), 10, 64)
+	if err != nil || last < 0 {
+		return continuer.NoEvent
+	}
+	return last
+}
+
 // findBeginning finds which software version began the stream that the request resumes, if it does. It refuses the request if
 // that can't be told, and returns false: what another version writes would not fit.
 func (q *request) findBeginning() bool {
@@ -419,7 +433,7 @@
 	ending := placer.EndedFailed
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
-	q.endsAtClose, q.firstEvent = false, -1
+	q.endsAtClose, q.firstEvent = false, continuer.NoEvent
 	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address)
 	if err != nil {
 		q.cause = err
@@ -506,8 +520,8 @@
 	h := ForwardHeader(q.r.Header)
 	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	h[q.headers.ExpectInstance] = []string{e.ID}
-	if q.lastEvent >= 0 {
-		h[q.headers.LastEventID] = []string{strconv.FormatInt(q.lastEvent, 10)}
+	if last := q.sequence.Last(); last != continuer.NoEvent {
+		h[q.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
 	}
 	return dialer.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
@@ -539,8 +553,9 @@
 		q.cause = errors.Errorf("endpoint %s answered status %d", s.Endpoint.ID, status)
 		return false, placer.EndedFailed
 	}
-	if status >= 300 && q.hasAnswer {
-		q.cause = errors.Errorf("endpoint %s answered status %d to a resumed stream", s.Endpoint.ID, status)
+	if q.hasAnswer && !q.isRestOfAnswer(res) {
+		q.cause = errors.Errorf("endpoint %s answered status %d, type %q to a resumed stream of type %q", s.Endpoint.ID, status,
+			res.Header.Get("Content-Type"), q.mediaType)
 		return q.endUnlessRetryable(q.cause), placer.EndedFailed
 	}
 	if q.route.Kind == registrar.KindStream && status < 300 {
@@ -549,9 +564,14 @@
 	return q.forwardBody(x, ticket, s)
 }
 
+// isRestOfAnswer reports whether the answer can be the rest of the one that was begun, by its status and media type.
+func (q *request) isRestOfAnswer(res *http.Response) bool {
+	return res.StatusCode == q.status && mediaTypeOf(res.Header) == q.mediaType
+}
+
 // canRetry reports whether the request may be sent again after an attempt in which it may have run.
 func (q *request) canRetry() bool {
-	return q.route.IsIdempotent() && q.runs < q.route.MaxAttempts && q.ctx.Err() == nil &&
+	return q.route.IsIdempotent() && q.sequence.CanResume() && q.runs < q.route.MaxAttempts && q.ctx.Err() == nil &&
 		time.Until(q.deadline) > minTimeLeft
 }
 
@@ -641,7 +661,7 @@
 // addEventFields adds which events the last attempt brought, and how the end of its answer was marked.
 func (q *request) addEventFields(fields logrus.Fields) {
 	if q.events > 0 {
-		fields["firstEvent"], fields["lastEvent"] = q.firstEvent, q.lastEvent
+		fields["firstEvent"], fields["lastEvent"] = q.firstEvent, q.sequence.Last()
 	}
 	if q.endsAtClose {
 		fields["endsAtClose"] = true
