--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -146,7 +146,8 @@
 	}
 }
 
-// TestStreamWithoutIDsIsNotResumed guards against a stream that is joined from two runs, since no id says where the first one ended.
+// TestStreamWithoutIDsIsNotResumed guards against a stream that is joined from two runs, since no id says where the first one
+// ended.
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
 	t.Parallel()
 	f, runs := newScriptedFleet(t, chunked(false, "data: a\n\n", "data: b\n\n"), chunked(true, "data: a\n\n", "data: b\n\n"))
@@ -155,7 +156,8 @@
 	assert.Equal(t, int64(1), runs.Load())
 }
 
-// TestCallersResumeIsServedFromItsEventOn guards against the answer to a caller's resume that begins at another event than the next.
+// TestCallersResumeIsServedFromItsEventOn guards against the answer to a caller's resume that begins at another event than the
+// next.
 func TestCallersResumeIsServedFromItsEventOn(t *testing.T) {
 	t.Parallel()
 	for name, events := range map[string][]string{
