A checkpoint marks the output that it was taken from, not the item's present one

If an item's output is discarded meanwhile, or the item goes to another VM and comes back, markSaved still found savedEvent == After, since both outputs begin at "no event", and marked the length of the old output as saved. An answer to an earlier state was taken for one to the present state; a number that only counts can't tell the two apart.

The output is now an object of its own (itemOutput), which is replaced, never reset. A checkpoint holds the output that it was taken from and marks that one.

--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -19,45 +19,53 @@
 	sleeper.Every(ctx, checkpointInterval, func(time.Time) { r.checkpoint(ctx) })
 }
 
+// jobCheckpoint holds the checkpoints of a job's items, and the outputs from which they were taken.
+type jobCheckpoint struct {
+	outputs []*itemOutput
+	list    []jobmanager.Checkpoint
+}
+
 // checkpoint saves the outputs that have at least minCheckpointEvents new events, in one transaction for each job.
 func (r *Runner) checkpoint(ctx context.Context) {
+	for id, c := range r.newCheckpoints() {
+		if err := r.manager.Save(ctx, id, c.list); err != nil {
+			r.log.WithError(err).WithField("job", id).Warn("checkpoint of item outputs not saved; retrying at the next interval")
+			continue
+		}
+		r.markSaved(c)
+	}
+}
+
+// newCheckpoints returns the checkpoints to be saved, by job.
+func (r *Runner) newCheckpoints() map[string]jobCheckpoint {
 	r.mu.Lock()
-	byJob := map[string][]jobmanager.Checkpoint{}
+	defer r.mu.Unlock()
+	byJob := map[string]jobCheckpoint{}
 	for id, j := range r.jobs {
 		for i, t := range j.tasks {
 			if t.isOver || t.lastEvent < t.savedEvent+minCheckpointEvents {
 				continue
 			}
 			software, _ := t.begun.Get()
-			byJob[id] = append(byJob[id], jobmanager.Checkpoint{
+			c := byJob[id]
+			c.outputs = append(c.outputs, t.itemOutput)
+			c.list = append(c.list, jobmanager.Checkpoint{
 				Item: i, Software: software, After: t.savedEvent, LastEvent: t.lastEvent, Writer: j.writer, IsFirstOfWriter: !t.hasSaved,
 				Output: append([]byte(nil), t.output[t.savedBytes:]...),
 			})
+			byJob[id] = c
 		}
 	}
-	r.mu.Unlock()
-	for id, list := range byJob {
-		if err := r.manager.Save(ctx, id, list); err != nil {
-			r.log.WithError(err).WithField("job", id).Warn("checkpoint of item outputs not saved; retrying at the next interval")
-			continue
-		}
-		r.markSaved(id, list)
-	}
+	return byJob
 }
 
-// markSaved records the saved lengths of the outputs, unless the job was dropped meanwhile.
-func (r *Runner) markSaved(id string, list []jobmanager.Checkpoint) {
+// markSaved records how much of the outputs is saved; only checkpoint changes that.
+func (r *Runner) markSaved(c jobCheckpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j, ok := r.jobs[id]
-	if !ok {
-		return
-	}
-	for _, c := range list {
-		if t, ok := j.tasks[c.Item]; ok && t.savedEvent == c.After {
-			t.savedBytes += len(c.Output)
-			t.savedEvent = c.LastEvent
-			t.hasSaved = true
-		}
+	for n, o := range c.outputs {
+		o.savedBytes += len(c.list[n].Output)
+		o.savedEvent = c.list[n].LastEvent
+		o.hasSaved = true
 	}
 }
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -88,12 +88,7 @@
 	// parts holds the ids of the shared parts of the item's prompt.
 	parts []string
 
-	// lastEvent is the id of the last event received, or -1.
-	lastEvent int64
-	output    []byte
-	hasOutput bool
-	// begun is the software version that began the output; none while there is none.
-	begun option.Option[registrar.Software]
+	*itemOutput
 	// idleSince is when its last run ended, or when this VM got the item.
 	idleSince time.Time
 	notBefore time.Time
@@ -102,12 +97,33 @@
 	runTime time.Duration
 	// isLate says that the item is planned after all items that can still meet their due time.
 	isLate bool
+	isOver bool
+}
+
+// itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
+// reset, so that a checkpoint which is being written can't be taken for one of the next output.
+type itemOutput struct {
+	// lastEvent is the id of the last event received, or -1.
+	lastEvent int64
+	output    []byte
+	hasOutput bool
+	// begun is the software version that began the output; none while there is none.
+	begun option.Option[registrar.Software]
 	// savedBytes of the output, up to the event savedEvent, are in checkpoints.
 	savedBytes int
 	savedEvent int64
-	// hasSaved says that this VM has saved a checkpoint of the item since it loaded the job.
+	// hasSaved says that this VM has saved a checkpoint of the output.
 	hasSaved bool
-	isOver   bool
+}
+
+func newItemOutput() *itemOutput { return &itemOutput{lastEvent: noEvent, savedEvent: noEvent} }
+
+// continued returns an output that goes on after what was saved of another one.
+func continued(c jobmanager.Checkpoint) *itemOutput {
+	return &itemOutput{
+		lastEvent: c.LastEvent, output: c.Output, hasOutput: true, begun: option.Some(c.Software),
+		savedBytes: len(c.Output), savedEvent: c.LastEvent,
+	}
 }
 
 // itemRun is one run of an item at an endpoint.
@@ -240,12 +256,11 @@
 // newTask returns the task of an item, which continues after the item's saved output.
 func (r *Runner) newTask(j *jobState, i int) *task {
 	t := &task{
-		job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: noEvent, savedEvent: noEvent,
+		job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), itemOutput: newItemOutput(),
 		idleSince: time.Now(),
 	}
 	if c, ok := j.saved[i]; ok {
-		t.lastEvent, t.output, t.hasOutput, t.begun = c.LastEvent, c.Output, true, option.Some(c.Software)
-		t.savedBytes, t.savedEvent = len(c.Output), c.LastEvent
+		t.itemOutput = continued(c)
 		delete(j.saved, i)
 	}
 	return t
@@ -436,11 +451,7 @@
 }
 
 // discardOutput makes the item's next run begin anew.
-func (t *task) discardOutput() {
-	t.output, t.hasOutput, t.lastEvent = nil, false, noEvent
-	t.begun = option.None[registrar.Software]()
-	t.savedBytes, t.savedEvent, t.hasSaved = 0, noEvent, false
-}
+func (t *task) discardOutput() { t.itemOutput = newItemOutput() }
 
 // noEvent is the id of the last event before the first.
 const noEvent = -1
