Dialer: a connection carries each request id once

Callers saw items of batch jobs abandoned after two failed runs of three: an endpoint wrote its 500 once more, late, and the copy counted as the answer to the item's next run on the same kept connection, which would have succeeded.

Cause: readResponse told answers apart by the request's id alone, and all runs of an item have the same id. The same held for any answer, a 200 with events too. Only refusals closed their connection, by status.

A connection now remembers the ids that it has carried, and the pool doesn't give it to a request with one of them: it takes another idle connection or opens one. So an extra copy always names another request, whatever its status, and is skipped. Refusals that name their request need no rule of their own and keep their connection.

Connections: one more for each run that follows a complete failure of the same request on the connection; three refused requests open one connection instead of three (the case "refusals of other requests").

--- a/pkg/dialer/endless_test.go
+++ b/pkg/dialer/endless_test.go
@@ -77,7 +77,7 @@
 		_, _ = io.Copy(io.Discard, br)
 	})
 	p := NewPool(atMost(4))
-	conn, err := p.Get(t.Context(), "e", addr)
+	conn, err := p.Get(t.Context(), "e", addr, "a")
 	require.NoError(t, err)
 	x, err := p.Do(t.Context(), conn, Request{
 		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"a"}}, IDHeader: "X-Id", ID: "a",
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -57,7 +57,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &ExchangeError{Address: c.address, Step: step, After: time.Since(start), IsReused: c.isReused, Cause: err}
+		return nil, &ExchangeError{Address: c.address, Step: step, After: time.Since(start), IsReused: c.carried.isUsed, Cause: err}
 	}
 	if len(r.Body) <= maxInlineBytes {
 		if err := writeRequest(c, r); err != nil {
@@ -72,23 +72,15 @@
 		return fail("read answer", err)
 	}
 	x.Response = res
+	c.carried.add(r.ID)
 	c.setIdleTimeout(res)
-	if mayAnswerAnother(r, res) {
+	if namesNone(r, res) {
+		// The next answer couldn't be told from a copy of this one.
 		c.idleTimeout = 0
 	}
 	return x, nil
 }
 
-// mayAnswerAnother reports whether the answer, if the endpoint wrote it once more, would pass for that of a later request on the
-// connection: it names no request, or it refuses one that may be sent again under its id.
-func mayAnswerAnother(r Request, res *http.Response) bool {
-	switch res.StatusCode {
-	case http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return r.IDHeader != "" && res.Header.Get(r.IDHeader) == ""
-}
-
 func (x *Exchange) runWrite(r Request) {
 	x.written <- writeRequest(x.conn, r)
 }
@@ -124,13 +116,12 @@
 			}
 			continue
 		}
-		id := res.Header.Get(r.IDHeader)
-		if r.IDHeader == "" || id == r.ID || id == "" {
+		if !namesAnother(r, res) {
 			return res, nil
 		}
 		strays++
 		if strays > maxStrays {
-			return nil, errors.Errorf("connection carries answers to other requests, the last one to %q", id)
+			return nil, errors.Errorf("connection carries answers to other requests, the last one to %q", res.Header.Get(r.IDHeader))
 		}
 		c.limit.end()
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes))
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,18 +46,28 @@
 	limit    *headLimit
 	endpoint string
 	address  netip.AddrPort
-	isReused bool
+	carried  carried
 	// idleTimeout is how long the connection may be idle before it is closed; it is not reused if this is not positive.
 	idleTimeout time.Duration
 	idleSince   time.Time
 }
 
-// Get returns an idle connection to the endpoint with the id, or opens one; the error is a *ConnectError.
-func (p *Pool) Get(ctx context.Context, id string, addr netip.AddrPort) (*Conn, error) {
-	if c := p.takeIdle(id, addr); c != nil {
+// Get returns a connection to the endpoint for the request with the id: an idle one on which the request's answer can be told
+// from those to earlier requests, or a new one; the error is a *ConnectError.
+func (p *Pool) Get(ctx context.Context, endpoint string, addr netip.AddrPort, request string) (*Conn, error) {
+	if c := p.takeIdle(endpoint, addr, func(c *Conn) bool { return c.carried.allows(request) }); c != nil {
 		return c, nil
 	}
-	return p.dial(ctx, id, addr)
+	return p.dial(ctx, endpoint, addr)
+}
+
+// GetAny returns an idle connection to the endpoint, or opens one, for a request without an id, whose answer changes nothing if
+// it is that to an earlier request; the error is a *ConnectError.
+func (p *Pool) GetAny(ctx context.Context, endpoint string, addr netip.AddrPort) (*Conn, error) {
+	if c := p.takeIdle(endpoint, addr, func(*Conn) bool { return true }); c != nil {
+		return c, nil
+	}
+	return p.dial(ctx, endpoint, addr)
 }
 
 // Reach opens a connection to the endpoint with the id and keeps it for reuse; the error is a *ConnectError.
@@ -103,23 +114,31 @@
 	return connected
 }
 
-// takeIdle returns the connection that was used last and is still usable, or nil; it closes unusable ones.
-func (p *Pool) takeIdle(id string, addr netip.AddrPort) *Conn {
+// takeIdle returns the connection that was used last, of those that are still usable and fit, or nil; it closes unusable ones.
+func (p *Pool) takeIdle(endpoint string, addr netip.AddrPort, fits func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	list := p.idle[id]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		if c.address == addr && now.Sub(c.idleSince) < c.idleTimeout && c.hasNoInput() {
-			p.idle[id] = list
-			c.isReused = true
+	list := p.idle[endpoint]
+	defer func() {
+		if len(list) == 0 {
+			delete(p.idle, endpoint)
+			return
+		}
+		p.idle[endpoint] = list
+	}()
+	for n := len(list) - 1; n >= 0; n-- {
+		c := list[n]
+		isUsable := c.address == addr && now.Sub(c.idleSince) < c.idleTimeout && c.hasNoInput()
+		if isUsable && !fits(c) {
+			continue
+		}
+		list = slices.Delete(list, n, n+1)
+		if isUsable {
 			return c
 		}
 		_ = c.Close()
 	}
-	delete(p.idle, id)
 	return nil
 }
 
--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -64,7 +65,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	conn, err := p.Get(ctx, "e", addr)
+	conn, err := p.Get(ctx, "e", addr, id)
 	if err != nil {
 		return "", err
 	}
@@ -226,7 +227,7 @@
 	conns := make([]*Conn, 4)
 	for i := range conns {
 		var err error
-		conns[i], err = p.Get(t.Context(), "e", addr)
+		conns[i], err = p.Get(t.Context(), "e", addr, "0")
 		require.NoError(t, err)
 	}
 	for _, c := range conns {
@@ -284,3 +285,61 @@
 		})
 	}
 }
+
+// TestCopyOfAnEarlierAnswerIsNoAnswerToTheNextRun sends a request again under its id, with others before it or none. The endpoint
+// writes all answers of the connection once more before each further one; each run has an answer of its own.
+func TestCopyOfAnEarlierAnswerIsNoAnswerToTheNextRun(t *testing.T) {
+	chunked := func(run string) string { return "Transfer-Encoding: chunked\r\n\r\n5\r\nrun " + run + "\r\n0\r\n\r\n" }
+	sized := func(run string) string { return "Content-Length: 5\r\n\r\nrun " + run }
+	for _, c := range []struct {
+		name, status string
+		rest         func(run string) string
+		ids          string
+		connections  int
+	}{
+		{"a failure", "500 Internal Server Error", sized, "11", 2},
+		{"a failure, another request between", "500 Internal Server Error", sized, "121", 2},
+		{"an answer with a length", "200 OK", sized, "11", 2},
+		{"an answer in chunks", "200 OK", chunked, "121", 2},
+		{"a refusal", "503 Service Unavailable", sized, "11", 2},
+		{"refusals of other requests", "503 Service Unavailable", sized, "123", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runs := atomic.Int64{}
+			addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+				copies := ""
+				answerEach(br, func(id string) bool {
+					answer := "HTTP/1.1 " + c.status + "\r\nX-Id: " + id + "\r\n" + c.rest(strconv.FormatInt(runs.Add(1), 10))
+					_, _ = io.WriteString(conn, copies+answer)
+					copies += answer
+					return true
+				})
+			})
+			p := NewPool(atMost(4))
+			for n, id := range strings.Split(c.ids, "") {
+				text, err := roundTrip(t, p, addr, id, []byte("body"))
+				require.NoError(t, err)
+				assert.Equal(t, "run "+strconv.Itoa(n+1), text)
+			}
+			assert.Len(t, opened, c.connections)
+		})
+	}
+}
+
+// TestManyRequestsShareAConnection sends more requests than a connection remembers.
+func TestManyRequestsShareAConnection(t *testing.T) {
+	addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		answerEach(br, func(id string) bool {
+			_, _ = io.WriteString(conn, reply(id, "Content-Length: 2\r\n", "ok"))
+			return true
+		})
+	})
+	p := NewPool(atMost(4))
+	for n := range 3 * maxCarriedIDs {
+		_, err := roundTrip(t, p, addr, strconv.Itoa(n), nil)
+		require.NoError(t, err)
+	}
+	assert.Len(t, opened, 1)
+	require.Len(t, p.idle["e"], 1)
+	assert.Len(t, p.idle["e"][0].carried.ids, maxCarriedIDs)
+}
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -117,7 +117,7 @@
 func (r *Runner) exchange(ctx context.Context, t *task, run *itemRun) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	conn, err := r.pool.Get(ctx, run.endpoint.ID, run.endpoint.Address)
+	conn, err := r.pool.Get(ctx, run.endpoint.ID, run.endpoint.Address, t.item.ID)
 	if err != nil {
 		return err
 	}
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -111,7 +111,7 @@
 }
 
 func (p *Prober) poll(ctx context.Context, e registrar.Endpoint) (int, error) {
-	conn, err := p.pool.Get(ctx, e.ID, e.Address)
+	conn, err := p.pool.GetAny(ctx, e.ID, e.Address)
 	if err != nil {
 		return 0, err
 	}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -408,7 +408,7 @@
 	ending := placer.EndedFailed
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
-	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address)
+	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address, q.id)
 	if err != nil {
 		q.cause = err
 		if q.ctx.Err() != nil {
