--- a/pkg/confirmer/confirmer_test.go
+++ b/pkg/confirmer/confirmer_test.go
@@ -72,7 +72,7 @@
 				func() *registrar.Registry { return registrar.NewRegistry(cfg, nil) }, pool)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			conn, err := pool.Get(ctx, e.ID, e.Address)
+			conn, err := pool.Open(ctx, e.ID, e.Address)
 			require.NoError(t, err)
 			x, err := pool.Do(ctx, conn, dialer.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
 			require.NoError(t, err)
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -73,7 +73,7 @@
 			func() *registrar.Registry { return nil }, liveMembers{}, log,
 		)
 		m.Start(ctx)
-		v := &testVM{t: t, runner: New(platform.Headers(), m, nil, nil, nil, nil, nil, nil, nil, log), begun: &begun}
+		v := &testVM{t: t, runner: New(platform.Headers(), m, nil, nil, nil, nil, nil, nil, nil, nil, log), begun: &begun}
 		vms = append(vms, v)
 	}
 	time.Sleep(feedDelay)
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -434,7 +434,7 @@
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
 	q.endsAtClose, q.firstEvent = false, continuer.NoEvent
-	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address)
+	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address, q.id)
 	if err != nil {
 		q.cause = err
 		if q.ctx.Err() != nil {
