itemrunner: a batch item's text goes on only with its own next event

What callers saw: texts of batch items with data of two runs, or with an error's text in them (ORDER). appendEvent checked ids only between two events that had one, so events without ids were joined over runs, and one amid a run was taken in.

Now items use continuer.Sequence, as streams do; an output with events without ids is not saved, and begun anew.

--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -146,6 +146,39 @@
 	}
 }
 
+// TestItemIsContinuedByItsOwnRestOnly guards against a text of a batch item that goes on with an answer that is not its rest.
+// After a part of the item, one bad answer comes, and then its rest.
+func TestItemIsContinuedByItsOwnRestOnly(t *testing.T) {
+	t.Parallel()
+	part, rest := chunked(false, eventAt(0), eventAt(1)), chunked(true, eventAt(2), eventAt(3))
+	whole := chunked(true, eventAt(0), eventAt(1), eventAt(2), eventAt(3))
+	cases := []struct {
+		name    string
+		answers []string
+	}{
+		{"a gap", []string{part, chunked(true, eventAt(3)), rest}},
+		{"events that were there", []string{part, chunked(true, eventAt(1), eventAt(2), eventAt(3)), rest}},
+		{"data without an id", []string{part, chunked(true, "data: x\n\n", eventAt(2), eventAt(3)), rest}},
+		{"no content", []string{part, "HTTP/1.1 204 No Content\r\n" + signedHead + "\r\n", rest}},
+		{"a text with status 200", []string{part, sized("200 OK", "text/event-stream", "out of memory\n\n"), rest}},
+		{"a head in the text", []string{part, chunked(true, "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\n\r\n"), rest}},
+		{"parts without ids", []string{chunked(false, "data: a\n\n", "data: b\n\n"), whole}},
+		{"parts without ids, then with", []string{chunked(false, "data: a\n\n", eventAt(0)), whole}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := newScriptedFleet(t, c.answers...)
+			job, items := newID("j"), newItems(1)
+			items[0].ID = newID("i")
+			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+			r := f.await(f.vms[0], job, 1).Results[0]
+			assert.Equal(t, "succeeded", r.State)
+			assert.Equal(t, standin.CompleteOutput(r.ID, 4), r.Output)
+		})
+	}
+}
+
 // TestStreamWithoutIDsIsNotResumed guards against a stream that is joined from two runs, since no id says where the first one
 // ended.
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -344,10 +344,12 @@
 	assert.Len(t, p.idle["e"][0].carried.ids, maxCarriedIDs)
 }
 
-// TestExtraRefusalWithoutAnIDIsNoRefusalOfTheNextRequest has an endpoint write a refusal that names no request before its answer to
-// the second request, which it runs. The refusal of a request that is the first on its connection needs no name.
+// TestExtraRefusalWithoutAnIDIsNoRefusalOfTheNextRequest has an endpoint write a refusal that names no request before its answer
+// to the second request, which it runs. The refusal of a request that is the first on its connection needs no name.
 func TestExtraRefusalWithoutAnIDIsNoRefusalOfTheNextRequest(t *testing.T) {
-	for _, status := range []string{"400 Bad Request", "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable"} {
+	for _, status := range []string{
+		"400 Bad Request", "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable",
+	} {
 		t.Run(status, func(t *testing.T) {
 			refusal := "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
 			addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -43,15 +43,15 @@
 	byJob := map[string]jobCheckpoint{}
 	for id, j := range r.jobs {
 		for i, t := range j.tasks {
-			if t.isOver || t.lastEvent < t.savedEvent+minCheckpointEvents {
+			if t.isOver || !t.sequence.CanResume() || t.sequence.Last() < t.savedEvent+minCheckpointEvents {
 				continue
 			}
 			software, _ := t.begun.Get()
 			c := byJob[id]
 			c.outputs = append(c.outputs, t.itemOutput)
 			c.list = append(c.list, jobmanager.Checkpoint{
-				Item: i, Software: software, After: t.savedEvent, LastEvent: t.lastEvent, Writer: j.writer, IsFirstOfWriter: !t.hasSaved,
-				Output: append([]byte(nil), t.output[t.savedBytes:]...),
+				Item: i, Software: software, After: t.savedEvent, LastEvent: t.sequence.Last(), Writer: j.writer,
+				IsFirstOfWriter: !t.hasSaved, Output: append([]byte(nil), t.output[t.savedBytes:]...),
 			})
 			byJob[id] = c
 		}
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -103,8 +103,8 @@
 	v.task.run = run
 	for range n {
 		*v.begun++
-		data := fmt.Appendf(nil, "%d.%0*d", v.task.lastEvent+1, width, *v.begun)
-		require.NoError(v.t, v.runner.appendEvent(v.task, run, relayer.Event{ID: v.task.lastEvent + 1, Data: data}))
+		data := fmt.Appendf(nil, "%d.%0*d", v.task.sequence.Last()+1, width, *v.begun)
+		require.NoError(v.t, v.runner.appendEvent(v.task, run, relayer.Event{ID: v.task.sequence.Last() + 1, Data: data}))
 	}
 	v.task.run = nil
 }
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -68,7 +69,7 @@
 	r.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
 		"job": t.job.id, "item": t.item.ID, "endpoint": run.endpoint.ID, "outcome": outcome,
-		"firstEvent": run.firstEvent, "lastEvent": t.lastEvent, "endsAtClose": run.endsAtClose,
+		"firstEvent": run.firstEvent, "lastEvent": t.sequence.Last(), "endsAtClose": run.endsAtClose,
 		"took": time.Since(run.started).Milliseconds(), "dueIn": time.Until(t.job.due).Milliseconds(),
 	}
 	if err != nil {
@@ -187,8 +188,8 @@
 	h[r.headers.RequestID] = []string{t.item.ID}
 	h[r.headers.ExpectInstance] = []string{run.endpoint.ID}
 	r.mu.Lock()
-	if t.lastEvent >= 0 {
-		h[r.headers.LastEventID] = []string{strconv.FormatInt(t.lastEvent, 10)}
+	if last := t.sequence.Last(); last != continuer.NoEvent {
+		h[r.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
 	}
 	r.mu.Unlock()
 	return dialer.Request{
@@ -220,15 +221,15 @@
 	if t.run != run {
 		return errNotNeeded
 	}
-	if run.firstEvent < 0 {
+	if run.firstEvent == continuer.NoEvent {
 		run.firstEvent = e.ID
 	}
-	if e.ID >= 0 && t.lastEvent >= 0 && e.ID != t.lastEvent+1 {
-		return errors.Errorf("gap in the event stream: event %d follows event %d", e.ID, t.lastEvent)
-	}
 	if len(t.output)+len(e.Data) > maxOutputBytes {
 		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
 	}
+	if err := t.sequence.Add(e.ID); err != nil {
+		return err
+	}
 	if _, hasBegun := t.begun.Get(); !hasBegun {
 		t.begun = option.Some(run.endpoint.Software())
 	}
@@ -239,8 +240,5 @@
 		t.output = append(t.output, e.Data...)
 		t.hasOutput = true
 	}
-	if e.ID >= 0 {
-		t.lastEvent = e.ID
-	}
 	return nil
 }
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -104,8 +104,8 @@
 // itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
 // reset, so that a checkpoint which is being written can't be taken for one of the next output.
 type itemOutput struct {
-	// lastEvent is the id of the last event received, or -1.
-	lastEvent int64
+	// sequence is that of the events received.
+	sequence  continuer.Sequence
 	output    []byte
 	hasOutput bool
 	// begun is the software version that began the output; none while there is none.
@@ -117,12 +117,14 @@
 	hasSaved bool
 }
 
-func newItemOutput() *itemOutput { return &itemOutput{lastEvent: noEvent, savedEvent: noEvent} }
+func newItemOutput() *itemOutput {
+	return &itemOutput{sequence: continuer.NewSequence(continuer.NoEvent), savedEvent: continuer.NoEvent}
+}
 
 // continued returns an output that goes on after what was saved of another one.
 func continued(c jobmanager.Checkpoint) *itemOutput {
 	return &itemOutput{
-		lastEvent: c.LastEvent, output: c.Output, hasOutput: true, begun: option.Some(c.Software),
+		sequence: continuer.NewSequence(c.LastEvent), output: c.Output, hasOutput: true, begun: option.Some(c.Software),
 		savedBytes: len(c.Output), savedEvent: c.LastEvent,
 	}
 }
@@ -133,8 +135,8 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
-	// firstEvent is the id of the run's first event, noEvent before it; endsAtClose says that its answer has neither a length nor
-	// chunks. Both are for the log.
+	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
+	// length nor chunks. Both are for the log.
 	firstEvent  int64
 	endsAtClose bool
 }
@@ -436,6 +438,10 @@
 			t.begun = option.Some(only)
 		}
 	}
+	if !t.sequence.CanResume() {
+		// No id tells the endpoint where the output ended.
+		t.discardOutput()
+	}
 	waited := now.Sub(t.idleSince)
 	e, ticket, ok := r.balancer.TakeOfferAt(service, func(e registrar.Endpoint) bool {
 		return continuer.At(t.begun, e, served, waited) != continuer.Await
@@ -445,12 +451,12 @@
 	}
 	if continuer.At(t.begun, e, served, waited) == continuer.Restart {
 		r.log.WithFields(logrus.Fields{
-			"job": t.job.id, "item": t.item.ID, "lastEvent": t.lastEvent, "endpoint": e.ID, "softwareVersion": e.SoftwareVersion,
+			"job": t.job.id, "item": t.item.ID, "lastEvent": t.sequence.Last(), "endpoint": e.ID, "softwareVersion": e.SoftwareVersion,
 		}).Info("output of item discarded: no slot at the software version that began it")
 		t.discardOutput()
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
-	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now, firstEvent: noEvent}
+	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now, firstEvent: continuer.NoEvent}
 	go r.runItem(runCtx, t, t.run, route)
 	return true
 }
@@ -458,9 +464,6 @@
 // discardOutput makes the item's next run begin anew.
 func (t *task) discardOutput() { t.itemOutput = newItemOutput() }
 
-// noEvent is the id of the last event before the first.
-const noEvent = -1
-
 // lateUrgency is the time until due that the balancer receives for items that can no longer meet their due time.
 const lateUrgency = time.Minute
 
