watcher: an endpoint that leaves is gone in time, however many leave after an outage

Cause: a removal within 2 s of a failed call kept the endpoint for outageGrace from the removal, and one timer served all of them: when it fired for the first endpoint it was set anew for a whole outageGrace, so the second was kept for up to 4 s. Class: a shared timer re-armed by a later event extends an earlier deadline. The deadline itself was counted from the wrong event too: the platform says that entries which expired in an outage are back within two seconds of the store's return, not of their removal.

Fix: removals are kept until outageGrace after the store first answered again, one deadline for all that one outage removed, and the timer is set to the earliest deadline.

Evidence: before, TestEndpointsThatLeaveOneAfterAnotherAreGoneInTime failed with "endpoint b is used 2.2s after its removal"; TestReturnOfTheStoreIsSeenBeforeItsNextChange fails if the watch after a failure waits.

--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -19,6 +19,8 @@
 	// minRetryPause and maxRetryPause limit the pause after a failed call, which doubles with each failure.
 	minRetryPause = 50 * time.Millisecond
 	maxRetryPause = 400 * time.Millisecond
+	// probeTimeout is the wait of the first watch after a failed call: its answer tells when the store is back.
+	probeTimeout = time.Millisecond
 	// lostThreshold is the number of consecutive failed calls at which the store counts as lost; a single one may be due to a
 	// reset connection.
 	lostThreshold = 2
@@ -31,8 +33,8 @@
 	Version int64
 	// IsFull says that Entries holds all rows of the table: any other row does not exist.
 	IsFull bool
-	// AfterOutage says that a call to the store failed less than outageGrace before.
-	AfterOutage bool
+	// StoreBackAt is the time at which the store first answered again after the last failed call; it is zero if none failed.
+	StoreBackAt time.Time
 }
 
 // Feed follows one table.
@@ -50,7 +52,7 @@
 	// historyLosses counts the watches in a row whose history was lost.
 	historyLosses int
 	failures      int
-	lastFailureAt time.Time
+	backAt        time.Time
 
 	isLost       atomic.Bool
 	lastAnswerAt atomic.Int64
@@ -113,7 +115,11 @@
 		u, err := f.scan(ctx)
 		return f.handleResult(ctx, u, err)
 	}
-	page, err := f.store.Watch(ctx, f.table, f.version, watchTimeout)
+	wait := watchTimeout
+	if f.failures > 0 {
+		wait = probeTimeout
+	}
+	page, err := f.store.Watch(ctx, f.table, f.version, wait)
 	lost := (*storer.HistoryLostError)(nil)
 	if errors.As(err, &lost) {
 		f.log.WithField("after", f.version).Info("store no longer has the changes after this version; reading the whole table")
@@ -155,7 +161,6 @@
 	if err != nil {
 		f.failures++
 		f.isLost.Store(f.failures >= lostThreshold)
-		f.lastFailureAt = now
 		if f.failures == 1 {
 			f.log.WithError(err).WithField("version", f.version).Warn("store lost")
 		}
@@ -163,12 +168,12 @@
 	}
 	if f.failures > 0 {
 		f.log.WithFields(logrus.Fields{"failures": f.failures, "version": u.Version}).Info("store regained")
-		f.failures = 0
+		f.failures, f.backAt = 0, now
 		f.isLost.Store(false)
 	}
 	f.lastAnswerAt.Store(now.UnixNano())
 	f.isSynced = true
-	u.AfterOutage = !f.lastFailureAt.IsZero() && now.Sub(f.lastFailureAt) < outageGrace
+	u.StoreBackAt = f.backAt
 	if u.Version > f.version || u.IsFull {
 		f.version = u.Version
 	}
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// outageGrace is the maximum time that a live endpoint takes to register again after an outage of the store.
+	// outageGrace is the maximum time that a live endpoint takes to register again once the store is back.
 	outageGrace = 2 * time.Second
 	// endpointGap is the pause between calls of the endpoints' feed. While endpoints are replaced, one call then returns several
 	// changes; it adds little to the time within which a draining endpoint must get no more requests.
@@ -41,11 +41,12 @@
 	// rows holds the newest known row of each endpoint, including removed ones.
 	rows map[string]endpointRow
 	// leaving holds the endpoints that said in an answer that they leave.
-	leaving       registrar.Leaving
-	configRow     storer.Entry
-	configSource  registrar.ConfigRow
-	cfg           *registrar.Config
-	pendingExpiry *time.Timer
+	leaving      registrar.Leaving
+	configRow    storer.Entry
+	configSource registrar.ConfigRow
+	cfg          *registrar.Config
+	// expiry runs expire when the first of the rows expires.
+	expiry *time.Timer
 }
 
 type endpointRow struct {
@@ -53,7 +54,7 @@
 	endpoint registrar.Endpoint
 	// isUsable is false for removed and unreadable rows.
 	isUsable bool
-	// expires is the time until which a row that was removed after an outage stays usable; it is zero for all other rows.
+	// expires is the time until which a row that was removed around an outage stays usable; it is zero for all other rows.
 	expires time.Time
 }
 
@@ -109,7 +110,7 @@
 				w.applyConfig(e, sourcePeer)
 			}
 		case w.decoder.EndpointTable:
-			w.applyEndpoint(e, now, false)
+			w.applyEndpoint(e, now, time.Time{})
 		}
 	}
 	w.publish()
@@ -161,24 +162,29 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	keepUntil := time.Time{}
+	if !u.StoreBackAt.IsZero() {
+		keepUntil = u.StoreBackAt.Add(outageGrace)
+	}
 	listed := map[string]bool{}
 	for _, e := range u.Entries {
 		listed[e.Key] = true
-		w.applyEndpoint(e, now, u.AfterOutage)
+		w.applyEndpoint(e, now, keepUntil)
 	}
 	if u.IsFull {
 		for id, row := range w.rows {
 			if !listed[id] && !row.entry.IsRemoved && row.entry.Version <= u.Version {
-				w.applyEndpoint(storer.Entry{Key: id, Version: u.Version, IsRemoved: true}, now, u.AfterOutage)
+				w.applyEndpoint(storer.Entry{Key: id, Version: u.Version, IsRemoved: true}, now, keepUntil)
 			}
 		}
 	}
+	w.scheduleExpiry(now)
 	w.publish()
 }
 
-// applyEndpoint applies a row unless a newer one is known. An endpoint removed after an outage stays usable for at least
-// outageGrace, because it may only have to register again. The lock is held.
-func (w *Watcher) applyEndpoint(e storer.Entry, now time.Time, afterOutage bool) {
+// applyEndpoint applies a row unless a newer one is known. An endpoint that is removed before keepUntil stays usable until then,
+// because it may only have to register again. The lock is held.
+func (w *Watcher) applyEndpoint(e storer.Entry, now, keepUntil time.Time) {
 	old := w.rows[e.Key]
 	if e.Version < old.entry.Version || (e.Version == old.entry.Version && e.IsRemoved == old.entry.IsRemoved) {
 		return
@@ -186,11 +192,11 @@
 	log := w.log.WithFields(logrus.Fields{"endpoint": e.Key, "row": e.Version})
 	if e.IsRemoved {
 		row := endpointRow{entry: e}
-		if afterOutage && old.isUsable {
-			row.endpoint, row.isUsable, row.expires = old.endpoint, true, now.Add(outageGrace)
-			w.scheduleExpiry()
+		if now.Before(keepUntil) && old.isUsable {
+			row.endpoint, row.isUsable, row.expires = old.endpoint, true, keepUntil
+			log = log.WithField("keptFor", keepUntil.Sub(now).Truncate(time.Millisecond).String())
 		}
-		log.WithField("keptFor", row.expires.Sub(now).Truncate(time.Millisecond).String()).Info("endpoint gone")
+		log.Info("endpoint gone")
 		w.rows[e.Key] = row
 		return
 	}
@@ -221,31 +227,35 @@
 	return true
 }
 
-// scheduleExpiry runs expire after outageGrace unless it is scheduled already; the lock is held.
-func (w *Watcher) scheduleExpiry() {
-	if w.pendingExpiry != nil {
-		return
+// scheduleExpiry has expire run when the first row expires; the lock is held.
+func (w *Watcher) scheduleExpiry(now time.Time) {
+	next := time.Time{}
+	for _, row := range w.rows {
+		if !row.expires.IsZero() && (next.IsZero() || row.expires.Before(next)) {
+			next = row.expires
+		}
+	}
+	switch {
+	case next.IsZero():
+	case w.expiry == nil:
+		w.expiry = time.AfterFunc(next.Sub(now), w.expire)
+	default:
+		w.expiry.Reset(next.Sub(now))
 	}
-	w.pendingExpiry = time.AfterFunc(outageGrace, w.expire)
 }
 
 // expire makes the rows whose grace time has passed unusable.
 func (w *Watcher) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.pendingExpiry = nil
 	now := time.Now()
 	for id, row := range w.rows {
-		if row.expires.IsZero() {
-			continue
-		}
-		if now.Before(row.expires) {
-			w.scheduleExpiry()
-			continue
+		if !row.expires.IsZero() && !now.Before(row.expires) {
+			row.isUsable, row.expires = false, time.Time{}
+			w.rows[id] = row
 		}
-		row.isUsable, row.expires = false, time.Time{}
-		w.rows[id] = row
 	}
+	w.scheduleExpiry(now)
 	w.publish()
 }
 
