resumer: a VM out of step does not resume a stream at the only version that it knows

Streams that had begun at endpoints of the new software version through other VMs were taken up there and went on at an endpoint of the old one.

Cause: a VM that knew one software version of a service asked other VMs for 30 ms and, if none knew the stream, trusted that version. Its view of the endpoints could be seconds old, questions and answers get lost, and a VM that is cut off or wakes up gets none. Besides, only the last state of the endpoints counted: a version that joined, began streams and left within one read of the feed, or before a full read after a lost history, was never seen. Class: silence is taken for a negative answer, and a state read before the question for one that answers it.

Fix: the only version is trusted once the endpoints' changes have been read from the store after the request arrived (continuer.History.Only): what began the stream was in the store before that. The read returns at once, runs beside the questions to the other VMs, and all requests that wait when it begins share it; a request that resumes nothing costs nothing new. The history takes every row of a page into account, draining endpoints too, and after a full read it is incomplete until the record of the table "software" has been read anew. If the store gives no answer, what neither this VM nor those asked know is refused, as before, by 503. Items whose checkpoints lack the version wait for the same read, up to the time that items wait for their version; before, the only version was trusted there even just after a start.

--- a/pkg/core/continuer/continuation.go
+++ b/pkg/core/continuer/continuation.go
@@ -21,9 +21,9 @@
 	Restart
 )
 
-// maxAwait is how long an output waits for an endpoint of the software version that began it; a run anew takes a few times as
+// MaxAwait is how long an output waits for an endpoint of the software version that began it; a run anew takes a few times as
 // long.
-const maxAwait = 2 * time.Second
+const MaxAwait = 2 * time.Second
 
 // At returns what becomes of an output that the software version began, none for an output without an event, at the endpoint e
 // of a service whose endpoints that accept requests have the versions served; waited is how long it has waited for a slot.
@@ -34,7 +34,7 @@
 	switch {
 	case !ok || software == e.Software():
 		return Continue
-	case waited < maxAwait && slices.Contains(served, software):
+	case waited < MaxAwait && slices.Contains(served, software):
 		return Await
 	default:
 		return Restart
--- a/pkg/core/continuer/continuer_test.go
+++ b/pkg/core/continuer/continuer_test.go
@@ -67,12 +67,65 @@
 	now := start.Add(2 * time.Second)
 	h := NewHistory(now)
 	h.Observe(now, registryOf("v2"))
-	h.Restore(now, "s", record)
+	h.Restore(now, "s", record, now)
 	assertPossible(t, h, now, true, "v0", "v1", "v2")
 	assertPossible(t, h, now.Add(Memory-time.Second), true, "v1", "v2")
 	assertPossible(t, h, now.Add(Memory), true, "v2")
 }
 
+// TestVersionThatWasNotHeardOfIsNotRuledOut guards against a stream that goes on at the only version that a VM knows, while it
+// has not heard of another one.
+func TestVersionThatWasNotHeardOfIsNotRuledOut(t *testing.T) {
+	h := NewHistory(start)
+	now := start.Add(Memory)
+	h.Observe(now, registryOf("v1"))
+	only := func(at time.Time) option.Option[registrar.Software] { return h.Only(now, "s", at) }
+	assert.Equal(t, option.None[registrar.Software](), only(now), "nothing is confirmed yet")
+	h.Confirm(now)
+	assert.Equal(t, option.Some(software("v1")), only(now))
+	assert.Equal(t, option.None[registrar.Software](), only(now.Add(1)))
+	h.Confirm(now.Add(-1))
+	assert.Equal(t, option.Some(software("v1")), only(now), "an older read does not undo a newer one")
+
+	gap := registryOf("v1")
+	gap.HasGap = true
+	h.Observe(now, gap)
+	h.Confirm(now)
+	assert.Equal(t, option.None[registrar.Software](), only(now), "a version may have come and gone")
+	record, _ := h.RecordOf(now, "s")
+	h.Restore(now, "s", record, now.Add(-1))
+	assert.Equal(t, option.None[registrar.Software](), only(now), "the record may be older than the gap")
+	h.Restore(now, "s", record, now)
+	assert.Equal(t, option.Some(software("v1")), only(now))
+}
+
+// TestVersionThatServedForAMomentIsPossible checks versions that no registry has among those that accept requests.
+func TestVersionThatServedForAMomentIsPossible(t *testing.T) {
+	h := NewHistory(start)
+	now := start.Add(Memory)
+	h.Observe(now, registryOf("v1"))
+	passed := registryOf("v1")
+	passed.Passed = []registrar.Endpoint{{ID: "2", Service: "s", SoftwareVersion: "v2"}}
+	assert.Equal(t, []string{"s"}, h.Observe(now, passed))
+	assertPossible(t, h, now, true, "v1", "v2")
+	assert.Empty(t, h.Observe(now, registryOf("v1")))
+	now = now.Add(Memory)
+	assertPossible(t, h, now, true, "v1")
+	h.Observe(now, passed)
+	assertPossible(t, h, now, true, "v1", "v2")
+
+	now = now.Add(Memory)
+	draining := registrar.NewRegistry(nil, map[string]registrar.Endpoint{
+		"1": {ID: "1", Service: "s", SoftwareVersion: "v1"},
+		"3": {ID: "3", Service: "s", SoftwareVersion: "v3", IsDraining: true},
+	})
+	assert.Equal(t, []string{"s"}, h.Observe(now, draining))
+	assertPossible(t, h, now, true, "v1", "v3")
+	now = now.Add(Memory)
+	assert.Empty(t, h.Observe(now, draining))
+	assertPossible(t, h, now, true, "v1")
+}
+
 func TestLedger(t *testing.T) {
 	l := NewLedger()
 	find := func(now time.Time, id string) (registrar.Software, bool) { return l.Find(now, StreamOf(id)).Get() }
@@ -112,7 +165,7 @@
 	assert.Equal(t, Continue, At(none, e, both, 0))
 	assert.Equal(t, Continue, At(option.Some(v2), e, both, 0))
 	assert.Equal(t, Await, At(begun, e, both, 0))
-	assert.Equal(t, Restart, At(begun, e, both, maxAwait), "a version with few slots must not hold an item back")
+	assert.Equal(t, Restart, At(begun, e, both, MaxAwait), "a version with few slots must not hold an item back")
 	assert.Equal(t, Restart, At(begun, e, only, 0), "the version that began it is gone")
 	_, isBound := BoundTo(begun, only).Get()
 	assert.False(t, isBound)
--- a/pkg/core/continuer/history.go
+++ b/pkg/core/continuer/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 // Memory is the longest time between the begin of a stream and the last attempt to resume it: a stream's longest life, and that
@@ -14,9 +15,14 @@
 
 // History holds which software versions of each service accept requests, or did so within Memory; it is not safe for concurrent
 // use.
+//
+// A version may serve for some time before a VM hears of it. What the VM hasn't seen is not taken for absent: see Only.
 type History struct {
-	start    time.Time
-	services map[string]*lifetimes
+	// start is the time since which no change of the endpoints was missed.
+	start time.Time
+	// confirmed is the time up to which all changes of the endpoints have been observed.
+	confirmed time.Time
+	services  map[string]*lifetimes
 }
 
 // lifetimes holds the software versions of one service.
@@ -24,6 +30,8 @@
 	// current holds those that accept requests; ended holds when the others stopped.
 	current map[registrar.Software]bool
 	ended   map[registrar.Software]time.Time
+	// draining holds those of endpoints that drain.
+	draining map[registrar.Software]bool
 	// isComplete says that the versions of the time before the history's start are known.
 	isComplete bool
 }
@@ -42,37 +50,94 @@
 	return l
 }
 
-// Observe records the endpoints that accept requests now, by service, and returns the services whose software versions changed.
+// Observe records the endpoints that accept requests now, by service, and those that did before, and returns the services whose
+// software versions changed.
 func (h *History) Observe(now time.Time, r *registrar.Registry) []string {
-	var changed []string
-	services := slices.Collect(maps.Keys(h.services))
-	for _, s := range r.Services() {
-		if _, ok := h.services[s]; !ok {
-			services = append(services, s)
+	if r.HasGap {
+		h.start = now
+		for _, l := range h.services {
+			l.isComplete = false
+		}
+	}
+	passed, draining := softwareByService{}, softwareByService{}
+	for _, e := range r.Passed {
+		passed.add(e)
+	}
+	for _, e := range r.Endpoints {
+		if e.IsDraining {
+			draining.add(e)
 		}
 	}
+	services := slices.Concat(
+		slices.Collect(maps.Keys(h.services)), r.Services(), slices.Collect(maps.Keys(passed)),
+		slices.Collect(maps.Keys(draining)),
+	)
 	slices.Sort(services)
-	for _, service := range services {
+	var changed []string
+	for _, service := range slices.Compact(services) {
 		current := map[registrar.Software]bool{}
 		for _, s := range r.SoftwareOf(service) {
 			current[s] = true
 		}
-		l := h.of(service)
-		if maps.Equal(current, l.current) {
-			continue
+		if h.of(service).observe(now, current, passed[service], draining[service]) {
+			changed = append(changed, service)
 		}
-		changed = append(changed, service)
-		for s := range l.current {
-			if !current[s] {
-				l.ended[s] = now
-			}
+	}
+	return changed
+}
+
+type softwareByService map[string]map[registrar.Software]bool
+
+func (m softwareByService) add(e registrar.Endpoint) {
+	if m[e.Service] == nil {
+		m[e.Service] = map[registrar.Software]bool{}
+	}
+	m[e.Service][e.Software()] = true
+}
+
+// observe records the software versions that accept requests, that did since the last call, and of draining endpoints.
+// It reports whether any of them is new or has ended.
+func (l *lifetimes) observe(now time.Time, current, passed, draining map[registrar.Software]bool) bool {
+	isChanged := !maps.Equal(current, l.current)
+	end := func(s registrar.Software) {
+		if _, ok := l.ended[s]; !ok && !current[s] {
+			isChanged = true
 		}
-		for s := range current {
-			delete(l.ended, s)
+		l.ended[s] = now
+	}
+	for s := range l.current {
+		end(s)
+	}
+	for s := range passed {
+		end(s)
+	}
+	for s := range draining {
+		if !l.draining[s] {
+			end(s)
 		}
-		l.current = current
 	}
-	return changed
+	for s := range current {
+		delete(l.ended, s)
+	}
+	l.current, l.draining = current, draining
+	return isChanged
+}
+
+// Confirm records that all changes of the endpoints up to the time have been observed.
+func (h *History) Confirm(at time.Time) {
+	if at.After(h.confirmed) {
+		h.confirmed = at
+	}
+}
+
+// Only returns the software version that alone may have begun an output of the service that existed at the time, within Memory;
+// none if there are several, or if another one may have served of which this VM hasn't heard.
+func (h *History) Only(now time.Time, service string, at time.Time) option.Option[registrar.Software] {
+	possible, isComplete := h.Possible(now, service)
+	if !isComplete || len(possible) != 1 || h.confirmed.Before(at) {
+		return option.None[registrar.Software]()
+	}
+	return option.Some(possible[0])
 }
 
 // Record is what is known of a service's software versions, to be stored for VMs that start later.
@@ -99,8 +164,9 @@
 	return l.isComplete || now.Sub(h.start) >= Memory
 }
 
-// Restore adds a record that another VM stored. Versions that it calls current and that no longer are count as ended now.
-func (h *History) Restore(now time.Time, service string, r Record) {
+// Restore adds a record that another VM stored, and that was read at the time. Versions that it calls current and that no longer
+// are count as ended now.
+func (h *History) Restore(now time.Time, service string, r Record, readAt time.Time) {
 	l := h.of(service)
 	end := func(s registrar.Software, at time.Time) {
 		if !l.current[s] && l.ended[s].Before(at) {
@@ -113,9 +179,13 @@
 	for s, age := range r.Ended {
 		end(s, now.Add(-age))
 	}
-	l.isComplete = true
+	// A record that was read before endpoints came and went unseen may not have them.
+	l.isComplete = l.isComplete || !readAt.Before(h.start)
 }
 
+// IsKnownSince reports whether no change of the endpoints was missed since the time.
+func (h *History) IsKnownSince(at time.Time) bool { return !at.Before(h.start) }
+
 // Possible returns the software versions that may have begun an output of the service within Memory, in ascending order; false
 // means that there may have been others.
 func (h *History) Possible(now time.Time, service string) ([]registrar.Software, bool) {
--- a/pkg/core/registrar/endpoint.go
+++ b/pkg/core/registrar/endpoint.go
@@ -49,6 +49,11 @@
 	Config    *Config
 	ConfigRow ConfigRow
 	Endpoints map[string]Endpoint
+	// Passed holds the endpoints that accepted requests at some time since the registry before this one, and were replaced or
+	// removed.
+	Passed []Endpoint
+	// HasGap says that other endpoints may have come and gone unseen before this registry.
+	HasGap bool
 	// byService holds the endpoints of each service that are not draining.
 	byService map[string][]Endpoint
 	// software holds the software versions of these endpoints in ascending order, by service.
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -89,9 +89,10 @@
 	feed  *watcher.Feed
 	conn  *net.UDPConn
 	log   logrus.FieldLogger
+	// handler is what is called with payloads and updates.
+	handler atomic.Pointer[Handler]
 
 	mu       sync.Mutex
-	handler  Handler
 	detector *detector.Detector
 	// states is the detector's newest state of each other VM, members what else is known of them.
 	states  map[string]detector.Member
@@ -132,13 +133,14 @@
 		states: map[string]detector.Member{}, members: map[string]*member{}, ranks: map[string][]string{},
 		unlisted: make(chan struct{}, 1),
 	}
+	g.handler.Store(&Handler{})
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.applyTable, log)
 	g.feed.SetGap(listGap)
 	return g
 }
 
-// SetHandler sets what is called with payloads and updates; call it before Start.
-func (g *Gossiper) SetHandler(h Handler) { g.handler = h }
+// SetHandler sets what is called with payloads and updates; those that arrive before the first call are dropped.
+func (g *Gossiper) SetHandler(h Handler) { g.handler.Store(&h) }
 
 // Start listens, registers this VM and probes the others until ctx ends.
 func (g *Gossiper) Start(ctx context.Context) error {
@@ -223,8 +225,8 @@
 			newer = append(newer, out)
 		}
 	}
-	handler := g.handler
 	g.mu.Unlock()
+	handler := g.handler.Load()
 	for _, e := range leaving {
 		if handler.EndpointLeaving != nil {
 			handler.EndpointLeaving(e)
--- a/pkg/gossiper/socket.go
+++ b/pkg/gossiper/socket.go
@@ -88,8 +88,8 @@
 	kind, hasStore, body := datagram[0], datagram[2]&flagHasStore != 0, datagram[headerBytes:]
 	switch kind {
 	case typePayload:
-		if g.handler.Payload != nil {
-			g.handler.Payload(body)
+		if h := g.handler.Load(); h.Payload != nil {
+			h.Payload(body)
 		}
 	case typeMembers:
 		m, err := packer.DecodeDatagram(body)
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -48,8 +48,9 @@
 	isolator relayer.Isolator
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
-	// onlySoftware returns the software version that alone may have begun outputs of the service lately, if there is one.
-	onlySoftware func(service string) option.Option[registrar.Software]
+	// onlySoftware returns the software version that alone may have begun an output of the service that existed at the time, if
+	// there is one; false if that isn't known yet.
+	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool)
 	metrics      Metrics
 	log          logrus.FieldLogger
 
@@ -121,7 +122,7 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, onlySoftware func(service string) option.Option[registrar.Software],
+	i relayer.Isolator, onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool),
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
@@ -410,13 +411,17 @@
 func (r *Runner) startItem(
 	ctx context.Context, now time.Time, t *task, route registrar.Route, service string, served []registrar.Software,
 ) bool {
+	waited := now.Sub(t.idleSince)
 	if software, ok := t.begun.Get(); ok && software == continuer.Ambiguous {
 		// The output is from checkpoints of a build that did not record the version.
-		if only, ok := r.onlySoftware(service).Get(); ok {
-			t.begun = option.Some(only)
+		only, isKnown := r.onlySoftware(service, t.idleSince)
+		if !isKnown && waited < continuer.MaxAwait {
+			return false
+		}
+		if _, ok := only.Get(); ok {
+			t.begun = only
 		}
 	}
-	waited := now.Sub(t.idleSince)
 	e, ticket, ok := r.balancer.TakeOfferAt(service, func(e registrar.Endpoint) bool {
 		return continuer.At(t.begun, e, served, waited) != continuer.Await
 	})
--- a/pkg/resumer/records.go
+++ b/pkg/resumer/records.go
@@ -158,6 +158,7 @@
 }
 
 func (r *records) trySave(ctx context.Context, service string) error {
+	readAt := time.Now()
 	row, version, err := r.read(ctx, service)
 	if err != nil {
 		return err
@@ -165,7 +166,7 @@
 	now := time.Now()
 	r.resumer.mu.Lock()
 	if version > 0 {
-		r.resumer.history.Restore(now, service, row.record(now))
+		r.resumer.history.Restore(now, service, row.record(now), readAt)
 	}
 	record, _ := r.resumer.history.RecordOf(now, service)
 	r.resumer.mu.Unlock()
@@ -205,10 +206,14 @@
 func (r *records) restore(ctx context.Context, service string) {
 	r.restoring.Lock()
 	defer r.restoring.Unlock()
-	if time.Since(r.restored[service]) < restorePause {
+	readAt := time.Now()
+	r.resumer.mu.Lock()
+	isKnown := r.resumer.history.IsKnownSince(r.restored[service])
+	r.resumer.mu.Unlock()
+	if isKnown && readAt.Sub(r.restored[service]) < restorePause {
 		return
 	}
-	r.restored[service] = time.Now()
+	r.restored[service] = readAt
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
 	row, version, err := r.read(ctx, service)
@@ -222,5 +227,5 @@
 	r.resumer.mu.Lock()
 	defer r.resumer.mu.Unlock()
 	now := time.Now()
-	r.resumer.history.Restore(now, service, row.record(now))
+	r.resumer.history.Restore(now, service, row.record(now), readAt)
 }
--- a/pkg/resumer/resumer.go
+++ b/pkg/resumer/resumer.go
@@ -22,10 +22,10 @@
 	// askedVMs is the number of VMs asked for the beginning of a stream: those with a copy, and those that rank next once others are
 	// lost.
 	askedVMs = 10
-	// answerTimeout bounds the wait for the answers: two round trips between regions. confirmTimeout is that of a VM that knows one
-	// possible version only, and asks in case it has not heard yet of another one: several round trips within a region.
-	answerTimeout  = 100 * time.Millisecond
-	confirmTimeout = 30 * time.Millisecond
+	// answerTimeout bounds the wait for the answers: two round trips between regions.
+	answerTimeout = 100 * time.Millisecond
+	// confirmPause is the pause between two confirmations for outputs that can wait.
+	confirmPause = 200 * time.Millisecond
 	// announceWindow is the age up to which beginnings are passed on once a second software version serves; streams are shorter.
 	announceWindow = 10 * time.Second
 )
@@ -38,6 +38,12 @@
 	Send(vm string, payload []byte)
 }
 
+// Endpoints is where the endpoints that are observed come from.
+type Endpoints interface {
+	// Refresh has all changes observed that the store acknowledged before the call.
+	Refresh(ctx context.Context) error
+}
+
 // Counters count the streams that callers resumed, by what is known of their beginning, and malformed messages.
 type Counters struct {
 	Known, Unknown, Malformed atomic.Int64
@@ -45,10 +51,11 @@
 
 // Resumer knows which software version began streams; it is safe for concurrent use.
 type Resumer struct {
-	vm      string
-	network Network
-	records *records
-	log     logrus.FieldLogger
+	vm        string
+	network   Network
+	endpoints Endpoints
+	records   *records
+	log       logrus.FieldLogger
 
 	mu      sync.Mutex
 	history *continuer.History
@@ -59,6 +66,8 @@
 	isMixed bool
 	lastAsk uint64
 	asks    map[uint64]chan answerMessage
+	// confirming holds the services that runConfirm is to confirm the only software version of.
+	confirming map[string]bool
 
 	// Counters can be read from any goroutine.
 	Counters Counters
@@ -71,11 +80,15 @@
 	r := &Resumer{
 		vm: vm, network: n, log: log, history: continuer.NewHistory(time.Now()), ledger: continuer.NewLedger(),
 		software: map[string]registrar.Software{}, asks: map[uint64]chan answerMessage{},
+		confirming: map[string]bool{},
 	}
 	r.records = newRecords(r, store, rank, log)
 	return r
 }
 
+// SetEndpoints sets where the observed endpoints come from; call it before Start and before any stream is resumed.
+func (r *Resumer) SetEndpoints(e Endpoints) { r.endpoints = e }
+
 // Start stores the records of services, until ctx ends.
 func (r *Resumer) Start(ctx context.Context) { go r.records.run(ctx) }
 
@@ -170,67 +183,130 @@
 	return string(b[:])
 }
 
-// SoftwareOf returns the software version that began the stream of the service; none if it can't be told. It waits for other VMs
-// at most some tenths of a second.
+// SoftwareOf returns the software version that began the stream of the service; none if it can't be told. It waits for the store
+// and for other VMs at most some tenths of a second.
 func (r *Resumer) SoftwareOf(ctx context.Context, service, stream string) option.Option[registrar.Software] {
-	found := r.softwareOf(ctx, service, continuer.StreamOf(stream))
-	if s, ok := found.Get(); !ok || s == continuer.Ambiguous {
+	f := r.softwareOf(ctx, service, continuer.StreamOf(stream))
+	log := r.log.WithFields(logrus.Fields{"service": service, "stream": stream, "source": f.source})
+	if s, ok := f.software.Get(); !ok || s == continuer.Ambiguous {
 		r.Counters.Unknown.Add(1)
+		log.WithField("isAmbiguous", ok).Info("it is not known which software version began a resumed stream")
 		return option.None[registrar.Software]()
 	}
 	r.Counters.Known.Add(1)
-	return found
+	log.Debug("it is known which software version began a resumed stream")
+	return f.software
+}
+
+// finding is the software version that began a stream, and who knew it.
+type finding struct {
+	software option.Option[registrar.Software]
+	source   string
 }
 
-func (r *Resumer) softwareOf(ctx context.Context, service string, s continuer.Stream) option.Option[registrar.Software] {
-	found, only, isComplete := r.look(service, s)
+// Sources of findings.
+const (
+	sourceNone  = "none"
+	sourceOwn   = "own"
+	sourceOnly  = "only version"
+	sourcePeers = "peers"
+)
+
+func (r *Resumer) softwareOf(ctx context.Context, service string, s continuer.Stream) finding {
+	arrived := time.Now()
+	r.mu.Lock()
+	found := r.ledger.Find(arrived, s)
+	r.mu.Unlock()
 	if _, ok := found.Get(); ok {
-		return found
+		return finding{found, sourceOwn}
 	}
-	if !isComplete {
-		r.records.restore(ctx, service)
-		_, only, _ = r.look(service, s)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	findings := make(chan finding, 2)
+	go r.runConfirmOnly(ctx, service, arrived, findings)
+	go r.runAsk(ctx, s, findings)
+	for range cap(findings) {
+		f := <-findings
+		software, ok := f.software.Get()
+		if !ok {
+			continue
+		}
+		if f.source == sourcePeers {
+			r.mu.Lock()
+			r.ledger.Add(time.Now(), continuer.Beginning{Stream: s, Software: software}, "")
+			r.mu.Unlock()
+		}
+		return f
 	}
-	timeout := answerTimeout
-	if _, ok := only.Get(); ok {
-		timeout = confirmTimeout
+	return finding{option.None[registrar.Software](), sourceNone}
+}
+
+func (r *Resumer) runConfirmOnly(ctx context.Context, service string, at time.Time, findings chan<- finding) {
+	findings <- finding{r.confirmOnly(ctx, service, at), sourceOnly}
+}
+
+func (r *Resumer) runAsk(ctx context.Context, s continuer.Stream, findings chan<- finding) {
+	findings <- finding{r.ask(ctx, s, answerTimeout), sourcePeers}
+}
+
+// confirmOnly returns the software version that alone may have begun an output of the service that existed at the time, by what
+// the store holds now.
+func (r *Resumer) confirmOnly(ctx context.Context, service string, at time.Time) option.Option[registrar.Software] {
+	if possible, _ := r.possible(service); len(possible) > 1 {
+		return option.None[registrar.Software]()
 	}
-	software, ok := r.ask(ctx, s, timeout).Get()
-	if !ok {
-		return only
+	if err := r.endpoints.Refresh(ctx); err != nil {
+		if ctx.Err() == nil {
+			r.log.WithError(err).WithField("service", service).Warn("software versions of the service not confirmed by the store")
+		}
+		return option.None[registrar.Software]()
+	}
+	r.mu.Lock()
+	r.history.Confirm(at)
+	r.mu.Unlock()
+	if _, isComplete := r.possible(service); !isComplete {
+		r.records.restore(ctx, service)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ledger.Add(time.Now(), continuer.Beginning{Stream: s, Software: software}, "")
-	return option.Some(software)
+	return r.history.Only(time.Now(), service, at)
 }
 
-// OnlySoftware returns the software version that alone may have begun outputs of the service within continuer.Memory, as far as
-// this VM has seen; none if there are several.
-func (r *Resumer) OnlySoftware(service string) option.Option[registrar.Software] {
+func (r *Resumer) possible(service string) (software []registrar.Software, isComplete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	possible, _ := r.history.Possible(time.Now(), service)
-	if len(possible) != 1 {
-		return option.None[registrar.Software]()
-	}
-	return option.Some(possible[0])
+	return r.history.Possible(time.Now(), service)
 }
 
-// look returns the software version that began the stream as far as this VM knows, the only one that may have begun it, and
-// whether this VM knows all versions that may.
-func (r *Resumer) look(
-	service string, s continuer.Stream,
-) (found, only option.Option[registrar.Software], isComplete bool) {
+// OnlySoftware returns the software version that alone may have begun an output of the service that existed at the time, within
+// continuer.Memory; none if there are several. False says that this isn't known yet; it is being found out.
+func (r *Resumer) OnlySoftware(service string, at time.Time) (option.Option[registrar.Software], bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	found = r.ledger.Find(now, s)
-	possible, isComplete := r.history.Possible(now, service)
-	if isComplete && len(possible) == 1 {
-		only = option.Some(possible[0])
+	only := r.history.Only(now, service, at)
+	if _, ok := only.Get(); ok {
+		return only, true
+	}
+	if possible, _ := r.history.Possible(now, service); len(possible) > 1 {
+		return option.None[registrar.Software](), true
+	}
+	if !r.confirming[service] {
+		r.confirming[service] = true
+		go r.runConfirm(service, now)
 	}
-	return found, only, isComplete
+	return option.None[registrar.Software](), false
+}
+
+// runConfirm confirms the only software version of the service for OnlySoftware.
+func (r *Resumer) runConfirm(service string, now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmPause)
+	defer cancel()
+	r.confirmOnly(ctx, service, now)
+	<-ctx.Done()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.confirming, service)
 }
 
 // ask asks other VMs which software version began the stream, until one knows, all have answered or the timeout has passed.
--- a/pkg/resumer/resumer_test.go
+++ b/pkg/resumer/resumer_test.go
@@ -1,14 +1,19 @@
 package resumer
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/platform"
@@ -57,10 +62,25 @@
 	for i := range vms {
 		vm := fmt.Sprint("v", i)
 		n.vms[vm] = New(vm, n, store, func(string) int { return 0 }, log)
+		n.vms[vm].SetEndpoints(&fakeEndpoints{resumer: n.vms[vm]})
 	}
 	return n
 }
 
+// fakeEndpoints are the endpoints as the store holds them; nil stands for a store that can't be reached.
+type fakeEndpoints struct {
+	resumer *Resumer
+	stored  *registrar.Registry
+}
+
+func (e *fakeEndpoints) Refresh(context.Context) error {
+	if e.stored == nil {
+		return errors.New("the store gave no answer")
+	}
+	e.resumer.Observe(e.stored)
+	return nil
+}
+
 func (n *fakeNetwork) observe(reg *registrar.Registry) {
 	for _, r := range n.vms {
 		r.Observe(reg)
@@ -146,3 +166,70 @@
 		assert.False(t, ok, vm)
 	}
 }
+
+// newLateVM returns a VM that has known one software version for longer than continuer.Memory, alone with what the store holds.
+func newLateVM(t *testing.T) (*Resumer, *fakeEndpoints) {
+	t.Helper()
+	r := newFakeNetwork(1).vms["v0"]
+	r.history = continuer.NewHistory(time.Now().Add(-continuer.Memory))
+	r.Observe(registryOf("v1"))
+	stored := &fakeEndpoints{resumer: r, stored: registryOf("v1")}
+	r.SetEndpoints(stored)
+	return r, stored
+}
+
+// TestOnlyVersionIsTrustedIfTheStoreConfirmsIt guards against a stream that goes on at the only software version that a VM knows,
+// while another one has joined that it has not heard of.
+func TestOnlyVersionIsTrustedIfTheStoreConfirmsIt(t *testing.T) {
+	t.Parallel()
+	passed := registryOf("v1")
+	passed.Passed = []registrar.Endpoint{{ID: "e1", Service: "s", SoftwareVersion: "v2"}}
+	gap := registryOf("v1")
+	gap.HasGap = true
+	for name, c := range map[string]struct {
+		stored *registrar.Registry
+		want   bool
+	}{
+		"the same":                        {registryOf("v1", "v1"), true},
+		"another joined":                  {registryOf("v1", "v2"), false},
+		"another took its place":          {registryOf("v2"), false},
+		"another came and went":           {passed, false},
+		"another may have come and gone":  {gap, false},
+		"the store gives no answer":       {nil, false},
+		"the service has no endpoint now": {registryOf(), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, endpoints := newLateVM(t)
+			endpoints.stored = c.stored
+			s, ok := r.SoftwareOf(t.Context(), "s", "a").Get()
+			assert.Equal(t, c.want, ok)
+			if c.want {
+				assert.Equal(t, registryOf("v1").Endpoints["e0"].Software(), s)
+			}
+			assert.Equal(t, !c.want, r.Counters.Unknown.Load() == 1)
+		})
+	}
+}
+
+// TestOutputOfUnknownVersionWaitsForTheStore checks OnlySoftware, whose callers don't wait.
+func TestOutputOfUnknownVersionWaitsForTheStore(t *testing.T) {
+	t.Parallel()
+	r, endpoints := newLateVM(t)
+	saved := time.Now()
+	_, isKnown := r.OnlySoftware("s", saved)
+	assert.False(t, isKnown)
+	require.Eventually(t, func() bool {
+		only, isKnown := r.OnlySoftware("s", saved)
+		_, isOnly := only.Get()
+		return isKnown && isOnly
+	}, time.Second, time.Millisecond)
+	endpoints.stored = registryOf("v1", "v2")
+	saved = time.Now()
+	require.Eventually(t, func() bool {
+		only, isKnown := r.OnlySoftware("s", saved)
+		_, isOnly := only.Get()
+		require.False(t, isOnly)
+		return isKnown
+	}, time.Second, time.Millisecond)
+}
--- a/pkg/watcher/expiry_test.go
+++ b/pkg/watcher/expiry_test.go
@@ -22,6 +22,14 @@
 	isSilent bool
 	rows     map[string]int64
 	changes  []storer.Entry
+	// forgotten is the version up to which changes are no longer kept.
+	forgotten int64
+}
+
+func (t *silentTable) forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgotten = int64(len(t.changes)) + 1
 }
 
 func (t *silentTable) put(ids ...string) {
@@ -65,7 +73,8 @@
 	end := time.Now().Add(wait)
 	for ctx.Err() == nil {
 		t.mu.Lock()
-		isSilent, page := t.isSilent, storer.Page{Version: int64(len(t.changes))}
+		isSilent, isForgotten := t.isSilent, after < t.forgotten
+		page := storer.Page{Version: int64(len(t.changes))}
 		if table == "endpoints" {
 			page.Entries = t.changes[after:]
 		}
@@ -74,6 +83,9 @@
 			time.Sleep(wait + 700*time.Millisecond)
 			return storer.Page{}, &storer.UnavailableError{Operation: "watch"}
 		}
+		if table == "endpoints" && isForgotten {
+			return storer.Page{}, &storer.HistoryLostError{Table: table, After: after}
+		}
 		if len(page.Entries) > 0 || !time.Now().Before(end) {
 			return page, nil
 		}
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +32,7 @@
 	Entries []storer.Entry
 	// Version is the store's version up to which all changes of the table are received.
 	Version int64
-	// IsFull says that Entries holds all rows of the table: any other row does not exist.
+	// IsFull says that Entries holds all rows of the table: any other row does not exist. Changes before it may have been missed.
 	IsFull bool
 	// StoreBackAt is the time at which the store first answered again after the last failed call; it is zero if none failed.
 	StoreBackAt time.Time
@@ -47,12 +48,17 @@
 	// gap is the pause between two calls, for a table that changes often.
 	gap time.Duration
 
-	version  int64
-	isSynced bool
 	// historyLosses counts the watches in a row whose history was lost.
 	historyLosses int
-	failures      int
-	backAt        time.Time
+
+	// mu is held while an update is passed on, so that updates arrive in the order of the versions.
+	mu       sync.Mutex
+	version  int64
+	isSynced bool
+	failures int
+	backAt   time.Time
+
+	refreshes refreshes
 
 	isLost       atomic.Bool
 	lastAnswerAt atomic.Int64
@@ -111,19 +117,20 @@
 
 // step reads the whole table, or waits for its next changes once it has been read.
 func (f *Feed) step(ctx context.Context) error {
-	if !f.isSynced {
-		u, err := f.scan(ctx)
-		return f.handleResult(ctx, u, err)
-	}
-	wait := watchTimeout
+	f.mu.Lock()
+	version, isSynced, wait := f.version, f.isSynced, watchTimeout
 	if f.failures > 0 {
 		wait = probeTimeout
 	}
-	page, err := f.store.Watch(ctx, f.table, f.version, wait)
+	f.mu.Unlock()
+	if !isSynced {
+		u, err := f.scan(ctx)
+		return f.handleResult(ctx, u, err)
+	}
+	page, err := f.store.Watch(ctx, f.table, version, wait)
 	lost := (*storer.HistoryLostError)(nil)
 	if errors.As(err, &lost) {
-		f.log.WithField("after", f.version).Info("store no longer has the changes after this version; reading the whole table")
-		f.isSynced = false
+		f.handleLostHistory(version)
 		if f.historyLosses++; f.historyLosses > 1 {
 			// The store is behind with reads, or drops its history faster than it is read: run pauses.
 			return err
@@ -136,6 +143,13 @@
 	return f.handleResult(ctx, Update{Entries: page.Entries, Version: page.Version}, err)
 }
 
+func (f *Feed) handleLostHistory(version int64) {
+	f.log.WithField("after", version).Info("store no longer has the changes after this version; reading the whole table")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isSynced = false
+}
+
 // scan reads all partitions; the update has the lowest of their versions, so that no change is missed.
 func (f *Feed) scan(ctx context.Context) (Update, error) {
 	u := Update{IsFull: true}
@@ -157,7 +171,8 @@
 	if err != nil && ctx.Err() != nil {
 		return ctx.Err()
 	}
-	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err != nil {
 		f.failures++
 		f.isLost.Store(f.failures >= lostThreshold)
@@ -166,6 +181,13 @@
 		}
 		return err
 	}
+	f.apply(u)
+	return nil
+}
+
+// apply passes on an update; the lock is held.
+func (f *Feed) apply(u Update) {
+	now := time.Now()
 	if f.failures > 0 {
 		f.log.WithFields(logrus.Fields{"failures": f.failures, "version": u.Version}).Info("store regained")
 		f.failures, f.backAt = 0, now
@@ -181,5 +203,4 @@
 		f.onUpdate(u)
 	}
 	f.knownVersion.Store(f.version)
-	return nil
 }
--- /dev/null
+++ b/pkg/watcher/refresh.go
@@ -0,0 +1,104 @@
+package watcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+)
+
+// refreshTimeout bounds a read for callers that wait; it leaves room for a slow store.
+const refreshTimeout = 300 * time.Millisecond
+
+// refreshes are the reads of a feed for callers that wait: one at a time, for all that were waiting when it began.
+type refreshes struct {
+	mu        sync.Mutex
+	next      *refresh
+	isRunning bool
+}
+
+type refresh struct {
+	done chan struct{}
+	err  error
+}
+
+// Refresh passes on all changes that the store acknowledged before the call, without waiting for the feed's own calls.
+func (f *Feed) Refresh(ctx context.Context) error {
+	r := f.joinRefresh()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "refresh table "+f.table)
+	}
+}
+
+// joinRefresh returns a refresh that has not begun.
+func (f *Feed) joinRefresh() *refresh {
+	s := &f.refreshes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == nil {
+		s.next = &refresh{done: make(chan struct{})}
+	}
+	if !s.isRunning {
+		s.isRunning = true
+		go f.runRefreshes()
+	}
+	return s.next
+}
+
+func (f *Feed) takeRefresh() (*refresh, bool) {
+	s := &f.refreshes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.next
+	s.next, s.isRunning = nil, r != nil
+	return r, r != nil
+}
+
+func (f *Feed) runRefreshes() {
+	for r, ok := f.takeRefresh(); ok; r, ok = f.takeRefresh() {
+		ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+		r.err = f.refresh(ctx)
+		cancel()
+		close(r.done)
+	}
+}
+
+func (f *Feed) refresh(ctx context.Context) error {
+	f.mu.Lock()
+	version, isSynced := f.version, f.isSynced
+	f.mu.Unlock()
+	for isSynced {
+		page, err := f.store.Watch(ctx, f.table, version, probeTimeout)
+		lost := (*storer.HistoryLostError)(nil)
+		if errors.As(err, &lost) {
+			f.handleLostHistory(version)
+			break
+		}
+		if err != nil {
+			return err
+		}
+		f.pass(Update{Entries: page.Entries, Version: page.Version})
+		if version = page.Version; !page.HasMore {
+			return nil
+		}
+	}
+	u, err := f.scan(ctx)
+	if err != nil {
+		return err
+	}
+	f.pass(u)
+	return nil
+}
+
+// pass passes on an update that the feed's own calls may have overtaken.
+func (f *Feed) pass(u Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(u)
+}
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -41,7 +41,10 @@
 	// rows holds the newest known row of each endpoint, including removed ones.
 	rows map[string]endpointRow
 	// leaving holds the endpoints that said in an answer that they leave.
-	leaving      registrar.Leaving
+	leaving registrar.Leaving
+	// passed and hasGap are those of the next registry.
+	passed       []registrar.Endpoint
+	hasGap       bool
 	configRow    storer.Entry
 	configSource registrar.ConfigRow
 	cfg          *registrar.Config
@@ -79,6 +82,9 @@
 	w.endpoints.Start(ctx)
 }
 
+// Refresh brings the endpoints of the registry up to what the store held when it was called.
+func (w *Watcher) Refresh(ctx context.Context) error { return w.endpoints.Refresh(ctx) }
+
 // IsLost reports whether the last calls to the store failed for either table.
 func (w *Watcher) IsLost() bool { return w.config.IsLost() || w.endpoints.IsLost() }
 
@@ -166,9 +172,14 @@
 	if !u.StoreBackAt.IsZero() {
 		keepUntil = u.StoreBackAt.Add(outageGrace)
 	}
+	w.hasGap = w.hasGap || u.IsFull
 	listed := map[string]bool{}
 	for _, e := range u.Entries {
 		listed[e.Key] = true
+		if _, ok := w.rows[e.Key]; !ok && e.IsRemoved {
+			// The feed has left out the changes before the last one of this row.
+			w.hasGap = true
+		}
 		w.applyEndpoint(e, now, keepUntil)
 	}
 	if u.IsFull {
@@ -187,8 +198,12 @@
 func (w *Watcher) applyEndpoint(e storer.Entry, now, keepUntil time.Time) {
 	old := w.rows[e.Key]
 	if e.Version < old.entry.Version || (e.Version == old.entry.Version && e.IsRemoved == old.entry.IsRemoved) {
+		w.applyOldEndpoint(e)
 		return
 	}
+	if old.isUsable && !old.endpoint.IsDraining {
+		w.passed = append(w.passed, old.endpoint)
+	}
 	log := w.log.WithFields(logrus.Fields{"endpoint": e.Key, "row": e.Version})
 	if e.IsRemoved {
 		row := endpointRow{entry: e}
@@ -214,6 +229,16 @@
 	w.rows[e.Key] = endpointRow{entry: e, endpoint: endpoint, isUsable: true}
 }
 
+// applyOldEndpoint records an endpoint that was replaced by a row which arrived sooner, from a peer; the lock is held.
+func (w *Watcher) applyOldEndpoint(e storer.Entry) {
+	if e.IsRemoved || e.Version == w.rows[e.Key].entry.Version {
+		return
+	}
+	if endpoint, err := w.decoder.Endpoint(e.Key, e.Value, e.Version); err == nil && !endpoint.IsDraining {
+		w.passed = append(w.passed, endpoint)
+	}
+}
+
 // MarkLeaving records that the incarnation of an endpoint with the key, see registrar.Endpoint.LeavingKey, has said that it
 // leaves. It returns whether this was new.
 func (w *Watcher) MarkLeaving(key string) bool {
@@ -268,7 +293,8 @@
 		}
 	}
 	r := registrar.NewRegistry(w.cfg, endpoints)
-	r.ConfigRow = w.configSource
+	r.ConfigRow, r.Passed, r.HasGap = w.configSource, w.passed, w.hasGap
+	w.passed, w.hasGap = nil, false
 	w.current.Store(r)
 	w.onChange(r)
 }
