resumer: a later change of a service's versions does not put off its record

Cause: each change set the time anew at which a VM stores the record of a service, so a VM that ranks second or third, and leaves the first one a second or two, never stored it while versions changed more often than that. Same class as the watcher's shared timer: a later event extends an earlier deadline. Found by looking for the class; no caller saw it.

TestRecordIsDueInTimeHoweverOftenVersionsChange failed before: expected [s], actual [].

--- a/pkg/resumer/records.go
+++ b/pkg/resumer/records.go
@@ -104,7 +104,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.due[service] = now
+	if at, ok := r.due[service]; !ok || now.Before(at) {
+		r.due[service] = now
+	}
 }
 
 func (r *records) run(ctx context.Context) {
--- a/pkg/resumer/resumer_test.go
+++ b/pkg/resumer/resumer_test.go
@@ -233,3 +233,15 @@
 		return isKnown
 	}, time.Second, time.Millisecond)
 }
+
+// TestRecordIsDueInTimeHoweverOftenVersionsChange guards against a record that is put off by each change.
+func TestRecordIsDueInTimeHoweverOftenVersionsChange(t *testing.T) {
+	t.Parallel()
+	r := newFakeNetwork(1).vms["v0"].records
+	r.rank = func(string) int { return 1 }
+	start := time.Now().Add(recordDelay)
+	r.changed(start, "s")
+	r.changed(start.Add(rankDelay-1), "s")
+	assert.Empty(t, r.takeDue(start.Add(rankDelay-1)))
+	assert.Equal(t, []string{"s"}, r.takeDue(start.Add(rankDelay)))
+}
