watcher: a VM that is still cut off keeps endpoints that its peers keep around an outage

Cause: after an outage of the store a VM keeps endpoints whose rows expired in it for two seconds, but passed the removed rows on to peers, and a peer that was still cut off dropped these endpoints at once: with all rows expired, it had none until they registered again. Class: the grace time of an entry hangs on the way by which its removal arrives. Found by looking for other deadlines of removals; no caller saw it.

Fix: rows of endpoints that are kept are not passed on; the peer keeps what it knows until the VM itself treats them as gone.

TestPeersKeepEndpointsThatExpiredInAnOutage failed before (both endpoints dropped).

--- a/pkg/watcher/expiry_test.go
+++ b/pkg/watcher/expiry_test.go
@@ -185,3 +185,26 @@
 		assert.False(t, hasEndpoint(w, "a"))
 	})
 }
+
+// TestPeersKeepEndpointsThatExpiredInAnOutage guards against a VM without endpoints that is still cut off when its peers have the
+// store back.
+func TestPeersKeepEndpointsThatExpiredInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, table := newSilentWatcher(t, "a", "b")
+		late, _ := newSilentWatcher(t)
+		late.ApplyPeerRows(w.Rows())
+		table.setSilent(true)
+		time.Sleep(5 * time.Second)
+		table.remove("a", "b")
+		table.setSilent(false)
+		time.Sleep(outageGrace - 100*time.Millisecond)
+		table.put("a")
+		late.ApplyPeerRows(w.Rows())
+		assert.True(t, hasEndpoint(late, "a"))
+		assert.True(t, hasEndpoint(late, "b"))
+		time.Sleep(watchTimeout)
+		late.ApplyPeerRows(w.Rows())
+		assert.True(t, hasEndpoint(late, "a"))
+		assert.False(t, hasEndpoint(late, "b"))
+	})
+}
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -88,7 +88,8 @@
 // IsLost reports whether the last calls to the store failed for either table.
 func (w *Watcher) IsLost() bool { return w.config.IsLost() || w.endpoints.IsLost() }
 
-// Rows returns the newest known rows of both tables, including removed ones.
+// Rows returns the newest known rows of both tables, including removed ones, but for those of endpoints that are kept around an
+// outage: a peer keeps what it knows of these.
 func (w *Watcher) Rows() []storer.Entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -97,6 +98,9 @@
 		entries = append(entries, w.configRow)
 	}
 	for id, row := range w.rows {
+		if !row.expires.IsZero() {
+			continue
+		}
 		e := row.entry
 		e.Table, e.Key = w.decoder.EndpointTable, id
 		entries = append(entries, e)
