resumer: a stream whose route moved to another service is not resumed there

What callers would see (ORDER): a stream begins, its VM goes, the route moves to another service, and the caller's resumed stream goes on at an endpoint of that service. Or, with a VM that is out of step with the configuration: the stream began at the new service and goes on at the old one.

Cause: the only software version of the service that the VM's configuration names now was taken for the one that began the stream.

Fix: the services that the request's route had within continuer.Memory count too, by the configurations that the VM had active; the read that confirms the only version brings the configuration up to date as well as the endpoints, in parallel. If several versions may have begun the stream and no VM knows, it is refused.

Evidence: TestStreamIsNotResumedAtTheServiceThatItsRouteMovedTo failed in both forms before: "map[:true @v2:true]" should have 1 item(s), but has 2. Remaining: a VM that started within the minute doesn't know the configurations before its start.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -268,7 +268,7 @@
 		EndpointLeaving: func(key string) { g.Watcher.MarkLeaving(key) },
 		ConfigLearned:   g.PeerSyncer.ConfigLearned,
 	})
-	g.Resumer.SetEndpoints(g.Watcher)
+	g.Resumer.SetSource(g.Watcher)
 	if err := g.exportCounters(); err != nil {
 		return err
 	}
--- a/pkg/assembler/gateway_out_of_step_test.go
+++ b/pkg/assembler/gateway_out_of_step_test.go
@@ -20,10 +20,10 @@
 	return strings.HasSuffix(r.Header.Get("User-Agent"), "/"+vm.name)
 }
 
-// isEndpointWatch reports whether the call to the store waits for changes of the endpoints.
-func isEndpointWatch(r *http.Request) bool {
+// isWatch reports whether the call to the store waits for changes of the table.
+func isWatch(r *http.Request, table string) bool {
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	return r.URL.Path == "/rows-feed" && r.URL.Query().Get("table") == "servers" && wait > 100
+	return r.URL.Path == "/rows-feed" && r.URL.Query().Get("table") == table && wait > 100
 }
 
 // TestVMOutOfStepDoesNotResumeAtAnotherVersion guards against a VM that takes the only software version that it knows for the one
@@ -56,7 +56,7 @@
 
 			silent := atomic.Int64{}
 			f.store.SetFault(func(r *http.Request) standin.StoreFault {
-				if !isCallOf(late, r) || !c.isCut && !isEndpointWatch(r) {
+				if !isCallOf(late, r) || !c.isCut && !isWatch(r, "servers") {
 					return standin.NoFault
 				}
 				silent.Add(1)
@@ -100,3 +100,67 @@
 		})
 	}
 }
+
+// TestStreamIsNotResumedAtTheServiceThatItsRouteMovedTo guards against a stream that goes on at the only software version of a
+// service that did not begin it.
+func TestStreamIsNotResumedAtTheServiceThatItsRouteMovedTo(t *testing.T) {
+	t.Parallel()
+	for _, isLate := range []bool{false, true} {
+		t.Run("isLate="+strconv.FormatBool(isLate), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2)
+			other := standin.NewEndpoint("i-other-1", "other", "syd-a")
+			t.Cleanup(other.Close)
+			other.Version = "v2"
+			f.endpoints = append(f.endpoints, other)
+			f.store.Put("servers", "", other.ID, other.Entry("ready"))
+			f.awaitEndpoints()
+			f.awaitPeers()
+			f.awaitRecord("llm", 1)
+			f.awaitRecord("other", 1)
+			for _, e := range f.endpoints {
+				e.Step = 10 * time.Millisecond
+			}
+			move := func() {
+				for _, r := range f.routes {
+					if r["pathPrefix"] == "/note/" {
+						r["service"] = "other"
+					}
+				}
+				f.configure()
+			}
+			first, vm := f.vms[0], f.vms[1]
+			id, text := newID("s"), ""
+			if isLate {
+				silent := atomic.Int64{}
+				f.store.SetFault(func(r *http.Request) standin.StoreFault {
+					if !isCallOf(vm, r) || !isWatch(r, "op") {
+						return standin.NoFault
+					}
+					silent.Add(1)
+					return standin.Silent
+				})
+				vm.gossiper.SetHandler(gossiper.Handler{})
+				f.configure()
+				require.Eventually(t, func() bool { return silent.Load() > 0 }, maxWait, 10*time.Millisecond)
+				move()
+				require.Eventually(t, func() bool {
+					id = newID("s")
+					text = f.begin(first, id)
+					return versionsIn(text)["@v2"]
+				}, maxWait, 10*time.Millisecond)
+			} else {
+				text = f.begin(first, id)
+				move()
+				f.awaitConfig()
+			}
+			require.NoError(t, first.app.Stop(t.Context()))
+			a := f.resume(vm, id)
+			if a.status == http.StatusOK {
+				assert.Len(t, versionsIn(text+a.body), 1, text+a.body)
+				return
+			}
+			assert.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+		})
+	}
+}
--- a/pkg/core/continuer/continuer_test.go
+++ b/pkg/core/continuer/continuer_test.go
@@ -79,7 +79,7 @@
 	h := NewHistory(start)
 	now := start.Add(Memory)
 	h.Observe(now, registryOf("v1"))
-	only := func(at time.Time) option.Option[registrar.Software] { return h.Only(now, "s", at) }
+	only := func(at time.Time) option.Option[registrar.Software] { return h.Only(now, []string{"s"}, at) }
 	assert.Equal(t, option.None[registrar.Software](), only(now), "nothing is confirmed yet")
 	h.Confirm(now)
 	assert.Equal(t, option.Some(software("v1")), only(now))
@@ -126,6 +126,26 @@
 	assertPossible(t, h, now, true, "v1")
 }
 
+// TestServicesThatARouteHadArePossible checks which services may have begun a stream whose route moved.
+func TestServicesThatARouteHadArePossible(t *testing.T) {
+	h := NewHistory(start)
+	assert.Empty(t, h.ServicesFor(start, "host", "/a/1", "x"))
+	observe := func(now time.Time, service string) {
+		c := &registrar.Config{Routes: []registrar.Route{
+			{Host: "host", PathPrefix: "/a/", Splits: []registrar.Split{{Service: service, Weight: 1}}},
+		}}
+		h.Observe(now, registrar.NewRegistry(c.Index(), nil))
+	}
+	observe(start, "s")
+	observe(start.Add(time.Second), "other")
+	observe(start.Add(2*time.Second), "other")
+	assert.Equal(t, []string{"other", "s"}, h.ServicesFor(start.Add(Memory), "host", "/a/1", "x"))
+	assert.Empty(t, h.ServicesFor(start.Add(Memory), "host", "/b/1", "x"))
+	assert.Equal(t, []string{"other"}, h.ServicesFor(start.Add(Memory+time.Second), "host", "/a/1", "x"))
+	observe(start.Add(Memory+time.Second), "other")
+	assert.Len(t, h.replaced, 2)
+}
+
 func TestLedger(t *testing.T) {
 	l := NewLedger()
 	find := func(now time.Time, id string) (registrar.Software, bool) { return l.Find(now, StreamOf(id)).Get() }
--- a/pkg/core/continuer/history.go
+++ b/pkg/core/continuer/history.go
@@ -23,6 +23,14 @@
 	// confirmed is the time up to which all changes of the endpoints have been observed.
 	confirmed time.Time
 	services  map[string]*lifetimes
+	// config is the active configuration; replaced holds those before it that were active within Memory.
+	config   *registrar.Config
+	replaced []replacedConfig
+}
+
+type replacedConfig struct {
+	config *registrar.Config
+	at     time.Time
 }
 
 // lifetimes holds the software versions of one service.
@@ -53,6 +61,7 @@
 // Observe records the endpoints that accept requests now, by service, and those that did before, and returns the services whose
 // software versions changed.
 func (h *History) Observe(now time.Time, r *registrar.Registry) []string {
+	h.observeConfig(now, r.Config)
 	if r.HasGap {
 		h.start = now
 		for _, l := range h.services {
@@ -130,14 +139,55 @@
 	}
 }
 
-// Only returns the software version that alone may have begun an output of the service that existed at the time, within Memory;
-// none if there are several, or if another one may have served of which this VM hasn't heard.
-func (h *History) Only(now time.Time, service string, at time.Time) option.Option[registrar.Software] {
-	possible, isComplete := h.Possible(now, service)
-	if !isComplete || len(possible) != 1 || h.confirmed.Before(at) {
+// observeConfig records the active configuration.
+func (h *History) observeConfig(now time.Time, c *registrar.Config) {
+	h.replaced = slices.DeleteFunc(h.replaced, func(r replacedConfig) bool { return now.Sub(r.at) >= Memory })
+	if h.config != nil && h.config != c {
+		h.replaced = append(h.replaced, replacedConfig{h.config, now})
+	}
+	h.config = c
+}
+
+// ServicesFor returns the services that may have begun the stream, for a request with the host and path, within Memory.
+func (h *History) ServicesFor(now time.Time, host, path, stream string) []string {
+	var services []string
+	add := func(c *registrar.Config) {
+		if route, ok := c.Match(host, path); ok {
+			services = append(services, route.ServiceFor(stream))
+		}
+	}
+	if h.config != nil {
+		add(h.config)
+	}
+	for _, r := range h.replaced {
+		if now.Sub(r.at) < Memory {
+			add(r.config)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// Only returns the software version that alone may have begun an output of one of the services that existed at the time, within
+// Memory; none if there are several, or if another one may have served of which this VM hasn't heard.
+func (h *History) Only(now time.Time, services []string, at time.Time) option.Option[registrar.Software] {
+	all, isComplete := h.PossibleOfAny(now, services)
+	if !isComplete || len(all) != 1 || h.confirmed.Before(at) {
 		return option.None[registrar.Software]()
 	}
-	return option.Some(possible[0])
+	return option.Some(all[0])
+}
+
+// PossibleOfAny returns the software versions that may have begun an output of one of the services within Memory; false means
+// that there may have been others.
+func (h *History) PossibleOfAny(now time.Time, services []string) ([]registrar.Software, bool) {
+	var all []registrar.Software
+	areComplete := true
+	for _, service := range services {
+		possible, isComplete := h.Possible(now, service)
+		all, areComplete = append(all, possible...), areComplete && isComplete
+	}
+	return all, areComplete
 }
 
 // Record is what is known of a service's software versions, to be stored for VMs that start later.
--- a/pkg/relayer/end_test.go
+++ b/pkg/relayer/end_test.go
@@ -46,7 +46,7 @@
 // noResumer knows no streams.
 type noResumer struct{}
 
-func (noResumer) SoftwareOf(context.Context, string, string) option.Option[registrar.Software] {
+func (noResumer) SoftwareOf(context.Context, string, string, string) option.Option[registrar.Software] {
 	return option.None[registrar.Software]()
 }
 
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -58,9 +58,9 @@
 
 // Resumer knows which software version began a stream.
 type Resumer interface {
-	// SoftwareOf returns the software version that began the stream of the service, by the id of the attempt that brought its
-	// first event; none if it can't be told.
-	SoftwareOf(ctx context.Context, service, stream string) option.Option[registrar.Software]
+	// SoftwareOf returns the software version that began the stream for a request with the host and path, by the id of the attempt
+	// that brought its first event; none if it can't be told.
+	SoftwareOf(ctx context.Context, host, path, stream string) option.Option[registrar.Software]
 	// Began records that the endpoint brings the first event of the stream, or continues it; it must not block.
 	Began(stream string, e registrar.Endpoint)
 }
@@ -316,7 +316,7 @@
 	if id := q.r.Header.Get(q.headers.Resumes); id != "" {
 		q.stream = id
 	}
-	q.begun = q.resumer.SoftwareOf(q.ctx, q.route.ServiceFor(q.stream), q.stream)
+	q.begun = q.resumer.SoftwareOf(q.ctx, q.r.Host, q.r.URL.Path, q.stream)
 	if _, ok := q.begun.Get(); !ok {
 		q.refuse(placer.Refuse{
 			Reason: "it is not known which software version began the stream", RetryAfter: unknownRetryAfter,
--- a/pkg/resumer/resumer.go
+++ b/pkg/resumer/resumer.go
@@ -38,8 +38,8 @@
 	Send(vm string, payload []byte)
 }
 
-// Endpoints is where the endpoints that are observed come from.
-type Endpoints interface {
+// Source is where the registries that are observed come from.
+type Source interface {
 	// Refresh has all changes observed that the store acknowledged before the call.
 	Refresh(ctx context.Context) error
 }
@@ -51,11 +51,11 @@
 
 // Resumer knows which software version began streams; it is safe for concurrent use.
 type Resumer struct {
-	vm        string
-	network   Network
-	endpoints Endpoints
-	records   *records
-	log       logrus.FieldLogger
+	vm      string
+	network Network
+	source  Source
+	records *records
+	log     logrus.FieldLogger
 
 	mu      sync.Mutex
 	history *continuer.History
@@ -86,8 +86,8 @@
 	return r
 }
 
-// SetEndpoints sets where the observed endpoints come from; call it before Start and before any stream is resumed.
-func (r *Resumer) SetEndpoints(e Endpoints) { r.endpoints = e }
+// SetSource sets where the observed registries come from; call it before Start and before any stream is resumed.
+func (r *Resumer) SetSource(s Source) { r.source = s }
 
 // Start stores the records of services, until ctx ends.
 func (r *Resumer) Start(ctx context.Context) { go r.records.run(ctx) }
@@ -183,11 +183,11 @@
 	return string(b[:])
 }
 
-// SoftwareOf returns the software version that began the stream of the service; none if it can't be told. It waits for the store
-// and for other VMs at most some tenths of a second.
-func (r *Resumer) SoftwareOf(ctx context.Context, service, stream string) option.Option[registrar.Software] {
-	f := r.softwareOf(ctx, service, continuer.StreamOf(stream))
-	log := r.log.WithFields(logrus.Fields{"service": service, "stream": stream, "source": f.source})
+// SoftwareOf returns the software version that began the stream for a request with the host and path; none if it can't be told.
+// It waits for the store and for other VMs at most some tenths of a second.
+func (r *Resumer) SoftwareOf(ctx context.Context, host, path, stream string) option.Option[registrar.Software] {
+	f := r.softwareOf(ctx, stream, func(now time.Time) []string { return r.history.ServicesFor(now, host, path, stream) })
+	log := r.log.WithFields(logrus.Fields{"stream": stream, "source": f.source})
 	if s, ok := f.software.Get(); !ok || s == continuer.Ambiguous {
 		r.Counters.Unknown.Add(1)
 		log.WithField("isAmbiguous", ok).Info("it is not known which software version began a resumed stream")
@@ -212,8 +212,11 @@
 	sourcePeers = "peers"
 )
 
-func (r *Resumer) softwareOf(ctx context.Context, service string, s continuer.Stream) finding {
-	arrived := time.Now()
+// servicesFunc returns the services that may have begun an output; it is called with the lock held.
+type servicesFunc func(now time.Time) []string
+
+func (r *Resumer) softwareOf(ctx context.Context, stream string, services servicesFunc) finding {
+	s, arrived := continuer.StreamOf(stream), time.Now()
 	r.mu.Lock()
 	found := r.ledger.Find(arrived, s)
 	r.mu.Unlock()
@@ -223,7 +226,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	findings := make(chan finding, 2)
-	go r.runConfirmOnly(ctx, service, arrived, findings)
+	go r.runConfirmOnly(ctx, services, arrived, findings)
 	go r.runAsk(ctx, s, findings)
 	for range cap(findings) {
 		f := <-findings
@@ -241,41 +244,48 @@
 	return finding{option.None[registrar.Software](), sourceNone}
 }
 
-func (r *Resumer) runConfirmOnly(ctx context.Context, service string, at time.Time, findings chan<- finding) {
-	findings <- finding{r.confirmOnly(ctx, service, at), sourceOnly}
+func (r *Resumer) runConfirmOnly(ctx context.Context, services servicesFunc, at time.Time, findings chan<- finding) {
+	findings <- finding{r.confirmOnly(ctx, services, at), sourceOnly}
 }
 
 func (r *Resumer) runAsk(ctx context.Context, s continuer.Stream, findings chan<- finding) {
 	findings <- finding{r.ask(ctx, s, answerTimeout), sourcePeers}
 }
 
-// confirmOnly returns the software version that alone may have begun an output of the service that existed at the time, by what
+// confirmOnly returns the software version that alone may have begun an output of the services that existed at the time, by what
 // the store holds now.
-func (r *Resumer) confirmOnly(ctx context.Context, service string, at time.Time) option.Option[registrar.Software] {
-	if possible, _ := r.possible(service); len(possible) > 1 {
+func (r *Resumer) confirmOnly(ctx context.Context, services servicesFunc, at time.Time) option.Option[registrar.Software] {
+	if possible, _, _ := r.possible(services); len(possible) > 1 {
 		return option.None[registrar.Software]()
 	}
-	if err := r.endpoints.Refresh(ctx); err != nil {
+	if err := r.source.Refresh(ctx); err != nil {
 		if ctx.Err() == nil {
-			r.log.WithError(err).WithField("service", service).Warn("software versions of the service not confirmed by the store")
+			r.log.WithError(err).Warn("the only software version that is known is not confirmed by the store")
 		}
 		return option.None[registrar.Software]()
 	}
 	r.mu.Lock()
 	r.history.Confirm(at)
 	r.mu.Unlock()
-	if _, isComplete := r.possible(service); !isComplete {
-		r.records.restore(ctx, service)
+	if possible, names, isComplete := r.possible(services); len(possible) == 1 && !isComplete {
+		for _, service := range names {
+			r.records.restore(ctx, service)
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.history.Only(time.Now(), service, at)
+	now := time.Now()
+	return r.history.Only(now, services(now), at)
 }
 
-func (r *Resumer) possible(service string) (software []registrar.Software, isComplete bool) {
+// possible returns the software versions that may have begun an output, its services, and whether there may have been no others.
+func (r *Resumer) possible(services servicesFunc) (software []registrar.Software, names []string, isComplete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.history.Possible(time.Now(), service)
+	now := time.Now()
+	names = services(now)
+	software, isComplete = r.history.PossibleOfAny(now, names)
+	return software, names, isComplete
 }
 
 // OnlySoftware returns the software version that alone may have begun an output of the service that existed at the time, within
@@ -284,7 +294,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	only := r.history.Only(now, service, at)
+	services := []string{service}
+	only := r.history.Only(now, services, at)
 	if _, ok := only.Get(); ok {
 		return only, true
 	}
@@ -302,7 +313,7 @@
 func (r *Resumer) runConfirm(service string, now time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmPause)
 	defer cancel()
-	r.confirmOnly(ctx, service, now)
+	r.confirmOnly(ctx, func(time.Time) []string { return []string{service} }, now)
 	<-ctx.Done()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/resumer/resumer_test.go
+++ b/pkg/resumer/resumer_test.go
@@ -62,18 +62,18 @@
 	for i := range vms {
 		vm := fmt.Sprint("v", i)
 		n.vms[vm] = New(vm, n, store, func(string) int { return 0 }, log)
-		n.vms[vm].SetEndpoints(&fakeEndpoints{resumer: n.vms[vm]})
+		n.vms[vm].SetSource(&fakeSource{resumer: n.vms[vm]})
 	}
 	return n
 }
 
-// fakeEndpoints are the endpoints as the store holds them; nil stands for a store that can't be reached.
-type fakeEndpoints struct {
+// fakeSource has the registry by what the store holds; nil stands for a store that can't be reached.
+type fakeSource struct {
 	resumer *Resumer
 	stored  *registrar.Registry
 }
 
-func (e *fakeEndpoints) Refresh(context.Context) error {
+func (e *fakeSource) Refresh(context.Context) error {
 	if e.stored == nil {
 		return errors.New("the store gave no answer")
 	}
@@ -87,13 +87,20 @@
 	}
 }
 
+const testHost = "desk.example"
+
+// testConfig has a route of the service s.
+var testConfig = (&registrar.Config{Routes: []registrar.Route{
+	{Host: testHost, PathPrefix: "/s/", Kind: registrar.KindStream, Splits: []registrar.Split{{Service: "s", Weight: 1}}},
+}}).Index()
+
 func registryOf(versions ...string) *registrar.Registry {
 	endpoints := map[string]registrar.Endpoint{}
 	for i, v := range versions {
 		id := fmt.Sprint("e", i)
 		endpoints[id] = registrar.Endpoint{ID: id, Service: "s", SoftwareVersion: v, Slots: 1}
 	}
-	return registrar.NewRegistry(nil, endpoints)
+	return registrar.NewRegistry(testConfig, endpoints)
 }
 
 // TestMostBeginningsOutlastTheLossOfMostVMs has all VMs but a tenth lost at once while two versions serve: the others must resume
@@ -121,7 +128,7 @@
 			for i := left; i < vms; i++ {
 				for k := range streams {
 					wg.Go(func() {
-						s, ok := n.vms["v0"].SoftwareOf(t.Context(), "s", fmt.Sprintf("stream-%d-%d", i, k)).Get()
+						s, ok := n.vms["v0"].SoftwareOf(t.Context(), testHost, "/s/1", fmt.Sprintf("stream-%d-%d", i, k)).Get()
 						mu.Lock()
 						defer mu.Unlock()
 						if ok {
@@ -148,7 +155,7 @@
 	n.vms["v0"].Observe(registryOf("v1", "v2"))
 	assert.NotZero(t, n.sent)
 	n.lose("v0")
-	s, ok := n.vms["v1"].SoftwareOf(t.Context(), "s", "a").Get()
+	s, ok := n.vms["v1"].SoftwareOf(t.Context(), testHost, "/s/1", "a").Get()
 	assert.True(t, ok)
 	assert.Equal(t, registryOf("v1").Endpoints["e0"].Software(), s)
 }
@@ -162,19 +169,19 @@
 	n.vms["v0"].Began("a", registryOf("v1").Endpoints["e0"])
 	n.observe(registryOf("v3", "v2"))
 	for _, vm := range []string{"v0", "v1"} {
-		_, ok := n.vms[vm].SoftwareOf(t.Context(), "s", "a").Get()
+		_, ok := n.vms[vm].SoftwareOf(t.Context(), testHost, "/s/1", "a").Get()
 		assert.False(t, ok, vm)
 	}
 }
 
 // newLateVM returns a VM that has known one software version for longer than continuer.Memory, alone with what the store holds.
-func newLateVM(t *testing.T) (*Resumer, *fakeEndpoints) {
+func newLateVM(t *testing.T) (*Resumer, *fakeSource) {
 	t.Helper()
 	r := newFakeNetwork(1).vms["v0"]
 	r.history = continuer.NewHistory(time.Now().Add(-continuer.Memory))
 	r.Observe(registryOf("v1"))
-	stored := &fakeEndpoints{resumer: r, stored: registryOf("v1")}
-	r.SetEndpoints(stored)
+	stored := &fakeSource{resumer: r, stored: registryOf("v1")}
+	r.SetSource(stored)
 	return r, stored
 }
 
@@ -186,6 +193,12 @@
 	passed.Passed = []registrar.Endpoint{{ID: "e1", Service: "s", SoftwareVersion: "v2"}}
 	gap := registryOf("v1")
 	gap.HasGap = true
+	movedConfig := (&registrar.Config{Routes: []registrar.Route{
+		{Host: testHost, PathPrefix: "/s/", Kind: registrar.KindStream, Splits: []registrar.Split{{Service: "other", Weight: 1}}},
+	}}).Index()
+	moved := registrar.NewRegistry(movedConfig, map[string]registrar.Endpoint{
+		"e0": {ID: "e0", Service: "s", SoftwareVersion: "v1"}, "o": {ID: "o", Service: "other", SoftwareVersion: "v1"},
+	})
 	for name, c := range map[string]struct {
 		stored *registrar.Registry
 		want   bool
@@ -195,6 +208,7 @@
 		"another took its place":          {registryOf("v2"), false},
 		"another came and went":           {passed, false},
 		"another may have come and gone":  {gap, false},
+		"its route moved to another one":  {moved, false},
 		"the store gives no answer":       {nil, false},
 		"the service has no endpoint now": {registryOf(), true},
 	} {
@@ -202,7 +216,7 @@
 			t.Parallel()
 			r, endpoints := newLateVM(t)
 			endpoints.stored = c.stored
-			s, ok := r.SoftwareOf(t.Context(), "s", "a").Get()
+			s, ok := r.SoftwareOf(t.Context(), testHost, "/s/1", "a").Get()
 			assert.Equal(t, c.want, ok)
 			if c.want {
 				assert.Equal(t, registryOf("v1").Endpoints["e0"].Software(), s)
--- a/pkg/watcher/refresh.go
+++ b/pkg/watcher/refresh.go
@@ -26,13 +26,14 @@
 }
 
 // Refresh passes on all changes that the store acknowledged before the call, without waiting for the feed's own calls.
-func (f *Feed) Refresh(ctx context.Context) error {
-	r := f.joinRefresh()
+func (f *Feed) Refresh(ctx context.Context) error { return f.joinRefresh().wait(ctx) }
+
+func (r *refresh) wait(ctx context.Context) error {
 	select {
 	case <-r.done:
 		return r.err
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "refresh table "+f.table)
+		return ctx.Err()
 	}
 }
 
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -82,8 +83,14 @@
 	w.endpoints.Start(ctx)
 }
 
-// Refresh brings the endpoints of the registry up to what the store held when it was called.
-func (w *Watcher) Refresh(ctx context.Context) error { return w.endpoints.Refresh(ctx) }
+// Refresh brings the registry up to what the store held when it was called.
+func (w *Watcher) Refresh(ctx context.Context) error {
+	config, endpoints := w.config.joinRefresh(), w.endpoints.joinRefresh()
+	if err := config.wait(ctx); err != nil {
+		return errors.Wrap(err, "refresh configuration")
+	}
+	return errors.Wrap(endpoints.wait(ctx), "refresh endpoints")
+}
 
 // IsLost reports whether the last calls to the store failed for either table.
 func (w *Watcher) IsLost() bool { return w.config.IsLost() || w.endpoints.IsLost() }
