--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -68,8 +69,8 @@
 	r.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
 		"job": t.job.id, "item": t.item.ID, "endpoint": run.endpoint.ID, "outcome": outcome,
-		"lastEvent": t.lastEvent, "took": time.Since(run.started).Milliseconds(),
-		"dueIn": time.Until(t.job.due).Milliseconds(),
+		"firstEvent": run.firstEvent, "lastEvent": t.sequence.Last(), "endsAtClose": run.endsAtClose,
+		"took": time.Since(run.started).Milliseconds(), "dueIn": time.Until(t.job.due).Milliseconds(),
 	}
 	if err != nil {
 		fields["cause"] = err.Error()
@@ -117,7 +118,7 @@
 func (r *Runner) exchange(ctx context.Context, t *task, run *itemRun) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	conn, err := r.pool.Get(ctx, run.endpoint.ID, run.endpoint.Address)
+	conn, err := r.pool.Get(ctx, run.endpoint.ID, run.endpoint.Address, t.item.ID)
 	if err != nil {
 		return err
 	}
@@ -133,6 +134,7 @@
 		return err
 	}
 	defer x.Close()
+	run.endsAtClose = x.EndsAtClose()
 	if x.Response.Header.Get(r.headers.Leaving) != "" {
 		r.onLeaving(run.endpoint)
 	}
@@ -142,14 +144,14 @@
 	if err := r.checkResponse(x, t, run); err != nil {
 		return err
 	}
-	events := relayer.NewEventReader(x)
+	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint))
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasFirstEvent && x.EndsAtClose() {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
-			r.recordComplete(x, t, run)
+			r.isolator.Completed(t.parts)
 			return nil
 		}
 		if err != nil {
@@ -173,15 +175,6 @@
 	}
 }
 
-// recordComplete records that the answer was complete, as far as it can be told.
-func (r *Runner) recordComplete(x *dialer.Exchange, t *task, run *itemRun) {
-	if x.EndsAtClose() {
-		r.isolator.EndedAtClose(run.endpoint, t.parts)
-		return
-	}
-	r.isolator.Completed(t.parts)
-}
-
 // recordBreak records that the run broke off at its endpoint, unless this VM ended it.
 func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
 	if ctx.Err() == nil {
@@ -195,8 +188,8 @@
 	h[r.headers.RequestID] = []string{t.item.ID}
 	h[r.headers.ExpectInstance] = []string{run.endpoint.ID}
 	r.mu.Lock()
-	if t.lastEvent >= 0 {
-		h[r.headers.LastEventID] = []string{strconv.FormatInt(t.lastEvent, 10)}
+	if last := t.sequence.Last(); last != continuer.NoEvent {
+		h[r.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
 	}
 	r.mu.Unlock()
 	return dialer.Request{
@@ -228,12 +221,15 @@
 	if t.run != run {
 		return errNotNeeded
 	}
-	if e.ID >= 0 && t.lastEvent >= 0 && e.ID != t.lastEvent+1 {
-		return errors.Errorf("gap in the event stream: event %d follows event %d", e.ID, t.lastEvent)
+	if run.firstEvent == continuer.NoEvent {
+		run.firstEvent = e.ID
 	}
 	if len(t.output)+len(e.Data) > maxOutputBytes {
 		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
 	}
+	if err := t.sequence.Add(e.ID); err != nil {
+		return err
+	}
 	if _, hasBegun := t.begun.Get(); !hasBegun {
 		t.begun = option.Some(run.endpoint.Software())
 	}
@@ -244,8 +240,5 @@
 		t.output = append(t.output, e.Data...)
 		t.hasOutput = true
 	}
-	if e.ID >= 0 {
-		t.lastEvent = e.ID
-	}
 	return nil
 }
