--- a/pkg/relayer/end_test.go
+++ b/pkg/relayer/end_test.go
@@ -51,7 +51,7 @@
 // noResumer knows no streams.
 type noResumer struct{}
 
-func (noResumer) SoftwareOf(context.Context, string, string) option.Option[registrar.Software] {
+func (noResumer) SoftwareOf(context.Context, string, string, string) option.Option[registrar.Software] {
 	return option.None[registrar.Software]()
 }
 
--- a/pkg/resumer/records.go
+++ b/pkg/resumer/records.go
@@ -104,7 +104,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.due[service] = now
+	if at, ok := r.due[service]; !ok || now.Before(at) {
+		r.due[service] = now
+	}
 }
 
 func (r *records) run(ctx context.Context) {
@@ -158,6 +160,7 @@
 }
 
 func (r *records) trySave(ctx context.Context, service string) error {
+	readAt := time.Now()
 	row, version, err := r.read(ctx, service)
 	if err != nil {
 		return err
@@ -165,7 +168,7 @@
 	now := time.Now()
 	r.resumer.mu.Lock()
 	if version > 0 {
-		r.resumer.history.Restore(now, service, row.record(now))
+		r.resumer.history.Restore(now, service, row.record(now), readAt)
 	}
 	record, _ := r.resumer.history.RecordOf(now, service)
 	r.resumer.mu.Unlock()
@@ -205,10 +208,14 @@
 func (r *records) restore(ctx context.Context, service string) {
 	r.restoring.Lock()
 	defer r.restoring.Unlock()
-	if time.Since(r.restored[service]) < restorePause {
+	readAt := time.Now()
+	r.resumer.mu.Lock()
+	isKnown := r.resumer.history.IsKnownSince(r.restored[service])
+	r.resumer.mu.Unlock()
+	if isKnown && readAt.Sub(r.restored[service]) < restorePause {
 		return
 	}
-	r.restored[service] = time.Now()
+	r.restored[service] = readAt
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
 	row, version, err := r.read(ctx, service)
@@ -222,5 +229,5 @@
 	r.resumer.mu.Lock()
 	defer r.resumer.mu.Unlock()
 	now := time.Now()
-	r.resumer.history.Restore(now, service, row.record(now))
+	r.resumer.history.Restore(now, service, row.record(now), readAt)
 }
