What a route accepted stays with it: no new match by the path

The cause: the item runner matched each item's own path anew, and the longest prefix was the new route's. A route is identified by its host and its path prefix, and a job's record has both. The class is a second match after acceptance; it was in four forms:

- a route of another kind below: items abandoned without a run;
- another batch route below: items ran at its service;
- an unsupported route below: items waited for ever;
- the batch route removed, another one above: items ran at its service instead of being abandoned.

Online requests had the same: each attempt matched the path again, so a retry went to the service of a route that came below or stood above, or ended with "the route is gone" while its route was there.

Now the configuration is asked for the route that accepted the job or the request. If it was moved or split, its present services are used; if it was removed or has another kind, items are abandoned, and the request gets no further attempt.

--- a/pkg/core/registrar/config.go
+++ b/pkg/core/registrar/config.go
@@ -141,6 +141,17 @@
 	return Route{}, false
 }
 
+// Route returns the route with exactly this host and path prefix, which identify it in all versions of the configuration. What a
+// route accepted is its own, even once the path matches another one.
+func (c *Config) Route(host, pathPrefix string) (Route, bool) {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if r.PathPrefix == pathPrefix {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
 // BatchRoutes returns the host's routes for batch jobs.
 func (c *Config) BatchRoutes(host string) []Route {
 	var found []Route
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -68,10 +68,11 @@
 	id        string
 	submitted time.Time
 	due       time.Time
-	// host is the Host header of the items' requests.
-	host  string
-	items []jobmanager.Item
-	tasks map[int]*task
+	// host is the Host header of the items' requests; with pathPrefix it identifies the route that accepted the job.
+	host       string
+	pathPrefix string
+	items      []jobmanager.Item
+	tasks      map[int]*task
 	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
 	saved map[int]jobmanager.Checkpoint
 	// writer identifies this VM's checkpoints of the job; it is new each time that the job is loaded.
@@ -80,6 +81,11 @@
 	retryLoad time.Time
 }
 
+// route returns the route that accepted the job, as it is configured now; false if it was removed.
+func (j *jobState) route(reg *registrar.Registry) (registrar.Route, bool) {
+	return reg.Config.Route(j.host, j.pathPrefix)
+}
+
 // task is an item of a held job, with the state of its runs on this VM.
 type task struct {
 	job   *jobState
@@ -218,7 +224,7 @@
 		if !ok {
 			j = &jobState{
 				id: h.Job.ID, submitted: time.UnixMilli(h.Job.Submitted), due: h.Job.DueTime(), host: h.Job.Host,
-				tasks: map[int]*task{},
+				pathPrefix: h.Job.PathPrefix, tasks: map[int]*task{},
 			}
 			r.jobs[h.Job.ID] = j
 		}
@@ -346,7 +352,7 @@
 	reg := r.registry()
 	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
 	for _, t := range r.boundFirst(r.waiting(now), reg) {
-		route, ok := reg.Config.Match(t.job.host, t.item.Path)
+		route, ok := t.job.route(reg)
 		if route.Kind == registrar.KindUnsupported {
 			continue
 		}
@@ -392,7 +398,7 @@
 	}
 	var bound, free []*task
 	for _, t := range list {
-		route, ok := reg.Config.Match(t.job.host, t.item.Path)
+		route, ok := t.job.route(reg)
 		if ok && route.Kind == registrar.KindBatch {
 			served := reg.SoftwareOf(route.ServiceFor(t.item.ID))
 			if _, ok := continuer.BoundTo(t.begun, served).Get(); ok {
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -349,10 +349,10 @@
 	}
 }
 
-// place picks an endpoint by the current configuration, or refuses the request.
+// place picks an endpoint by the current configuration of the route that accepted the request, or refuses the request.
 func (q *request) place() (placer.Decision, *placer.Ticket) {
 	reg := q.registry()
-	route, ok := reg.Config.Match(q.r.Host, q.r.URL.Path)
+	route, ok := reg.Config.Route(q.route.Host, q.route.PathPrefix)
 	if !ok || route.Kind != q.route.Kind {
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
