A job's calls are the job's, whatever routes there are

The cause: whether a request is a call about a job was asked of the active configuration: does the host have a batch route? So were bodies and ends, and a repeated submission found no route, or another one, which ran it as a request.

Now the job decides. A request with the form of a call whose job is cached for its host is a call; if the id is not cached, it is one if the host has a batch route or cached jobs, and the store says whether there is such a job. A route whose prefix is that of the calls themselves gets what names no job, as on hosts that never had one; this costs no call to the store. A VM that has not read the jobs yet, or doesn't reach the store, answers 503 instead of 404 where a job that it doesn't know could be meant. A submission that comes again for a cached job, at the job's host and below its path prefix, gets its 202. The routes of cached jobs are a list that changes with the first and the last job of a route and is read without the lock, so online requests elsewhere cost nothing more.

Left as it is: on a host with a batch route, calls come before a route of their own paths.

Tests, which failed before: TestJobOutlivesItsRoute (404 instead of 200; with a route above, "invalid character 'a'": the answer of an endpoint), TestPathsOfCallsOnAHostWithoutJobs ("a VM that does not reach the store answers that there is no such job"); TestOwnerOfCalls is new. The stubs of two tests follow the interface: HandlerOf instead of ServeCall and IsJobCall, with the same condition.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"os"
 	"reflect"
@@ -237,15 +236,10 @@
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
-		HasPeers: g.HasVMList, IsJobCall: isJobCall,
+		HasPeers: g.HasVMList,
 	}, w.Current, rl, jm, t.Handler(), log)
 }
 
-func isJobCall(r *http.Request) bool {
-	_, ok, _ := platform.JobCodec{}.Call(r)
-	return ok
-}
-
 // gateway is the daemon running on the users' platform.
 type gateway struct {
 	gatewayParts
--- a/pkg/assembler/gateway_routes_test.go
+++ b/pkg/assembler/gateway_routes_test.go
@@ -128,3 +128,82 @@
 		})
 	}
 }
+
+// TestJobOutlivesItsRoute removes the route of a batch job whose results were read: the job's calls and its submission must be
+// answered as before, also by a VM that starts later, and those of unknown jobs by 404.
+func TestJobOutlivesItsRoute(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		added []map[string]any
+	}{
+		{"no other route has its path", nil},
+		{"a route above it has its path", []map[string]any{route("safe", "/", "app", nil)}},
+		{"routes have the paths of its calls", []map[string]any{
+			route("safe", "/lots/", "app", nil), route("safe", "/items/", "app", nil),
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2)
+			job, items := newID("job"), newItems(5)
+			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+			listed := f.await(f.vms[0], job, len(items))
+			f.await(f.vms[1], job, len(items))
+			f.removeRoute("/batch/")
+			f.routes = append(f.routes, c.added...)
+			f.awaitConfig()
+			f.addVM()
+			for _, vm := range f.vms {
+				var again jobPage
+				a := answer{status: http.StatusServiceUnavailable}
+				// The VM that started last may not know the jobs yet.
+				for since := time.Now(); a.status == http.StatusServiceUnavailable && time.Since(since) < maxWait; {
+					again, a = f.read(vm, job, 0)
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.Equal(t, http.StatusOK, a.status, vm.name)
+				assert.Equal(t, listed, again, vm.name)
+				a = f.call(t.Context(), vm, http.MethodGet, "/items/"+job+"?id="+items[1].ID, newID("b"), "")
+				assert.Equal(t, string(items[1].Body), a.body, vm.name)
+				assert.Equal(t, http.StatusAccepted, f.submit(vm, job, items).status, vm.name)
+				assert.Equal(t, http.StatusOK, f.call(t.Context(), vm, http.MethodDelete, "/lots/"+job, newID("e"), "").status, vm.name)
+			}
+			assert.Zero(t, f.runsAt("app", "/lots/")+f.runsAt("app", "/items/")+f.runsAt("app", "/batch/"), "a call is a request")
+			unknown := f.call(t.Context(), f.vms[0], http.MethodGet, "/lots/unknown", newID("r"), "")
+			if strings.HasPrefix(c.name, "routes have the paths") {
+				assert.Equal(t, http.StatusOK, unknown.status)
+				assert.Equal(t, 1, f.runsAt("app", "/lots/unknown"), "a request of a caller's own route is a call")
+				return
+			}
+			assert.Equal(t, http.StatusNotFound, unknown.status)
+		})
+	}
+}
+
+// TestPathsOfCallsOnAHostWithoutJobs sends requests with the paths of calls to a host that never had a batch route: they are
+// answered by the routes alone and cost no call to the store. A VM that can't know the jobs doesn't answer that there is none.
+func TestPathsOfCallsOnAHostWithoutJobs(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.removeRoute("/batch/")
+	f.routes = append(f.routes, route("safe", "/lots/", "app", nil))
+	f.configure()
+	vm := f.addVM()
+	get := func(path string) int {
+		return f.call(t.Context(), vm, http.MethodGet, path, newID("r"), "", withHeader("X-Deadline-Ms", "2000")).status
+	}
+	require.Eventually(t, func() bool { return get("/items/1") == http.StatusNotFound }, maxWait, 10*time.Millisecond)
+	before := f.store.CallCounts().Reads
+	for range 200 {
+		require.Equal(t, http.StatusNotFound, get("/items/1"))
+		require.Equal(t, http.StatusOK, get("/lots/1"))
+	}
+	assert.Less(t, f.store.CallCounts().Reads-before, int64(100), "requests without a route are looked up in the store")
+	f.store.SetFault(func(*http.Request) standin.StoreFault { return standin.Busy })
+	f.server.CloseClientConnections()
+	require.Eventually(t, func() bool { return get("/items/1") == http.StatusServiceUnavailable }, maxWait, 10*time.Millisecond,
+		"a VM that does not reach the store answers that there is no such job")
+	assert.Equal(t, http.StatusOK, get("/lots/1"))
+	assert.Equal(t, http.StatusNotFound, get("/nowhere/1"))
+}
--- a/pkg/jobmanager/calls.go
+++ b/pkg/jobmanager/calls.go
@@ -24,16 +24,12 @@
 	endTimeout = 4 * time.Second
 )
 
-// ServeCall answers a call about a job; it returns false, without an answer, if the request is not one.
-func (m *Manager) ServeCall(w http.ResponseWriter, r *http.Request) bool {
-	call, ok, err := m.codec.Call(r)
-	if !ok || len(m.registry().Config.BatchRoutes(r.Host)) == 0 {
-		return false
-	}
+// serveCall answers a call about a job; err says why it could not be decoded.
+func (m *Manager) serveCall(w http.ResponseWriter, r *http.Request, call Call, err error) {
 	if err != nil {
 		m.log.WithError(err).WithField("path", r.URL.Path).Info("could not decode a call about a batch job; answering 400")
 		relayer.WriteError(w, http.StatusBadRequest, err.Error())
-		return true
+		return
 	}
 	switch c := call.(type) {
 	case ReadCall:
@@ -43,7 +39,6 @@
 	case EndCall:
 		m.serveEnd(w, r, c)
 	}
-	return true
 }
 
 func (m *Manager) serveRead(w http.ResponseWriter, r *http.Request, c ReadCall) {
--- a/pkg/jobmanager/linear_test.go
+++ b/pkg/jobmanager/linear_test.go
@@ -291,6 +291,7 @@
 	contexts []context.Context
 	stops    []context.CancelFunc
 	route    registrar.Route
+	config   *registrar.Config
 
 	mu sync.Mutex
 	// leftAt holds the times at which VMs began to hand their jobs over.
@@ -386,8 +387,8 @@
 		Host: "h", PathPrefix: "/job/", Kind: registrar.KindBatch, DueAfter: time.Minute, WaitingTokens: pl.MaxWaitingTokens,
 		Splits: []registrar.Split{{Service: "s", Weight: 1}},
 	}
-	cfg := &registrar.Config{Version: 1, Routes: []registrar.Route{p.route}}
-	reg := registrar.NewRegistry(cfg.Index(), map[string]registrar.Endpoint{})
+	p.config = (&registrar.Config{Version: 1, Routes: []registrar.Route{p.route}}).Index()
+	reg := registrar.NewRegistry(p.config, map[string]registrar.Endpoint{})
 	p.store.SetFault(p.fault)
 	ctx, cancel := context.WithCancel(t.Context())
 	for n := range vmCount {
@@ -487,8 +488,8 @@
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, nil)
 	if a.Do == "submit" {
 		m.Submit(w, r, p.route)
-	} else if !m.ServeCall(w, r) {
-		panic("not a call: " + path)
+	} else {
+		m.HandlerOf(r, p.config)(w, r)
 	}
 	p.history.record(call, in, outcomeOf(ctx, w))
 }
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,6 +50,9 @@
 
 	mu   sync.Mutex
 	jobs map[string]*record
+	// routeCounts counts the cached jobs by the route that accepted them; routes lists these routes.
+	routeCounts map[jobRoute]int
+	routes      atomic.Pointer[[]jobRoute]
 	// admissions holds the admission row of each route by its key.
 	admissions map[string]admission
 	// nextChange is closed at the next change of a row, and then replaced.
@@ -89,8 +93,9 @@
 		cfg: cfg, store: store, codec: codec, registry: registry, members: members, log: log,
 		payloads: newPayloadCache(), jobs: map[string]*record{}, admissions: map[string]admission{},
 		nextChange: make(chan struct{}), changed: make(chan struct{}, 1), adopting: map[string]bool{},
-		handingOver: map[string]bool{},
+		handingOver: map[string]bool{}, routeCounts: map[jobRoute]int{},
 	}
+	m.routes.Store(&[]jobRoute{})
 	m.feed = watcher.NewFeed(store, jobTable, partitionNames(), m.applyUpdate, log)
 	m.feed.SetGap(feedGap)
 	return m
@@ -131,6 +136,9 @@
 		return
 	}
 	if e.IsRemoved {
+		if ok {
+			m.countRoute(old.job, -1)
+		}
 		delete(m.jobs, e.Key)
 		m.payloads.drop(e.Key)
 		return
@@ -143,6 +151,7 @@
 	if !ok {
 		old = &record{checkpoints: map[int][]string{}, failures: map[int]int{}}
 		m.jobs[e.Key] = old
+		m.countRoute(j, 1)
 	}
 	old.job, old.version = j, e.Version
 	if j.IsComplete() || (j.IsOver() && j.Holder != m.self()) {
--- a/pkg/jobmanager/types.go
+++ b/pkg/jobmanager/types.go
@@ -25,7 +25,10 @@
 }
 
 // Call is a call about a job: a ReadCall, BodyCall or EndCall.
-type Call interface{ isCall() }
+type Call interface {
+	// jobID returns the id of the call's job.
+	jobID() string
+}
 
 // ReadCall reads the results of a job from position After on. If there is none yet, it waits for one, at most for Wait.
 type ReadCall struct {
@@ -40,9 +43,9 @@
 // EndCall ends a job: its unfinished items no longer run.
 type EndCall struct{ Job string }
 
-func (ReadCall) isCall() {}
-func (BodyCall) isCall() {}
-func (EndCall) isCall()  {}
+func (c ReadCall) jobID() string { return c.Job }
+func (c BodyCall) jobID() string { return c.Job }
+func (c EndCall) jobID() string  { return c.Job }
 
 // Codec decodes submissions and calls of batch jobs and encodes results.
 type Codec interface {
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -32,8 +32,8 @@
 
 // Jobs serves the calls about batch jobs.
 type Jobs interface {
-	// ServeCall answers the request if it is a call about a job, and reports whether it was one.
-	ServeCall(w http.ResponseWriter, r *http.Request) bool
+	// HandlerOf returns what serves a request about a job that was submitted before; nil if the request is not one.
+	HandlerOf(r *http.Request, cfg *registrar.Config) http.HandlerFunc
 	// Submit accepts a new job and answers its caller.
 	Submit(w http.ResponseWriter, r *http.Request, route registrar.Route)
 }
@@ -47,8 +47,6 @@
 	// HasPeers reports whether the VM knows its peers. A VM that doesn't would fill slots that others use, and could receive
 	// no updates if it lost the store; so it is not ready.
 	HasPeers func() bool
-	// IsJobCall reports whether the request has the form of a call about a batch job.
-	IsJobCall func(*http.Request) bool
 }
 
 // Listener owns the VM's servers for callers, readiness checks and metrics.
@@ -213,15 +211,19 @@
 		return
 	}
 	route, ok := reg.Config.Match(r.Host, r.URL.Path)
-	isJobCall := l.cfg.IsJobCall(r) && len(reg.Config.BatchRoutes(r.Host)) > 0
 	isSubmission := ok && route.Kind == registrar.KindBatch && r.Method == http.MethodPost
+	var serveJob http.HandlerFunc
+	if !isSubmission {
+		serveJob = l.jobs.HandlerOf(r, reg.Config)
+	}
 	// The relayer holds online requests to the drain by their own deadlines.
-	isOnline := ok && !isJobCall && !isSubmission
+	isOnline := ok && serveJob == nil && !isSubmission
 	if d != nil && !isOnline && !d.Accepts(time.Now(), time.Now().Add(maxJobCall)) {
 		l.relayer.RefuseLeaving(w, r)
 		return
 	}
-	if isJobCall && l.jobs.ServeCall(w, r) {
+	if serveJob != nil {
+		serveJob(w, r)
 		return
 	}
 	if !ok {
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -32,7 +32,7 @@
 // noJobs serves no calls and ignores submitted jobs.
 type noJobs struct{}
 
-func (noJobs) ServeCall(http.ResponseWriter, *http.Request) bool { return false }
+func (noJobs) HandlerOf(*http.Request, *registrar.Config) http.HandlerFunc { return nil }
 
 func (noJobs) Submit(http.ResponseWriter, *http.Request, registrar.Route) {}
 
@@ -52,8 +52,7 @@
 	rl := relayer.New(headers, registry, b, pool, i, nil, func(registrar.Endpoint) {}, m, log)
 	return New(Config{
 		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics",
-		HasPeers:  func() bool { return true },
-		IsJobCall: func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/lots/") },
+		HasPeers: func() bool { return true },
 	}, registry, rl, noJobs{}, http.NotFoundHandler(), log), hook
 }
 
@@ -204,12 +203,11 @@
 	calls, submitted int
 }
 
-func (j *countedJobs) ServeCall(_ http.ResponseWriter, r *http.Request) bool {
-	isCall := strings.HasPrefix(r.URL.Path, "/lots/")
-	if isCall {
-		j.calls++
+func (j *countedJobs) HandlerOf(r *http.Request, _ *registrar.Config) http.HandlerFunc {
+	if !strings.HasPrefix(r.URL.Path, "/lots/") {
+		return nil
 	}
-	return isCall
+	return func(http.ResponseWriter, *http.Request) { j.calls++ }
 }
 
 func (j *countedJobs) Submit(http.ResponseWriter, *http.Request, registrar.Route) { j.submitted++ }
