Dialer: an answer without an id on a used connection is no answer

Callers' requests that may run once ran at two endpoints, or were answered 503 ("has not run") and ran: an endpoint wrote a refusal that named no request before its answer, on a connection that had carried an earlier request, and the refusal counted as the answer.

Cause: an answer without an id was taken for the current request's on any connection. Endpoints name the request in their answers, so on a used connection it can't be told which request an unnamed one is about, and a refusal is a promise about one of them.

On a connection that has carried a request, an answer without an id is now an error of the exchange: the request may have run. On a fresh connection, also one opened ahead of its first request, it can only be the current request's. A request that has no id itself gets a fresh connection, so that its refusal with 400 still reaches its caller; requests for load reports have no id and don't change.

Price: a refusal without an id on a kept connection is a failure instead of another attempt.

--- a/pkg/assembler/gateway_extra_answer_test.go
+++ b/pkg/assembler/gateway_extra_answer_test.go
@@ -15,8 +15,8 @@
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
-// serveEngine makes answer the only engine of the fleet: it is called for each connection.
-func (f *testFleet) serveEngine(answer func(c net.Conn, br *bufio.Reader)) {
+// replaceEndpoints replaces the service's endpoints by n and calls answer for each of their connections.
+func (f *testFleet) replaceEndpoints(service string, n int, answer func(c net.Conn, br *bufio.Reader)) {
 	f.t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(f.t, err)
@@ -33,13 +33,14 @@
 			}()
 		}
 	}()
-	for _, id := range []string{"i-llm-1", "i-llm-2"} {
-		f.store.Remove("servers", "", id)
+	f.store.Remove("servers", "", "i-"+service+"-1")
+	f.store.Remove("servers", "", "i-"+service+"-2")
+	for range n {
+		f.store.Put("servers", "", newID("i-raw"), map[string]any{
+			"service": service, "address": ln.Addr().String(), "zone": "syd-a", "version": "v1", "slots": 8, "state": "ready",
+			"coldLeftMs": 0, "seq": 1, "born": 1,
+		})
 	}
-	f.store.Put("servers", "", "i-raw", map[string]any{
-		"service": "llm", "address": ln.Addr().String(), "zone": "syd-a", "version": "v1", "slots": 8, "state": "ready",
-		"coldLeftMs": 0, "seq": 1, "born": 1,
-	})
 	f.awaitEndpoints()
 }
 
@@ -51,7 +52,7 @@
 	f.batchRoute()["maxAttempts"] = 2
 	f.awaitConfig()
 	runs := atomic.Int64{}
-	f.serveEngine(func(c net.Conn, br *bufio.Reader) {
+	f.replaceEndpoints("llm", 1, func(c net.Conn, br *bufio.Reader) {
 		extra := ""
 		for {
 			r, err := http.ReadRequest(br)
@@ -81,3 +82,34 @@
 	assert.Equal(t, standin.CompleteOutput(items[0].ID, 3), result.Output)
 	assert.EqualValues(t, 2, runs.Load())
 }
+
+// TestExtraRefusalWithoutAnIDRunsNoRequestTwice has two endpoints write a refusal that names no request before each answer but
+// the first of a connection, to requests that they run.
+func TestExtraRefusalWithoutAnIDRunsNoRequestTwice(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	runs := atomic.Int64{}
+	f.replaceEndpoints("app", 2, func(c net.Conn, br *bufio.Reader) {
+		extra := ""
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/book/1" {
+				runs.Add(1)
+			}
+			_, _ = io.WriteString(c, extra+head(r.Header.Get("X-Request-Id"), "Content-Length: 2\r\n")+"ok")
+			extra = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+		}
+	})
+	statuses := map[int]int{}
+	for n := range 6 {
+		a := f.call(t.Context(), f.vms[0], http.MethodPost, "/book/1", newID("b"), "body", withHeader("X-Deadline-Ms", "2000"))
+		statuses[a.status]++
+		assert.EqualValues(t, n+1, runs.Load(), "the runs of the requests so far")
+	}
+	assert.Zero(t, statuses[http.StatusServiceUnavailable], "a request that ran is answered as not run")
+	assert.Positive(t, statuses[http.StatusOK])
+}
--- a/pkg/dialer/carried.go
+++ b/pkg/dialer/carried.go
@@ -47,3 +47,11 @@
 func namesNone(r Request, res *http.Response) bool {
 	return r.IDHeader != "" && res.Header.Get(r.IDHeader) == ""
 }
+
+// checkName returns an *UnnamedAnswerError if the answer names no request and may be one to an earlier request.
+func (c *carried) checkName(r Request, res *http.Response) error {
+	if c.isUsed && namesNone(r, res) {
+		return &UnnamedAnswerError{Status: res.StatusCode}
+	}
+	return nil
+}
--- a/pkg/dialer/errors.go
+++ b/pkg/dialer/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -40,3 +41,13 @@
 
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
+
+// UnnamedAnswerError says that an answer names no request, on a connection that has carried earlier ones. Whatever it states may
+// be about one of them.
+type UnnamedAnswerError struct {
+	Status int
+}
+
+func (e *UnnamedAnswerError) Error() string {
+	return "the answer with status " + strconv.Itoa(e.Status) + " names no request: connection closed"
+}
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		if !namesAnother(r, res) {
-			return res, nil
+			return res, c.carried.checkName(r, res)
 		}
 		strays++
 		if strays > maxStrays {
--- a/pkg/dialer/pool_test.go
+++ b/pkg/dialer/pool_test.go
@@ -343,3 +343,62 @@
 	require.Len(t, p.idle["e"], 1)
 	assert.Len(t, p.idle["e"][0].carried.ids, maxCarriedIDs)
 }
+
+// TestExtraRefusalWithoutAnIDIsNoRefusalOfTheNextRequest has an endpoint write a refusal that names no request before its answer
+// to the second request, which it runs. The refusal of a request that is the first on its connection needs no name.
+func TestExtraRefusalWithoutAnIDIsNoRefusalOfTheNextRequest(t *testing.T) {
+	for _, status := range []string{
+		"400 Bad Request", "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable",
+	} {
+		t.Run(status, func(t *testing.T) {
+			refusal := "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+			addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+				isUsed := false
+				answerEach(br, func(id string) bool {
+					switch {
+					case isUsed:
+						_, _ = io.WriteString(conn, refusal+reply(id, "Content-Length: 2\r\n", "ok"))
+					case id == "" || id == "refused":
+						_, _ = io.WriteString(conn, refusal)
+					default:
+						_, _ = io.WriteString(conn, reply(id, "Content-Length: 2\r\n", "ok"))
+					}
+					isUsed = true
+					return true
+				})
+			})
+			p := NewPool(atMost(4))
+			text, err := roundTrip(t, p, addr, "1", []byte("body"))
+			require.NoError(t, err)
+			assert.Equal(t, "ok", text)
+			text, err = roundTrip(t, p, addr, "2", []byte("body"))
+			exchange, unnamed := (*ExchangeError)(nil), (*UnnamedAnswerError)(nil)
+			require.ErrorAs(t, err, &exchange, "the refusal answers a request that the endpoint runs: %q", text)
+			require.ErrorAs(t, err, &unnamed)
+			assert.True(t, exchange.IsReused)
+			assert.Empty(t, p.idle, "the connection is kept")
+			for n, id := range []string{"refused", ""} {
+				text, err = roundTrip(t, p, addr, id, []byte("body"))
+				require.NoError(t, err)
+				assert.Equal(t, "full", text)
+				assert.Len(t, opened, n+2)
+			}
+		})
+	}
+}
+
+// TestConnectionThatWasOnlyReachedIsFresh opens a connection ahead of its first request, whose refusal needs no name.
+func TestConnectionThatWasOnlyReachedIsFresh(t *testing.T) {
+	addr, opened := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		answerEach(br, func(string) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull")
+			return true
+		})
+	})
+	p := NewPool(atMost(4))
+	require.NoError(t, p.Reach(t.Context(), "e", addr))
+	text, err := roundTrip(t, p, addr, "1", nil)
+	require.NoError(t, err)
+	assert.Equal(t, "full", text)
+	assert.Len(t, opened, 1)
+}
