A saved output is joined from the checkpoints of one output, or with the one that it continues

Cause: the rows of an item were keyed by their first event and told apart by the writer, one holder's work on the job. So (a) an output that began anew replaced some rows of the discarded one and not others, and its rows were joined to what was left: rows 0-29 of the new output, then 30-59 of the old one; (b) the first row of a writer was joined to whatever ended at its first event, not to what that writer had read and gone on with; (c) a row of a former holder that was written late replaced the row of the present one.

Each output has an id now; its rows carry it (in the field "writer") and have keys of their own, so that a late row replaces nothing. The first row of an output that goes on with a saved one names that one. Checkpoints joins the rows of one output, and before them the rows of the one that it names, up to just that event; of several outputs it takes the one that was begun last. Rows of earlier builds are readable: those of one writer are taken for one output, but no output is joined to that of another writer, since they don't say which one it went on with. Earlier builds read the new rows, and don't join an output to the one that it continues.

Changed tests: the three of joinCheckpoint build their rows with the ids of outputs and what these continue, since the function is gone; what they require is the same. The case of a second "first" checkpoint of one writer is two outputs now.

--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -1,6 +1,7 @@
 package itemrunner
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -46,19 +47,27 @@
 			if t.isOver || t.lastEvent < t.savedEvent+minCheckpointEvents {
 				continue
 			}
-			software, _ := t.begun.Get()
 			c := byJob[id]
 			c.outputs = append(c.outputs, t.itemOutput)
-			c.list = append(c.list, jobmanager.Checkpoint{
-				Item: i, Software: software, After: t.savedEvent, LastEvent: t.lastEvent, Writer: j.writer, IsFirstOfWriter: !t.hasSaved,
-				Output: append([]byte(nil), t.output[t.savedBytes:]...),
-			})
+			c.list = append(c.list, t.newCheckpoint(i))
 			byJob[id] = c
 		}
 	}
 	return byJob
 }
 
+// newCheckpoint returns a checkpoint of what is not saved of the item's output.
+func (o *itemOutput) newCheckpoint(item int) jobmanager.Checkpoint {
+	c := jobmanager.Checkpoint{
+		Item: item, OutputID: o.id, After: o.savedEvent, LastEvent: o.lastEvent, Output: bytes.Clone(o.output[o.savedBytes:]),
+	}
+	c.Software, _ = o.begun.Get()
+	if !o.hasSaved {
+		c.Continues = o.continues
+	}
+	return c
+}
+
 // markSaved records how much of the outputs is saved; only checkpoint changes that.
 func (r *Runner) markSaved(c jobCheckpoint) {
 	r.mu.Lock()
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -73,9 +73,7 @@
 	items []jobmanager.Item
 	tasks map[int]*task
 	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
-	saved map[int]jobmanager.Checkpoint
-	// writer identifies this VM's checkpoints of the job; it is new each time that the job is loaded.
-	writer    string
+	saved     map[int]jobmanager.Checkpoint
 	isLoading bool
 	retryLoad time.Time
 }
@@ -103,6 +101,9 @@
 // itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
 // reset, so that a checkpoint which is being written can't be taken for one of the next output.
 type itemOutput struct {
+	id string
+	// continues is the id of the saved output that this one goes on with; empty if it began with the first event.
+	continues string
 	// lastEvent is the id of the last event received, or -1.
 	lastEvent int64
 	output    []byte
@@ -116,13 +117,15 @@
 	hasSaved bool
 }
 
-func newItemOutput() *itemOutput { return &itemOutput{lastEvent: noEvent, savedEvent: noEvent} }
+func newItemOutput() *itemOutput {
+	return &itemOutput{id: uuid.NewString(), lastEvent: noEvent, savedEvent: noEvent}
+}
 
 // continued returns an output that goes on after what was saved of another one.
 func continued(c jobmanager.Checkpoint) *itemOutput {
 	return &itemOutput{
-		lastEvent: c.LastEvent, output: c.Output, hasOutput: true, begun: option.Some(c.Software),
-		savedBytes: len(c.Output), savedEvent: c.LastEvent,
+		id: uuid.NewString(), continues: c.OutputID, lastEvent: c.LastEvent, output: c.Output, hasOutput: true,
+		begun: option.Some(c.Software), savedBytes: len(c.Output), savedEvent: c.LastEvent,
 	}
 }
 
@@ -282,7 +285,6 @@
 		return
 	}
 	j.items, j.saved = items, saved
-	j.writer = uuid.NewString()
 }
 
 // stopUnneededRuns ends the runs of items that already have a result, or whose job has ended or moved to another VM; the lock
--- a/pkg/jobmanager/checkpoint.go
+++ b/pkg/jobmanager/checkpoint.go
@@ -1,8 +1,11 @@
 package jobmanager
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -11,23 +14,28 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
 
-// Checkpoint is a part of the output of an unfinished item: the events after After, up to and including LastEvent.
+// Checkpoint is a part of an output of an unfinished item: the events after After, up to and including LastEvent.
 type Checkpoint struct {
 	Item      int   `json:"item"`
 	After     int64 `json:"after"`
 	LastEvent int64 `json:"lastEvent"`
-	// Writer identifies one holder's work on the job. IsFirstOfWriter marks its first checkpoint of the item: the run was
-	// started to continue after event After, so its output follows what other writers saved up to there.
-	Writer          string `json:"writer"`
-	IsFirstOfWriter bool   `json:"isFirst,omitempty"`
+	// OutputID identifies the output. Earlier builds identify a holder's work on the job instead, which may have had several
+	// outputs of the item, at different software versions.
+	OutputID string `json:"writer"`
+	// Continues is the id of the output that this one was begun to go on with after event After. It is empty if the output began
+	// with the first event, and on all but the first checkpoint of an output.
+	Continues string `json:"continues,omitempty"`
 	// Software is the software version that wrote the output; zero, as in the rows of earlier builds, if it is unknown.
 	Software registrar.Software `json:"software,omitempty"`
 	Output   []byte             `json:"-"`
+	// version is that of the row.
+	version int64
 }
 
-// checkpointKey sorts an item's checkpoints by their first event, also if several writers save without coordination.
-func checkpointKey(job string, item int, after int64) string {
-	return fmt.Sprintf("%s/%05d/%08d", job, item, after+1)
+// checkpointKey sorts an item's checkpoints by their first event. The checkpoints of two outputs have different keys, so that
+// neither replaces the other.
+func checkpointKey(job string, c Checkpoint) string {
+	return fmt.Sprintf("%s/%05d/%08d/%s", job, c.Item, c.After+1, c.OutputID)
 }
 
 // Save writes checkpoints of items of the job in one transaction; it does nothing if the job is over.
@@ -55,15 +63,24 @@
 	return err
 }
 
+// checkpointHead is the head of a checkpoint's row.
+type checkpointHead struct {
+	Checkpoint
+	// IsFirst lets earlier builds begin with the checkpoint. They would join the first one of an output that continues another
+	// one to any that ends there, so they get none of these.
+	IsFirst bool `json:"isFirst,omitempty"`
+}
+
 func encodeCheckpoint(job string, c Checkpoint) (storer.Entry, error) {
-	value, err := prependHead(c, c.Output)
+	value, err := prependHead(checkpointHead{Checkpoint: c, IsFirst: c.After == noEvent}, c.Output)
 	return storer.Entry{
-		Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, c.Item, c.After), Value: value,
+		Table: checkpointTable, Partition: partitionOf(job), Key: checkpointKey(job, c), Value: value,
 	}, errors.Wrap(err, "encode checkpoint")
 }
 
 func decodeCheckpoint(e storer.Entry) (c Checkpoint, err error) {
 	c.Output, err = splitHead(e, &c)
+	c.version = e.Version
 	return c, err
 }
 
@@ -82,13 +99,14 @@
 	}
 }
 
-// Checkpoints returns the saved output of each item of the job: the events from the first one on without a gap.
+// Checkpoints returns what is saved of an output of each item of the job: the events from the first one on without a gap. Of
+// several outputs, it takes the one that was begun last.
 func (m *Manager) Checkpoints(ctx context.Context, job string) (map[int]Checkpoint, error) {
 	rows, _, err := storer.ScanAll(ctx, m.store, rangeOf(checkpointTable, job))
 	if err != nil {
 		return nil, err
 	}
-	saved := map[int]Checkpoint{}
+	byItem := map[int]savedOutputs{}
 	for _, e := range rows {
 		c, err := decodeCheckpoint(e)
 		if err != nil {
@@ -96,25 +114,67 @@
 			continue
 		}
 		m.recordCheckpoints(job, []storer.Entry{e}, []Checkpoint{c})
-		joinCheckpoint(saved, c)
+		if byItem[c.Item] == nil {
+			byItem[c.Item] = savedOutputs{}
+		}
+		byItem[c.Item].add(c)
+	}
+	saved := map[int]Checkpoint{}
+	for item, outputs := range byItem {
+		if c, ok := outputs.latest(); ok {
+			saved[item] = c
+		}
 	}
 	return saved, nil
 }
 
-// joinCheckpoint appends a checkpoint to the item's output if it starts where that ends, and is by the same writer or the first
-// of a new one: a run's events may follow those of another run only if it was started to continue there, at an endpoint of the
-// same software version.
-func joinCheckpoint(saved map[int]Checkpoint, c Checkpoint) {
-	old, ok := saved[c.Item]
-	if !ok {
-		old = Checkpoint{Item: c.Item, After: noEvent, LastEvent: noEvent}
+// savedOutputs holds the checkpoints of an item by output, each output's in the order of their events.
+type savedOutputs map[string][]Checkpoint
+
+// add adds a checkpoint; those of one output are added in the order of their events.
+func (s savedOutputs) add(c Checkpoint) { s[c.OutputID] = append(s[c.OutputID], c) }
+
+// latest returns the output that was begun last, of those that are saved from the first event on.
+func (s savedOutputs) latest() (Checkpoint, bool) {
+	ids := slices.SortedFunc(maps.Keys(s), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s[b][0].version, s[a][0].version), cmp.Compare(a, b))
+	})
+	for _, id := range ids {
+		if c, ok := s.join(id, math.MaxInt64); ok {
+			return c, true
+		}
 	}
-	if c.After != old.LastEvent || (c.Writer != old.Writer && !c.IsFirstOfWriter) || (ok && c.Software != old.Software) {
-		return
+	return Checkpoint{}, false
+}
+
+// join returns the output from the first event on without a gap, up to the event last, if it is saved from the first event on. An
+// output that was begun to go on with another one begins with that one's events.
+func (s savedOutputs) join(id string, last int64) (Checkpoint, bool) {
+	if len(s[id]) == 0 {
+		return Checkpoint{}, false
+	}
+	first := s[id][0]
+	joined := Checkpoint{Item: first.Item, After: noEvent, LastEvent: noEvent, Software: first.Software}
+	if first.After != noEvent {
+		// Events of an output that continues this one are none of its own.
+		base := s[first.Continues]
+		if len(base) == 0 || base[0].After >= first.After {
+			return Checkpoint{}, false
+		}
+		var ok bool
+		joined, ok = s.join(first.Continues, first.After)
+		if !ok || joined.LastEvent != first.After || joined.Software != first.Software {
+			return Checkpoint{}, false
+		}
+	}
+	joined.OutputID = id
+	for _, c := range s[id] {
+		if c.After == joined.LastEvent && c.LastEvent <= last && c.Software == joined.Software {
+			joined.Output = append(joined.Output, c.Output...)
+			joined.LastEvent = c.LastEvent
+		}
 	}
-	old.Output = append(old.Output, c.Output...)
-	old.LastEvent, old.Writer, old.Software = c.LastEvent, c.Writer, c.Software
-	saved[c.Item] = old
+	return joined, true
 }
 
 // noEvent is the number of the last event before a stream has any.
--- a/pkg/jobmanager/rows_test.go
+++ b/pkg/jobmanager/rows_test.go
@@ -47,29 +47,25 @@
 
 // TestCheckpointsOfTwoWritersJoinWithoutOverlap skips checkpoints that overlap the output before them or leave a gap.
 func TestCheckpointsOfTwoWritersJoinWithoutOverlap(t *testing.T) {
-	saved := map[int]Checkpoint{}
-	for _, c := range []Checkpoint{
-		{After: -1, LastEvent: 4, Writer: "a", IsFirstOfWriter: true, Output: []byte("0-4")},
-		{After: 2, LastEvent: 6, Writer: "b", IsFirstOfWriter: true, Output: []byte("3-6")},
-		{After: 4, LastEvent: 7, Writer: "b", IsFirstOfWriter: true, Output: []byte(",5-7")},
-		{After: 9, LastEvent: 12, Writer: "b", Output: []byte("10-12")},
-	} {
-		joinCheckpoint(saved, c)
-	}
-	assert.Equal(t, "0-4,5-7", string(saved[0].Output))
-	assert.Equal(t, int64(7), saved[0].LastEvent)
+	c := joined(
+		t,
+		Checkpoint{After: -1, LastEvent: 4, OutputID: "a", Output: []byte("0-4")},
+		Checkpoint{After: 2, LastEvent: 6, OutputID: "b", Continues: "a", Output: []byte("3-6")},
+		Checkpoint{After: 4, LastEvent: 7, OutputID: "c", Continues: "a", Output: []byte(",5-7")},
+		Checkpoint{After: 9, LastEvent: 12, OutputID: "c", Output: []byte("10-12")},
+	)
+	assert.Equal(t, "0-4,5-7", string(c.Output))
+	assert.Equal(t, int64(7), c.LastEvent)
 }
 
 // TestCheckpointsOfAnotherRunDoNotJoin has a second writer save up to the event at which the first writer's next
 // checkpoint starts. That checkpoint continues the first writer's own output, so it must not follow the second's.
 func TestCheckpointsOfAnotherRunDoNotJoin(t *testing.T) {
-	saved := map[int]Checkpoint{}
-	for _, c := range []Checkpoint{
-		{After: -1, LastEvent: 4, Writer: "a", IsFirstOfWriter: true, Output: []byte("0-4")},
-		{After: 4, LastEvent: 7, Writer: "b", IsFirstOfWriter: true, Output: []byte(",5-7")},
-		{After: 7, LastEvent: 9, Writer: "a", Output: []byte(",8-9")},
-	} {
-		joinCheckpoint(saved, c)
-	}
-	assert.Equal(t, "0-4,5-7", string(saved[0].Output))
+	c := joined(
+		t,
+		Checkpoint{After: -1, LastEvent: 4, OutputID: "a", Output: []byte("0-4")},
+		Checkpoint{After: 4, LastEvent: 7, OutputID: "b", Continues: "a", Output: []byte(",5-7")},
+		Checkpoint{After: 7, LastEvent: 9, OutputID: "a", Output: []byte(",8-9")},
+	)
+	assert.Equal(t, "0-4,5-7", string(c.Output))
 }
