--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -76,9 +76,7 @@
 	items      []jobmanager.Item
 	tasks      map[int]*task
 	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
-	saved map[int]jobmanager.Checkpoint
-	// writer identifies this VM's checkpoints of the job; it is new each time that the job is loaded.
-	writer    string
+	saved     map[int]jobmanager.Checkpoint
 	isLoading bool
 	retryLoad time.Time
 }
@@ -111,6 +109,9 @@
 // itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
 // reset, so that a checkpoint which is being written can't be taken for one of the next output.
 type itemOutput struct {
+	id string
+	// continues is the id of the saved output that this one goes on with; empty if it began with the first event.
+	continues string
 	// sequence is that of the events received.
 	sequence  continuer.Sequence
 	output    []byte
@@ -125,14 +126,14 @@
 }
 
 func newItemOutput() *itemOutput {
-	return &itemOutput{sequence: continuer.NewSequence(continuer.NoEvent), savedEvent: continuer.NoEvent}
+	return &itemOutput{id: uuid.NewString(), sequence: continuer.NewSequence(continuer.NoEvent), savedEvent: continuer.NoEvent}
 }
 
 // continued returns an output that goes on after what was saved of another one.
 func continued(c jobmanager.Checkpoint) *itemOutput {
 	return &itemOutput{
-		sequence: continuer.NewSequence(c.LastEvent), output: c.Output, hasOutput: true, begun: option.Some(c.Software),
-		savedBytes: len(c.Output), savedEvent: c.LastEvent,
+		id: uuid.NewString(), continues: c.OutputID, sequence: continuer.NewSequence(c.LastEvent), output: c.Output, hasOutput: true,
+		begun: option.Some(c.Software), savedBytes: len(c.Output), savedEvent: c.LastEvent,
 	}
 }
 
@@ -297,7 +298,6 @@
 		return
 	}
 	j.items, j.saved = items, saved
-	j.writer = uuid.NewString()
 }
 
 // stopUnneededRuns ends the runs of items that already have a result, or whose job has ended or moved to another VM; the lock
