A panic in the work on one batch job ends that work, not the VM's open requests

What callers saw: a panic in the checkpoint of one item's output ended the process, and with it all requests in flight at the VM.

Weighed: to end the process is right where state that all requests share may be left half changed, and where a VM would go on to hold a job for which it can't write. It is wrong for work that has state of its own, which can be given up: the run of an item, the checkpoint of a job, the load of a job. A job that panics there would also end each VM that takes it over, one after the other. net/http contains panics of callers' requests already.

These three are contained (pkg/recoverer): a run's output is discarded and the item tried again after 5 s, a checkpoint is skipped, a load tried again after 5 s. Each panic is logged with its stack and counted ("panics", by work).

--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -22,7 +22,13 @@
 
 // ask is a question to another VM that waits for its reply.
 type ask struct {
-	group *group
+	group  *group
+	number uint64
+	// target is the VM that the question was sent to, at sentAt.
+	target string
+	sentAt time.Time
+	// timeout bounds the wait for the reply.
+	timeout time.Duration
 	// reply receives the placement; it has room for it, so that the receiver never waits.
 	reply chan placement
 }
@@ -169,21 +175,8 @@
 
 // ask asks the group's assigner for an endpoint; it returns false if there was no reply in time.
 func (b *Balancer) ask(ctx context.Context, g *group, r placer.Request, excluded []placer.Key) (placement, bool) {
-	b.mu.Lock()
-	now := time.Now()
-	b.nextID++
-	number := b.nextID
-	target := b.targetOf(now, g)
-	in := assigner.Asked{VM: b.cfg.VM, Number: number, Request: r, Excluded: excluded}
-	q := &ask{group: g, reply: make(chan placement, 1)}
-	b.asks[number] = q
-	b.report(now, g, &in)
-	timeout := b.nearTimeout
-	if !b.isNear(g) {
-		timeout = b.farTimeout
-	}
-	b.mu.Unlock()
-	timer := time.NewTimer(timeout)
+	q := b.sendAsk(g, r, excluded)
+	timer := time.NewTimer(q.timeout)
 	defer timer.Stop()
 	select {
 	case p := <-q.reply:
@@ -198,14 +191,32 @@
 		return p, true
 	default:
 	}
-	delete(b.asks, number)
+	delete(b.asks, q.number)
 	if ctx.Err() == nil {
 		b.Counters.Unanswered.Add(1)
-		g.recordReply(now, target, false)
+		g.recordReply(q.sentAt, q.target, false)
 	}
 	return placement{}, false
 }
 
+// sendAsk sends a question to the group's assigner.
+func (b *Balancer) sendAsk(g *group, r placer.Request, excluded []placer.Key) *ask {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.nextID++
+	q := &ask{
+		group: g, number: b.nextID, target: b.targetOf(now, g), sentAt: now, timeout: b.nearTimeout,
+		reply: make(chan placement, 1),
+	}
+	if !b.isNear(g) {
+		q.timeout = b.farTimeout
+	}
+	b.asks[q.number] = q
+	b.report(now, g, &assigner.Asked{VM: b.cfg.VM, Number: q.number, Request: r, Excluded: excluded})
+	return q
+}
+
 // placeAlone decides by this VM's own counts: it spreads requests over the endpoints until an assigner replies again.
 func (b *Balancer) placeAlone(r placer.Request) (placer.Decision, *placer.Ticket) {
 	b.mu.Lock()
--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
+	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
 
@@ -26,34 +29,49 @@
 	list    []jobmanager.Checkpoint
 }
 
-// checkpoint saves the outputs that have at least minCheckpointEvents new events, in one transaction for each job.
+// checkpoint saves the outputs that have at least minCheckpointEvents new events, in one transaction for each job. A job whose
+// checkpoint fails or panics is skipped until the next interval.
 func (r *Runner) checkpoint(ctx context.Context) {
-	for id, c := range r.newCheckpoints() {
-		if err := r.manager.Save(ctx, id, c.list); err != nil {
+	for _, id := range r.jobIDs() {
+		err := recoverer.Call(func() error { return r.checkpointJob(ctx, id) })
+		if err != nil && !r.reportPanic("checkpoint", id, err) {
 			r.log.WithError(err).WithField("job", id).Warn("checkpoint of item outputs not saved; retrying at the next interval")
-			continue
 		}
-		r.markSaved(c)
 	}
 }
 
-// newCheckpoints returns the checkpoints to be saved, by job.
-func (r *Runner) newCheckpoints() map[string]jobCheckpoint {
+func (r *Runner) jobIDs() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	byJob := map[string]jobCheckpoint{}
-	for id, j := range r.jobs {
+	return slices.Collect(maps.Keys(r.jobs))
+}
+
+func (r *Runner) checkpointJob(ctx context.Context, id string) error {
+	c := r.newJobCheckpoint(id)
+	if len(c.list) == 0 {
+		return nil
+	}
+	if err := r.manager.Save(ctx, id, c.list); err != nil {
+		return err
+	}
+	r.markSaved(c)
+	return nil
+}
+
+// newJobCheckpoint returns the checkpoints of the job's outputs that are to be saved. It changes nothing.
+func (r *Runner) newJobCheckpoint(id string) jobCheckpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := jobCheckpoint{}
+	if j, ok := r.jobs[id]; ok {
 		for i, t := range j.tasks {
-			if t.isOver || t.lastEvent < t.savedEvent+minCheckpointEvents {
-				continue
+			if !t.isOver && t.lastEvent >= t.savedEvent+minCheckpointEvents {
+				c.outputs = append(c.outputs, t.itemOutput)
+				c.list = append(c.list, t.newCheckpoint(i))
 			}
-			c := byJob[id]
-			c.outputs = append(c.outputs, t.itemOutput)
-			c.list = append(c.list, t.newCheckpoint(i))
-			byJob[id] = c
 		}
 	}
-	return byJob
+	return c
 }
 
 // newCheckpoint returns a checkpoint of what is not saved of the item's output.
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -17,6 +17,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 )
 
@@ -52,7 +53,7 @@
 // runItem runs the item at an endpoint and records how the run ended.
 func (r *Runner) runItem(ctx context.Context, t *task, run *itemRun, route registrar.Route) {
 	spanCtx, span := otel.Tracer("worker").Start(ctx, "item run "+run.endpoint.ID)
-	err := r.exchange(spanCtx, t, run)
+	err := recoverer.Call(func() error { return r.exchange(spanCtx, t, run) })
 	span.End()
 	// The cause must be read before cancel, which sets a cause itself.
 	cause := context.Cause(ctx)
@@ -64,6 +65,7 @@
 		t.run, t.idleSince = nil, time.Now()
 		t.runTime += time.Since(run.started)
 	}
+	r.reportPanic("item run", t.job.id, err)
 	outcome := r.recordEnd(t, run, route, err, cause, isCurrent)
 	r.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
@@ -93,6 +95,12 @@
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "stopped"
 	}
+	if panicked := (*recoverer.PanicError)(nil); errors.As(err, &panicked) {
+		t.discardOutput()
+		t.notBefore = time.Now().Add(panicPause)
+		r.balancer.End(run.ticket, placer.EndedLocally)
+		return "panicked"
+	}
 	how, outcome := placer.EndedFailed, "broken"
 	t.notBefore = time.Now().Add(retryPause)
 	if answer := (*AnswerError)(nil); errors.As(err, &answer) {
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
@@ -18,6 +19,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
@@ -29,13 +31,17 @@
 	minStepInterval = 4 * time.Millisecond
 	// retryPause is the pause before the next run of an item whose last run failed.
 	retryPause = 200 * time.Millisecond
+	// panicPause is the pause before work that panicked is tried again.
+	panicPause = 5 * time.Second
 	// loadRetryPause is the pause before the items of a job are read again after a failed read.
 	loadRetryPause = 300 * time.Millisecond
 )
 
-// Metrics counts the runs of items by outcome; its methods must not block.
+// Metrics counts the runs of items by outcome, and panics; its methods must not block.
 type Metrics interface {
 	ItemRun(outcome string)
+	// Panicked counts a panic in a part of the work that ended alone.
+	Panicked(work string)
 }
 
 // Runner runs the items of the batch jobs that this VM holds.
@@ -271,22 +277,41 @@
 
 // runLoad reads the items of a job and the checkpoints of their outputs.
 func (r *Runner) runLoad(ctx context.Context, j *jobState) {
-	items, err := r.manager.Items(ctx, j.id, true)
+	var items []jobmanager.Item
 	var saved map[int]jobmanager.Checkpoint
-	if err == nil {
-		saved, err = r.manager.Checkpoints(ctx, j.id)
-	}
+	err := recoverer.Call(func() (err error) {
+		if items, err = r.manager.Items(ctx, j.id, true); err == nil {
+			saved, err = r.manager.Checkpoints(ctx, j.id)
+		}
+		return err
+	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j.isLoading = false
 	if err != nil {
-		j.retryLoad = time.Now().Add(loadRetryPause)
+		pause := loadRetryPause
+		if r.reportPanic("load", j.id, err) {
+			pause = panicPause
+		}
+		j.retryLoad = time.Now().Add(pause)
 		r.log.WithError(err).WithField("job", j.id).Warn("items of the job not read; retrying")
 		return
 	}
 	j.items, j.saved = items, saved
 }
 
+// reportPanic logs and counts err if it is a panic in the work on a job, and reports whether it is.
+func (r *Runner) reportPanic(work, job string, err error) bool {
+	panicked := (*recoverer.PanicError)(nil)
+	if !errors.As(err, &panicked) {
+		return false
+	}
+	r.metrics.Panicked(work)
+	r.log.WithError(err).WithFields(logrus.Fields{"work": work, "job": job, "stack": string(panicked.Stack)}).
+		Error("panic in the work on a batch job; the rest goes on")
+	return true
+}
+
 // stopUnneededRuns ends the runs of items that already have a result, or whose job has ended or moved to another VM; the lock
 // is held.
 func (r *Runner) stopUnneededRuns() {
--- a/pkg/tracer/meter.go
+++ b/pkg/tracer/meter.go
@@ -16,15 +16,16 @@
 
 // Meter records how online requests and runs of batch items end, and the latencies of requests.
 type Meter struct {
-	ended metric.Int64Counter
-	took  metric.Float64Histogram
-	first metric.Float64Histogram
-	items metric.Int64Counter
+	ended  metric.Int64Counter
+	took   metric.Float64Histogram
+	first  metric.Float64Histogram
+	items  metric.Int64Counter
+	panics metric.Int64Counter
 }
 
 // NewMeter returns a meter that records to the process's meter provider; the Tracer parameter makes sure that it is set up.
 func NewMeter(*Tracer) (*Meter, error) {
-	m, errs := otel.Meter("dogwoodledge"), [4]error{}
+	m, errs := otel.Meter("dogwoodledge"), [5]error{}
 	meter := &Meter{}
 	meter.ended, errs[0] = m.Int64Counter("requests_ended",
 		metric.WithDescription("online requests by route and outcome"))
@@ -36,6 +37,8 @@
 		metric.WithExplicitBucketBoundaries(latencyBounds...))
 	meter.items, errs[3] = m.Int64Counter("item_runs",
 		metric.WithDescription("runs of batch items by how they ended"))
+	meter.panics, errs[4] = m.Int64Counter("panics",
+		metric.WithDescription("panics that ended one part of the work alone, by kind of work"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "set up metrics")
@@ -66,6 +69,11 @@
 	m.first.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
 }
 
+// Panicked counts a panic in a part of the work that ended alone.
+func (m *Meter) Panicked(work string) {
+	m.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("work", work)))
+}
+
 // ItemRun counts a run of a batch item by outcome.
 func (m *Meter) ItemRun(outcome string) {
 	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
