An item with many checkpoints is listed: the deletions that don't fit go with the job

What callers saw, or could: an item of a job is never listed, nor any item of that job that this VM finishes after it (LOST). The transaction that lists an item deletes its checkpoints, one entry each, and the store takes 100 entries at most: it refused the transaction at each try. A long output has that many after 150 s, or sooner if the item moved or its outputs were discarded.

Deletions beyond commitRows are left out: the rows of a job are deleted with it. Nothing reads the checkpoints of a listed item.

Before: TestResultOfAnItemWithManyCheckpointsIsListed failed, "expected: i0=text, i1=text, actual: none".

--- a/pkg/jobmanager/commit.go
+++ b/pkg/jobmanager/commit.go
@@ -109,6 +109,8 @@
 			c.Puts = append(c.Puts, rows...)
 			c.Deletes = append(c.Deletes, m.checkpointRows(id, item)...)
 		}
+		// Checkpoints that are left over are deleted with the job.
+		c.Deletes = c.Deletes[:min(len(c.Deletes), max(commitRows-len(c.Puts), 0))]
 		return c, next, len(added) > 0
 	})
 	if err == nil {
--- /dev/null
+++ b/pkg/jobmanager/commit_test.go
@@ -0,0 +1,46 @@
+package jobmanager_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
+)
+
+// withJob submits a job to a VM, passes both to f, and returns the statuses and results that a later read gets.
+func withJob(t *testing.T, f func(p *simulation, m *jobmanager.Manager, job string)) output {
+	t.Helper()
+	var out output
+	synctest.Test(t, func(t *testing.T) {
+		p, stop := newSimulation(t, plan{Actions: []action{{At: time.Millisecond, VM: 0, Do: "submit", Job: 0}}}, &history{})
+		defer stop()
+		time.Sleep(time.Second)
+		f(p, p.vms[0], jobName(0))
+		time.Sleep(2 * time.Second)
+		w := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(p.contexts[1], http.MethodPost, "http://h/read/"+jobName(0)+"?0", nil)
+		require.True(t, p.vms[1].ServeCall(w, r))
+		out = outcomeOf(p.contexts[1], w)
+	})
+	return out
+}
+
+// TestResultOfAnItemWithManyCheckpointsIsListed finishes an item with more checkpoints than a transaction has entries.
+func TestResultOfAnItemWithManyCheckpointsIsListed(t *testing.T) {
+	const checkpoints = 150
+	out := withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
+		for n := range checkpoints {
+			c := jobmanager.Checkpoint{After: int64(n - 1), LastEvent: int64(n), OutputID: "o"}
+			require.NoError(t, m.Save(p.contexts[0], job, []jobmanager.Checkpoint{c}))
+		}
+		m.Finish(p.contexts[0], job, 0, jobmanager.Result{ID: "i0", State: "succeeded", Output: []byte("text")})
+		m.Finish(p.contexts[0], job, 1, jobmanager.Result{ID: "i1", State: "succeeded", Output: []byte("text")})
+	})
+	assert.Equal(t, []string{"i0=text", "i1=text"}, out.Results)
+}
