Checkpoints that exceed a transaction are saved in several; one that exceeds a row keeps none back

What callers saw, or could: items of a lost VM begin anew at the next one, since nothing of their outputs was saved.

Save writes as many transactions as needed and returns how many checkpoints were written. The item runner passes the shortest ones first, so that one that is larger than a row, after an outage of the store, is the only one left out.

Before: TestCheckpointsOfManyItemsAreSaved failed with "checkpoints of job j0 exceed a limit of the store for rows or transactions after 5660 bytes", TestLargeCheckpointKeepsNoOthersBack with "the small output is not saved".

Not done: an output whose unsaved part exceeds a row is not saved any more.

--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -23,7 +24,8 @@
 	sleeper.Every(ctx, checkpointInterval, func(time.Time) { r.checkpoint(ctx) })
 }
 
-// jobCheckpoint holds the checkpoints of a job's items, and the outputs from which they were taken.
+// jobCheckpoint holds the checkpoints of a job's items, and the outputs from which they were taken. The shortest come first, so
+// that one that is too large for the store keeps none of the others back.
 type jobCheckpoint struct {
 	outputs []*itemOutput
 	list    []jobmanager.Checkpoint
@@ -48,14 +50,9 @@
 
 func (r *Runner) checkpointJob(ctx context.Context, id string) error {
 	c := r.newJobCheckpoint(id)
-	if len(c.list) == 0 {
-		return nil
-	}
-	if err := r.manager.Save(ctx, id, c.list); err != nil {
-		return err
-	}
-	r.markSaved(c)
-	return nil
+	n, err := r.manager.Save(ctx, id, c.list)
+	r.markSaved(c, n)
+	return err
 }
 
 // newJobCheckpoint returns the checkpoints of the job's outputs that are to be saved. It changes nothing.
@@ -63,17 +60,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := jobCheckpoint{}
+	var due []int
 	if j, ok := r.jobs[id]; ok {
 		for i, t := range j.tasks {
 			if !t.isOver && t.lastEvent >= t.savedEvent+minCheckpointEvents {
-				c.outputs = append(c.outputs, t.itemOutput)
-				c.list = append(c.list, t.newCheckpoint(i))
+				due = append(due, i)
 			}
 		}
+		slices.SortFunc(due, func(a, b int) int { return cmp.Compare(j.tasks[a].unsavedBytes(), j.tasks[b].unsavedBytes()) })
+		for _, i := range due {
+			c.outputs = append(c.outputs, j.tasks[i].itemOutput)
+			c.list = append(c.list, j.tasks[i].newCheckpoint(i))
+		}
 	}
 	return c
 }
 
+func (o *itemOutput) unsavedBytes() int { return len(o.output) - o.savedBytes }
+
 // newCheckpoint returns a checkpoint of what is not saved of the item's output.
 func (o *itemOutput) newCheckpoint(item int) jobmanager.Checkpoint {
 	c := jobmanager.Checkpoint{
@@ -86,13 +90,13 @@
 	return c
 }
 
-// markSaved records how much of the outputs is saved; only checkpoint changes that.
-func (r *Runner) markSaved(c jobCheckpoint) {
+// markSaved records how much of the first n outputs is saved; only checkpoint changes that.
+func (r *Runner) markSaved(c jobCheckpoint, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for n, o := range c.outputs {
-		o.savedBytes += len(c.list[n].Output)
-		o.savedEvent = c.list[n].LastEvent
+	for i, o := range c.outputs[:n] {
+		o.savedBytes += len(c.list[i].Output)
+		o.savedEvent = c.list[i].LastEvent
 		o.hasSaved = true
 	}
 }
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -175,3 +175,24 @@
 		synctest.Wait()
 	})
 }
+
+// TestLargeCheckpointKeepsNoOthersBack has an output grow, while nothing can be saved, over the size of a row.
+func TestLargeCheckpointKeepsNoOthersBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		vms, _ := newTestVMs(ctx, t, 1)
+		v := vms[0]
+		v.load(ctx)
+		v.run(40, 1, "1")
+		small := v.task
+		for i := 1; i < 6; i++ {
+			v.task = v.runner.newTask(&jobState{id: testJob, items: make([]jobmanager.Item, 6)}, i)
+			v.runner.jobs[testJob].tasks[i] = v.task
+			v.run(700, 100, "1")
+		}
+		v.runner.checkpoint(ctx)
+		assert.True(t, string(small.output) == v.saved(ctx), "the small output is not saved")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/jobmanager/checkpoint.go
+++ b/pkg/jobmanager/checkpoint.go
@@ -38,29 +38,46 @@
 	return fmt.Sprintf("%s/%05d/%08d/%s", job, c.Item, c.After+1, c.OutputID)
 }
 
-// Save writes checkpoints of items of the job in one transaction; it does nothing if the job is over.
-func (m *Manager) Save(ctx context.Context, job string, list []Checkpoint) error {
-	if m.IsOver(job) {
-		return nil
+// Save writes checkpoints of items of the job in as few transactions as the store's limits allow; it does nothing if the job is
+// over. It returns how many of the list were written, those before the first one that was not.
+func (m *Manager) Save(ctx context.Context, job string, list []Checkpoint) (int, error) {
+	saved := 0
+	for saved < len(list) && !m.IsOver(job) {
+		c, err := m.newSave(job, list[saved:])
+		if err != nil {
+			return saved, err
+		}
+		// The keys are recorded before the write, since a write without an answer may have taken effect: the rows must be deleted
+		// with the item's result.
+		m.recordCheckpoints(job, c.Puts, list[saved:])
+		if _, err := m.store.Apply(ctx, c); err != nil {
+			return saved, err
+		}
+		saved += len(c.Puts)
 	}
+	return saved, nil
+}
+
+// newSave returns a transaction that writes the first checkpoints of the list, at least one.
+func (m *Manager) newSave(job string, list []Checkpoint) (storer.Change, error) {
 	c := storer.Change{}
 	size := 0
 	for _, point := range list {
 		row, err := encodeCheckpoint(job, point)
 		if err != nil {
-			return err
+			return c, err
 		}
+		isTooLarge := len(row.Value) > int(float64(m.cfg.RowBytes)*usableRowShare)
 		size += len(row.Value)
-		if len(row.Value) > int(float64(m.cfg.RowBytes)*usableRowShare) || size > commitBytes || len(c.Puts) >= commitRows {
-			return errors.Errorf("checkpoints of job %s exceed a limit of the store for rows or transactions after %d bytes", job, size)
+		switch {
+		case len(c.Puts) > 0 && (isTooLarge || size > commitBytes || len(c.Puts) >= commitRows):
+			return c, nil
+		case isTooLarge:
+			return c, errors.Errorf("checkpoint of item %d of job %s with %d bytes exceeds a row of the store", point.Item, job, size)
 		}
 		c.Puts = append(c.Puts, row)
 	}
-	// The keys are recorded before the write, since a write without an answer may have taken effect: the rows must be deleted
-	// with the item's result.
-	m.recordCheckpoints(job, c.Puts, list)
-	_, err := m.store.Apply(ctx, c)
-	return err
+	return c, nil
 }
 
 // checkpointHead is the head of a checkpoint's row.
@@ -84,7 +101,8 @@
 	return c, err
 }
 
-// recordCheckpoints records the keys of the rows, which commit deletes with the item's result.
+// recordCheckpoints records the keys of the rows, which commit deletes with the items' results; list begins with their
+// checkpoints.
 func (m *Manager) recordCheckpoints(job string, rows []storer.Entry, list []Checkpoint) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -92,9 +110,9 @@
 	if !ok {
 		return
 	}
-	for n, c := range list {
-		if !slices.Contains(rec.checkpoints[c.Item], rows[n].Key) {
-			rec.checkpoints[c.Item] = append(rec.checkpoints[c.Item], rows[n].Key)
+	for n, row := range rows {
+		if item := list[n].Item; !slices.Contains(rec.checkpoints[item], row.Key) {
+			rec.checkpoints[item] = append(rec.checkpoints[item], row.Key)
 		}
 	}
 }
--- a/pkg/jobmanager/commit_test.go
+++ b/pkg/jobmanager/commit_test.go
@@ -37,10 +37,27 @@
 	out := withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
 		for n := range checkpoints {
 			c := jobmanager.Checkpoint{After: int64(n - 1), LastEvent: int64(n), OutputID: "o"}
-			require.NoError(t, m.Save(p.contexts[0], job, []jobmanager.Checkpoint{c}))
+			_, err := m.Save(p.contexts[0], job, []jobmanager.Checkpoint{c})
+			require.NoError(t, err)
 		}
 		m.Finish(p.contexts[0], job, 0, jobmanager.Result{ID: "i0", State: "succeeded", Output: []byte("text")})
 		m.Finish(p.contexts[0], job, 1, jobmanager.Result{ID: "i1", State: "succeeded", Output: []byte("text")})
 	})
 	assert.Equal(t, []string{"i0=text", "i1=text"}, out.Results)
 }
+
+// TestCheckpointsOfManyItemsAreSaved saves more checkpoints at once than fit into a transaction.
+func TestCheckpointsOfManyItemsAreSaved(t *testing.T) {
+	withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
+		var list []jobmanager.Checkpoint
+		for item := range 150 {
+			list = append(list, jobmanager.Checkpoint{Item: item, After: -1, LastEvent: 40, OutputID: "o", Output: []byte("text")})
+		}
+		n, err := m.Save(p.contexts[0], job, list)
+		require.NoError(t, err)
+		assert.Equal(t, len(list), n)
+		saved, err := m.Checkpoints(p.contexts[0], job)
+		require.NoError(t, err)
+		assert.Len(t, saved, len(list))
+	})
+}
