A job's age is counted from when this VM learned of it, not by the clock of another VM

What callers saw, or could: a VM whose clock is ahead, or a job accepted by one whose clock is behind, has its quarantined items abandoned before maxWaitS (MIXED), and its results deleted before statusS (LOST; more than 60 s of difference).

Cause: the Unix time at which one VM accepted the job was compared with the clock of another. All VMs learn of each job by the watch feed, so each counts its age by its monotonic clock from then on: never too much, and too little only at a VM that started later. The clock of the store (nowMs) would do for these, too, but rows of earlier builds have no such time.

The same cause looked for: what else reads Submitted or Due is the order of items (Due), where an error costs an order, not a promise.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -219,7 +219,7 @@
 ) *jobmanager.Manager {
 	return jobmanager.New(jobmanager.Config{
 		VM: s.VM.ID, Incarnation: g.Incarnation(), RowBytes: s.RowBytes,
-		KeepFor: s.JobStatus + jobmanager.ClockMargin,
+		KeepFor: s.JobStatus + jobmanager.KeepMargin,
 	}, t, platform.JobCodec{}, w.Current, g, log)
 }
 
--- a/pkg/assembler/gateway_store_test.go
+++ b/pkg/assembler/gateway_store_test.go
@@ -193,7 +193,7 @@
 func TestOldJobsAreDropped(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 0)
-	f.jobStatus = time.Second - jobmanager.ClockMargin
+	f.jobStatus = time.Second - jobmanager.KeepMargin
 	f.batchRoute()["cap"] = 5 * 940
 	f.configure()
 	f.addVM()
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -55,13 +55,18 @@
 	begun *int
 }
 
+// testPartition returns the partition of the job's rows.
+func testPartition() string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(testJob))
+	return strconv.Itoa(int(h.Sum32() % 8))
+}
+
 // newTestVMs returns VMs that share a store with one job; it is called within a bubble of synctest.
 func newTestVMs(ctx context.Context, t *testing.T, n int) ([]*testVM, *standin.Store) {
 	store := standin.NewStore()
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(testJob))
-	store.Put("job", strconv.Itoa(int(h.Sum32()%8)), testJob, jobrecorder.Job{ID: testJob, Tokens: []int64{1}, ItemRows: 1})
-	store.Put("item", strconv.Itoa(int(h.Sum32()%8)), testJob+"/000", []byte("{}"))
+	store.Put("job", testPartition(), testJob, jobrecorder.Job{ID: testJob, Tokens: []int64{1}, ItemRows: 1})
+	store.Put("item", testPartition(), testJob+"/000", []byte("{}"))
 	var vms []*testVM
 	begun := 0
 	for i := range n {
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -71,9 +71,8 @@
 
 // jobState is a job that this VM runs.
 type jobState struct {
-	id        string
-	submitted time.Time
-	due       time.Time
+	id  string
+	due time.Time
 	// host is the Host header of the items' requests.
 	host  string
 	items []jobmanager.Item
@@ -242,7 +241,7 @@
 		j, ok := r.jobs[h.Job.ID]
 		if !ok {
 			j = &jobState{
-				id: h.Job.ID, submitted: time.UnixMilli(h.Job.Submitted), due: h.Job.DueTime(), host: h.Job.Host,
+				id: h.Job.ID, due: h.Job.DueTime(), host: h.Job.Host,
 				tasks: map[int]*task{},
 			}
 			r.jobs[h.Job.ID] = j
@@ -552,7 +551,7 @@
 
 // abandonIfOverdue abandons an item with a quarantined part once its job is as old as the route allows; until then it waits.
 func (r *Runner) abandonIfOverdue(t *task, route registrar.Route, part string, now time.Time) {
-	if route.AbandonAfter <= 0 || now.Sub(t.job.submitted) < route.AbandonAfter {
+	if route.AbandonAfter <= 0 || r.manager.KnownFor(t.job.id, now) < route.AbandonAfter {
 		return
 	}
 	r.log.WithFields(logrus.Fields{
--- a/pkg/jobmanager/commit_test.go
+++ b/pkg/jobmanager/commit_test.go
@@ -23,14 +23,19 @@
 		time.Sleep(time.Second)
 		f(p, p.vms[0], jobName(0))
 		time.Sleep(2 * time.Second)
-		w := httptest.NewRecorder()
-		r := httptest.NewRequestWithContext(p.contexts[1], http.MethodPost, "http://h/read/"+jobName(0)+"?0", nil)
-		require.True(t, p.vms[1].ServeCall(w, r))
-		out = outcomeOf(p.contexts[1], w)
+		out = p.read(jobName(0))
 	})
 	return out
 }
 
+// read reads the job's results at a VM.
+func (p *simulation) read(job string) output {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(p.contexts[1], http.MethodPost, "http://h/read/"+job+"?0", nil)
+	p.vms[1].ServeCall(w, r)
+	return outcomeOf(p.contexts[1], w)
+}
+
 // TestResultOfAnItemWithManyCheckpointsIsListed finishes an item with more checkpoints than a transaction has entries.
 func TestResultOfAnItemWithManyCheckpointsIsListed(t *testing.T) {
 	const checkpoints = 150
--- a/pkg/jobmanager/expire.go
+++ b/pkg/jobmanager/expire.go
@@ -17,13 +17,13 @@
 const (
 	// expireEvery is the longest interval at which a VM looks for expired jobs.
 	expireEvery = 10 * time.Second
-	// ClockMargin is to be added to the time for which jobs are kept, since wall clocks differ between VMs and may jump.
-	ClockMargin = 60 * time.Second
+	// KeepMargin is to be added to the time for which jobs are kept, for reads that are under way.
+	KeepMargin = 60 * time.Second
 	// maxDropRows is the number of rows that one transaction can delete.
 	maxDropRows = 100
 )
 
-// runExpire deletes jobs that are over and were submitted more than KeepFor ago.
+// runExpire deletes jobs that are over and that this VM has known for KeepFor.
 func (m *Manager) runExpire(ctx context.Context) {
 	sleeper.Every(ctx, min(expireEvery, m.cfg.KeepFor), func(now time.Time) {
 		for _, j := range m.expired(now) {
@@ -41,7 +41,7 @@
 	defer m.mu.Unlock()
 	var jobs []jobrecorder.Job
 	for id, r := range m.jobs {
-		if !r.job.IsOver() || now.Before(time.UnixMilli(r.job.Submitted).Add(m.cfg.KeepFor)) {
+		if !r.job.IsOver() || now.Sub(r.seen) < m.cfg.KeepFor {
 			continue
 		}
 		if vm, ok := gossiper.Assign(id, live); ok && vm.Name == m.cfg.VM {
--- a/pkg/jobmanager/linear_test.go
+++ b/pkg/jobmanager/linear_test.go
@@ -34,6 +34,7 @@
 	// jobItems is the number of items of every job; each has itemTokens tokens.
 	jobItems   = 3
 	itemTokens = 10
+	keepFor    = time.Hour
 	// planned is the period in which actions and faults begin; by settled, all retries and takeovers have ended.
 	planned = 4 * time.Second
 	settled = 12 * time.Second
@@ -394,7 +395,7 @@
 		log, _ := logtest.NewNullLogger()
 		client := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"), vmName(n), platform.WithTransport(p.store.Transport()))
 		m := jobmanager.New(
-			jobmanager.Config{VM: vmName(n), Incarnation: 1, RowBytes: 4096, KeepFor: time.Hour},
+			jobmanager.Config{VM: vmName(n), Incarnation: 1, RowBytes: 4096, KeepFor: keepFor},
 			client, testCodec{}, func() *registrar.Registry { return reg }, p, log,
 		)
 		vmCtx, stopVM := context.WithCancel(ctx)
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -66,6 +66,8 @@
 type record struct {
 	job     jobrecorder.Job
 	version int64
+	// seen is when this VM first learned of the job.
+	seen time.Time
 	// finished lists the items whose results are to be written.
 	finished     []finishedItem
 	isCommitting bool
@@ -141,7 +143,7 @@
 		return
 	}
 	if !ok {
-		old = &record{checkpoints: map[int][]string{}, failures: map[int]int{}}
+		old = &record{seen: time.Now(), checkpoints: map[int][]string{}, failures: map[int]int{}}
 		m.jobs[e.Key] = old
 	}
 	old.job, old.version = j, e.Version
@@ -186,6 +188,17 @@
 	}
 }
 
+// KnownFor returns how long this VM has known the job, which is at most its age; 0 if the job is unknown. Clocks of VMs differ
+// and may be set, so the time at which another VM accepted the job can't be compared with the time here.
+func (m *Manager) KnownFor(job string, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.jobs[job]; ok {
+		return now.Sub(r.seen)
+	}
+	return 0
+}
+
 // lookUp returns the cached job, and a channel that is closed at the next change of any job.
 func (m *Manager) lookUp(id string) (jobrecorder.Job, bool, <-chan struct{}) {
 	m.mu.Lock()
