A large result is written as an object, and one that can't be written keeps none of its job back

What callers saw, or could: a result of more than about 700 KB, encoded, fits into no transaction of the store.

An output over 500 KiB, or with more rows than half a transaction, is written as an object of the platform before the transaction, whose row names it; a read fetches it, and the object is deleted with the job. Its name is that of the item, and objects are written once, so a write that is repeated, late, or by another VM changes nothing that was read. Results that can't be written move behind the others. Builds before this one answer 503 for such a result, not an empty text, since the row says that it has no rows.

Before: TestLargeResultIsListed failed with "[]string(nil) does not contain i0 1048579". TestResultThatCannotBeWrittenKeepsNoOthersBack failed without postpone's batches ("expected: i1=text, actual: none").

Not done: an object whose VM is lost before its transaction, and whose item then ends without one, is left in the store.

--- a/pkg/jobmanager/calls.go
+++ b/pkg/jobmanager/calls.go
@@ -128,12 +128,28 @@
 	}
 	size := 0
 	for i, r := range results {
-		size += len(r.Output)
+		size += len(r.Output) + r.objectBytes
 		if i > 0 && size > maxOutputBytes {
-			return results[:i], nil
+			results = results[:i]
+			break
+		}
+	}
+	return results, m.readObjects(ctx, results)
+}
+
+// readObjects reads the outputs that are in objects.
+func (m *Manager) readObjects(ctx context.Context, results []Result) error {
+	for i, r := range results {
+		if r.object == "" {
+			continue
+		}
+		output, err := readWithRetry(func() ([]byte, error) { return m.store.GetBlob(ctx, r.object) })
+		if err != nil {
+			return err
 		}
+		results[i].Output = output
 	}
-	return results, nil
+	return nil
 }
 
 // maxScanRows bounds the rows that are read for one answer.
--- a/pkg/jobmanager/commit.go
+++ b/pkg/jobmanager/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
@@ -51,18 +52,46 @@
 		if len(batch) == 0 {
 			return
 		}
-		err := m.commit(ctx, job, batch)
+		err := m.putLargeOutputs(ctx, job, batch)
+		if err == nil {
+			err = m.commit(ctx, job, batch)
+		}
 		if err == nil {
 			m.markWritten(job, batch)
 			continue
 		}
 		m.log.WithError(err).WithFields(logrus.Fields{"job": job, "items": len(batch)}).Warn("could not write results; retrying")
+		m.postpone(job, len(batch))
 		if !sleeper.Sleep(ctx, retryPause) {
 			return
 		}
 	}
 }
 
+// putLargeOutputs writes the outputs that don't fit into a transaction as objects; an existing one is from an earlier attempt or
+// from another VM.
+func (m *Manager) putLargeOutputs(ctx context.Context, job string, batch []finishedItem) error {
+	for _, f := range batch {
+		if !isLarge(f.result.Output, m.cfg.RowBytes) {
+			continue
+		}
+		err := m.store.PutBlob(ctx, outputObject(job, f.item), f.result.Output)
+		if exists := (*storer.ExistsError)(nil); err != nil && !errors.As(err, &exists) {
+			return err
+		}
+	}
+	return nil
+}
+
+// postpone moves the first n finished items behind the others, so that results that can't be written keep no others back.
+func (m *Manager) postpone(job string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rec, ok := m.jobs[job]; ok {
+		rec.finished = slices.Concat(rec.finished[n:], rec.finished[:n])
+	}
+}
+
 // nextBatch returns the finished items that fit into the next transaction, at least one if there are any.
 func (m *Manager) nextBatch(job string) []finishedItem {
 	m.mu.Lock()
@@ -80,6 +109,9 @@
 			break
 		}
 		batch = append(batch, f)
+		if isLarge(f.result.Output, m.cfg.RowBytes) {
+			break
+		}
 	}
 	if len(batch) == 0 {
 		rec.isCommitting = false
@@ -101,7 +133,7 @@
 		next, added := j.Append(items)
 		c := storer.Change{}
 		for n, item := range added {
-			rows, err := encodeResult(id, len(j.Finished)+n, byItem[item], m.cfg.RowBytes)
+			rows, err := m.resultRows(id, len(j.Finished)+n, item, byItem[item])
 			if err != nil {
 				encodeErr = err
 				return c, j, false
@@ -119,6 +151,14 @@
 	return err
 }
 
+// resultRows returns the rows of the item's result at the position.
+func (m *Manager) resultRows(job string, position, item int, r Result) ([]storer.Entry, error) {
+	if isLarge(r.Output, m.cfg.RowBytes) {
+		return encodeLargeResult(job, position, r, outputObject(job, item))
+	}
+	return encodeResult(job, position, r, m.cfg.RowBytes)
+}
+
 // markWritten removes the batch from the front of the finished items and logs each result.
 func (m *Manager) markWritten(job string, batch []finishedItem) {
 	m.mu.Lock()
--- a/pkg/jobmanager/commit_test.go
+++ b/pkg/jobmanager/commit_test.go
@@ -1,6 +1,8 @@
 package jobmanager_test
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
 // withJob submits a job to a VM, passes both to f, and returns the statuses and results that a later read gets.
@@ -29,9 +32,11 @@
 }
 
 // read reads the job's results at a VM.
-func (p *simulation) read(job string) output {
+func (p *simulation) read(job string) output { return p.readAt(job, 0) }
+
+func (p *simulation) readAt(job string, after int) output {
 	w := httptest.NewRecorder()
-	r := httptest.NewRequestWithContext(p.contexts[1], http.MethodPost, "http://h/read/"+job+"?0", nil)
+	r := httptest.NewRequestWithContext(p.contexts[1], http.MethodPost, fmt.Sprintf("http://h/read/%s?%d", job, after), nil)
 	p.vms[1].ServeCall(w, r)
 	return outcomeOf(p.contexts[1], w)
 }
@@ -51,6 +56,45 @@
 	assert.Equal(t, []string{"i0=text", "i1=text"}, out.Results)
 }
 
+// TestLargeResultIsListed finishes an item whose result fits into no transaction, and another one after it.
+func TestLargeResultIsListed(t *testing.T) {
+	large := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	out := withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
+		m.Finish(p.contexts[0], job, 0, jobmanager.Result{ID: "i0", State: "succeeded", Output: large})
+		m.Finish(p.contexts[0], job, 1, jobmanager.Result{ID: "i1", State: "succeeded", Output: []byte("text")})
+	})
+	require.Equal(t, http.StatusOK, out.Status)
+	var short []string
+	for _, r := range out.Results {
+		short = append(short, fmt.Sprintf("%.2s %d", r, len(r)))
+	}
+	assert.Contains(t, short, fmt.Sprintf("i0 %d", len(large)+len("i0=")))
+}
+
+// TestResultThatCannotBeWrittenKeepsNoOthersBack has the store refuse all objects for a while.
+func TestResultThatCannotBeWrittenKeepsNoOthersBack(t *testing.T) {
+	large := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	var during, after output
+	withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
+		p.store.SetFault(func(r *http.Request) standin.StoreFault {
+			if r.Method == http.MethodPut {
+				return standin.Busy
+			}
+			return standin.NoFault
+		})
+		m.Finish(p.contexts[0], job, 0, jobmanager.Result{ID: "i0", State: "succeeded", Output: large})
+		m.Finish(p.contexts[0], job, 1, jobmanager.Result{ID: "i1", State: "succeeded", Output: []byte("text")})
+		time.Sleep(2 * time.Second)
+		during = p.read(job)
+		p.store.SetFault(func(*http.Request) standin.StoreFault { return standin.NoFault })
+		time.Sleep(2 * time.Second)
+		after = p.readAt(job, 1)
+	})
+	assert.Equal(t, []string{"i1=text"}, during.Results)
+	require.Len(t, after.Results, 1)
+	assert.Len(t, after.Results[0], len(large)+len("i0="))
+}
+
 // TestCheckpointsOfManyItemsAreSaved saves more checkpoints at once than fit into a transaction.
 func TestCheckpointsOfManyItemsAreSaved(t *testing.T) {
 	withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
--- a/pkg/jobmanager/expire.go
+++ b/pkg/jobmanager/expire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,12 +75,32 @@
 		if err != nil || len(page.Entries) == 0 {
 			return err
 		}
+		if err := m.dropOutputs(ctx, page.Entries); err != nil {
+			return err
+		}
 		if _, err := m.store.Apply(ctx, storer.Change{Deletes: page.Entries}); err != nil {
 			return err
 		}
 	}
 }
 
+// dropOutputs deletes the objects with the outputs of the results among the rows.
+func (m *Manager) dropOutputs(ctx context.Context, rows []storer.Entry) error {
+	for _, e := range rows {
+		head := resultHead{}
+		if e.Table != resultTable || !strings.HasSuffix(e.Key, firstRowSuffix) {
+			continue
+		}
+		if _, err := splitHead(e, &head); err != nil || head.Object == "" {
+			continue
+		}
+		if err := m.store.DeleteBlob(ctx, head.Object); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // dropJob deletes the job's row and subtracts its tokens from the accepted ones of the route. The number of waiting tokens
 // does not change, since the job's items count as finished.
 func (m *Manager) dropJob(ctx context.Context, j jobrecorder.Job) error {
--- a/pkg/jobmanager/rows.go
+++ b/pkg/jobmanager/rows.go
@@ -104,14 +104,38 @@
 	return body, errors.Wrapf(json.Unmarshal(text, head), "row %s of table %s", e.Key, e.Table)
 }
 
-// resultHead is the head of the first row of a result; Rows is the number of the result's rows.
+// resultHead is the head of the first row of a result.
 type resultHead struct {
 	ID    string                `json:"id"`
 	State jobrecorder.ItemState `json:"state"`
-	Rows  int                   `json:"rows"`
+	// Rows is the number of the result's rows. It is 0 if the output is in an object, so that earlier builds refuse the row.
+	Rows int `json:"rows"`
+	// Object is the name of the object that holds the output, of Bytes bytes.
+	Object string `json:"object,omitempty"`
+	Bytes  int    `json:"bytes,omitempty"`
 }
 
+// outputObject returns the name of the object that holds a large output of the item. Of several VMs that complete the item at
+// once, the first one's output is kept there, and each of their results names it.
+func outputObject(job string, item int) string { return fmt.Sprintf("output-%s-%05d", job, item) }
+
+// isLarge reports whether an output has to be written to an object, since its rows don't fit into a transaction.
+func isLarge(output []byte, rowBytes int) bool {
+	return len(output) > commitBytes || len(output)/int(float64(rowBytes)*usableRowShare) > commitRows/2
+}
+
+// encodeLargeResult returns the row of a result whose output is in an object.
+func encodeLargeResult(job string, position int, r Result, object string) ([]storer.Entry, error) {
+	value, err := prependHead(resultHead{ID: r.ID, State: r.State, Object: object, Bytes: len(r.Output)}, nil)
+	return []storer.Entry{{
+		Table: resultTable, Partition: partitionOf(job), Key: resultKey(job, position, 0), Value: value,
+	}}, errors.Wrap(err, "encode result")
+}
+
+const firstRowSuffix = "/000"
+
 // resultKey returns the key of one row of a result. Keys sort by position, then by row.
+// That of the first row ends with firstRowSuffix.
 func resultKey(job string, position, row int) string {
 	return fmt.Sprintf("%s/%05d/%03d", job, position, row)
 }
@@ -149,6 +173,12 @@
 		if err != nil {
 			return results, err
 		}
+		if head.Object != "" {
+			results = append(results, Result{ID: head.ID, State: head.State, object: head.Object, objectBytes: head.Bytes})
+			rows = rows[1:]
+			position++
+			continue
+		}
 		if head.Rows < 1 {
 			return results, errors.Errorf("row %s of table %s has the invalid row count %d", rows[0].Key, rows[0].Table, head.Rows)
 		}
--- a/pkg/jobmanager/types.go
+++ b/pkg/jobmanager/types.go
@@ -22,6 +22,9 @@
 	ID     string
 	State  jobrecorder.ItemState
 	Output []byte
+	// object is the name of the object with the output, which has objectBytes bytes; empty if Output holds it.
+	object      string
+	objectBytes int
 }
 
 // Call is a call about a job: a ReadCall, BodyCall or EndCall.
