A VM whose clock was set back starts with a newer incarnation than its earlier process

What callers saw, or could: a VM that is restarted after its clock was set back counts as lost to its peers, which take its jobs over, place no batch work by it and drop its reports, until its clock has passed the start of the earlier process.

Cause: an incarnation was the time at which the process started, so the order of processes was the order of readings of a clock that may be set. A start now reads the VM's row in the store, which holds the last incarnation, and takes a larger one.

Before: TestVMWhoseClockWasSetBackIsLive failed with "expected: 0 (live), actual: 2 (lost)".

Not done: a clock that was set back while the store can't be reached at the start.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -156,8 +156,12 @@
 func newGossiper(
 	s platform.Settings, t storer.Table, source func() *rand.Rand, log logrus.FieldLogger,
 ) *gossiper.Gossiper {
+	incarnation, err := gossiper.NextIncarnation(context.Background(), t, s.VM.ID, time.Now())
+	if err != nil {
+		log.WithError(err).Warn("row of this VM's earlier process not read; the incarnation is that of the clock")
+	}
 	return gossiper.New(gossiper.Config{
-		VM: s.VM.ID, Incarnation: time.Now().UnixMicro(), Address: netip.AddrPortFrom(s.IP, s.FirstPort),
+		VM: s.VM.ID, Incarnation: incarnation, Address: netip.AddrPortFrom(s.IP, s.FirstPort),
 		Region: s.VM.Region, Capacity: s.Cores,
 	}, t, source(), log)
 }
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -36,15 +36,15 @@
 	storeReportTimeout = 1500 * time.Millisecond
 	// partitionWindow is how long a silent VM is assumed to be partitioned rather than stopped.
 	partitionWindow = 30 * time.Second
-	// refutationBits is the number of low bits of a detector's incarnation that count refutations; the others hold the time at
-	// which the VM's process started, in Unix microseconds.
+	// refutationBits is the number of low bits of a detector's incarnation that count refutations; the others hold the
+	// incarnation of the VM's process.
 	refutationBits = 12
 )
 
 // Config identifies this VM.
 type Config struct {
 	VM string
-	// Incarnation is the start of the process in Unix microseconds.
+	// Incarnation grows with each process of the VM; see NextIncarnation.
 	Incarnation int64
 	Address     netip.AddrPort
 	Region      string
