Results that were written are taken from the record that they were recorded in

What callers saw, or could: a process ends by a panic, or a result is dropped without being written, if a job's row is deleted, and comes again by an older page of the feed or a peer's rows, while a result of the job is written.

Before: TestRecordReplacedDuringACommit failed with "slice bounds out of range [1:0]". Shown by this test only, not on the platform.

--- a/pkg/jobmanager/commit.go
+++ b/pkg/jobmanager/commit.go
@@ -30,7 +30,7 @@
 	rec.finished = append(rec.finished, finishedItem{item: item, result: r})
 	if !rec.isCommitting {
 		rec.isCommitting = true
-		go m.runCommit(ctx, job)
+		go m.runCommit(ctx, job, rec)
 	}
 }
 
@@ -45,10 +45,10 @@
 	return slices.ContainsFunc(rec.finished, func(f finishedItem) bool { return f.item == item })
 }
 
-// runCommit writes the results of the job's finished items until none is left or ctx ends.
-func (m *Manager) runCommit(ctx context.Context, job string) {
+// runCommit writes the results of the record's finished items until none is left, the job is deleted or ctx ends.
+func (m *Manager) runCommit(ctx context.Context, job string, rec *record) {
 	for {
-		batch := m.nextBatch(job)
+		batch := m.nextBatch(job, rec)
 		if len(batch) == 0 {
 			return
 		}
@@ -57,11 +57,11 @@
 			err = m.commit(ctx, job, batch)
 		}
 		if err == nil {
-			m.markWritten(job, batch)
+			m.markWritten(job, rec, batch)
 			continue
 		}
 		m.log.WithError(err).WithFields(logrus.Fields{"job": job, "items": len(batch)}).Warn("could not write results; retrying")
-		m.postpone(job, len(batch))
+		m.postpone(rec, len(batch))
 		if !sleeper.Sleep(ctx, retryPause) {
 			return
 		}
@@ -84,20 +84,17 @@
 }
 
 // postpone moves the first n finished items behind the others, so that results that can't be written keep no others back.
-func (m *Manager) postpone(job string, n int) {
+func (m *Manager) postpone(rec *record, n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rec, ok := m.jobs[job]; ok {
-		rec.finished = slices.Concat(rec.finished[n:], rec.finished[:n])
-	}
+	rec.finished = slices.Concat(rec.finished[n:], rec.finished[:n])
 }
 
 // nextBatch returns the finished items that fit into the next transaction, at least one if there are any.
-func (m *Manager) nextBatch(job string) []finishedItem {
+func (m *Manager) nextBatch(job string, rec *record) []finishedItem {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rec, ok := m.jobs[job]
-	if !ok {
+	if m.jobs[job] != rec {
 		return nil
 	}
 	var batch []finishedItem
@@ -159,19 +156,17 @@
 	return encodeResult(job, position, r, m.cfg.RowBytes)
 }
 
-// markWritten removes the batch from the front of the finished items and logs each result.
-func (m *Manager) markWritten(job string, batch []finishedItem) {
+// markWritten removes the batch from the front of the record's finished items and logs each result.
+func (m *Manager) markWritten(job string, rec *record, batch []finishedItem) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rec, ok := m.jobs[job]; ok {
-		rec.finished = rec.finished[len(batch):]
-		for _, f := range batch {
-			delete(rec.checkpoints, f.item)
-			m.log.WithFields(logrus.Fields{
-				"job": job, "item": f.result.ID, "state": f.result.State, "bytes": len(f.result.Output),
-				"done": len(rec.job.Finished), "total": rec.job.Total(),
-			}).Info("result listed")
-		}
+	rec.finished = rec.finished[len(batch):]
+	for _, f := range batch {
+		delete(rec.checkpoints, f.item)
+		m.log.WithFields(logrus.Fields{
+			"job": job, "item": f.result.ID, "state": f.result.State, "bytes": len(f.result.Output),
+			"done": len(rec.job.Finished), "total": rec.job.Total(),
+		}).Info("result listed")
 	}
 	m.notifyWaiters()
 }
