--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
+	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
 
@@ -20,42 +24,60 @@
 	sleeper.Every(ctx, checkpointInterval, func(time.Time) { r.checkpoint(ctx) })
 }
 
-// jobCheckpoint holds the checkpoints of a job's items, and the outputs from which they were taken.
+// jobCheckpoint holds the checkpoints of a job's items, and the outputs from which they were taken. The shortest come first, so
+// that one that is too large for the store keeps none of the others back.
 type jobCheckpoint struct {
 	outputs []*itemOutput
 	list    []jobmanager.Checkpoint
 }
 
-// checkpoint saves the outputs that have at least minCheckpointEvents new events, in one transaction for each job.
+// checkpoint saves the outputs that have at least minCheckpointEvents new events, in one transaction for each job. A job whose
+// checkpoint fails or panics is skipped until the next interval.
 func (r *Runner) checkpoint(ctx context.Context) {
-	for id, c := range r.newCheckpoints() {
-		if err := r.manager.Save(ctx, id, c.list); err != nil {
+	for _, id := range r.jobIDs() {
+		err := recoverer.Call(func() error { return r.checkpointJob(ctx, id) })
+		if err != nil && !r.reportPanic("checkpoint", id, err) {
 			r.log.WithError(err).WithField("job", id).Warn("checkpoint of item outputs not saved; retrying at the next interval")
-			continue
 		}
-		r.markSaved(c)
 	}
 }
 
-// newCheckpoints returns the checkpoints to be saved, by job.
-func (r *Runner) newCheckpoints() map[string]jobCheckpoint {
+func (r *Runner) jobIDs() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	byJob := map[string]jobCheckpoint{}
-	for id, j := range r.jobs {
+	return slices.Collect(maps.Keys(r.jobs))
+}
+
+func (r *Runner) checkpointJob(ctx context.Context, id string) error {
+	c := r.newJobCheckpoint(id)
+	n, err := r.manager.Save(ctx, id, c.list)
+	r.markSaved(c, n)
+	return err
+}
+
+// newJobCheckpoint returns the checkpoints of the job's outputs that are to be saved. It changes nothing.
+func (r *Runner) newJobCheckpoint(id string) jobCheckpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := jobCheckpoint{}
+	var due []int
+	if j, ok := r.jobs[id]; ok {
 		for i, t := range j.tasks {
-			if t.isOver || !t.sequence.CanResume() || t.sequence.Last() < t.savedEvent+minCheckpointEvents {
-				continue
+			if !t.isOver && t.sequence.CanResume() && t.sequence.Last() >= t.savedEvent+minCheckpointEvents {
+				due = append(due, i)
 			}
-			c := byJob[id]
-			c.outputs = append(c.outputs, t.itemOutput)
-			c.list = append(c.list, t.newCheckpoint(i))
-			byJob[id] = c
+		}
+		slices.SortFunc(due, func(a, b int) int { return cmp.Compare(j.tasks[a].unsavedBytes(), j.tasks[b].unsavedBytes()) })
+		for _, i := range due {
+			c.outputs = append(c.outputs, j.tasks[i].itemOutput)
+			c.list = append(c.list, j.tasks[i].newCheckpoint(i))
 		}
 	}
-	return byJob
+	return c
 }
 
+func (o *itemOutput) unsavedBytes() int { return len(o.output) - o.savedBytes }
+
 // newCheckpoint returns a checkpoint of what is not saved of the item's output.
 func (o *itemOutput) newCheckpoint(item int) jobmanager.Checkpoint {
 	c := jobmanager.Checkpoint{
@@ -68,13 +90,13 @@
 	return c
 }
 
-// markSaved records how much of the outputs is saved; only checkpoint changes that.
-func (r *Runner) markSaved(c jobCheckpoint) {
+// markSaved records how much of the first n outputs is saved; only checkpoint changes that.
+func (r *Runner) markSaved(c jobCheckpoint, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for n, o := range c.outputs {
-		o.savedBytes += len(c.list[n].Output)
-		o.savedEvent = c.list[n].LastEvent
+	for i, o := range c.outputs[:n] {
+		o.savedBytes += len(c.list[i].Output)
+		o.savedEvent = c.list[i].LastEvent
 		o.hasSaved = true
 	}
 }
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -55,13 +55,18 @@
 	begun *int
 }
 
+// testPartition returns the partition of the job's rows.
+func testPartition() string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(testJob))
+	return strconv.Itoa(int(h.Sum32() % 8))
+}
+
 // newTestVMs returns VMs that share a store with one job; it is called within a bubble of synctest.
 func newTestVMs(ctx context.Context, t *testing.T, n int) ([]*testVM, *standin.Store) {
 	store := standin.NewStore()
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(testJob))
-	store.Put("job", strconv.Itoa(int(h.Sum32()%8)), testJob, jobrecorder.Job{ID: testJob, Tokens: []int64{1}, ItemRows: 1})
-	store.Put("item", strconv.Itoa(int(h.Sum32()%8)), testJob+"/000", []byte("{}"))
+	store.Put("job", testPartition(), testJob, jobrecorder.Job{ID: testJob, Tokens: []int64{1}, ItemRows: 1})
+	store.Put("item", testPartition(), testJob+"/000", []byte("{}"))
 	var vms []*testVM
 	begun := 0
 	for i := range n {
@@ -175,3 +180,24 @@
 		synctest.Wait()
 	})
 }
+
+// TestLargeCheckpointKeepsNoOthersBack has an output grow, while nothing can be saved, over the size of a row.
+func TestLargeCheckpointKeepsNoOthersBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		vms, _ := newTestVMs(ctx, t, 1)
+		v := vms[0]
+		v.load(ctx)
+		v.run(40, 1, "1")
+		small := v.task
+		for i := 1; i < 6; i++ {
+			v.task = v.runner.newTask(&jobState{id: testJob, items: make([]jobmanager.Item, 6)}, i)
+			v.runner.jobs[testJob].tasks[i] = v.task
+			v.run(700, 100, "1")
+		}
+		v.runner.checkpoint(ctx)
+		assert.True(t, string(small.output) == v.saved(ctx), "the small output is not saved")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/jobmanager/expire.go
+++ b/pkg/jobmanager/expire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,13 +18,13 @@
 const (
 	// expireEvery is the longest interval at which a VM looks for expired jobs.
 	expireEvery = 10 * time.Second
-	// ClockMargin is to be added to the time for which jobs are kept, since wall clocks differ between VMs and may jump.
-	ClockMargin = 60 * time.Second
+	// KeepMargin is to be added to the time for which jobs are kept, for reads that are under way.
+	KeepMargin = 60 * time.Second
 	// maxDropRows is the number of rows that one transaction can delete.
 	maxDropRows = 100
 )
 
-// runExpire deletes jobs that are over and were submitted more than KeepFor ago.
+// runExpire deletes jobs that are over and that this VM has known for KeepFor.
 func (m *Manager) runExpire(ctx context.Context) {
 	sleeper.Every(ctx, min(expireEvery, m.cfg.KeepFor), func(now time.Time) {
 		for _, j := range m.expired(now) {
@@ -41,7 +42,7 @@
 	defer m.mu.Unlock()
 	var jobs []jobrecorder.Job
 	for id, r := range m.jobs {
-		if !r.job.IsOver() || now.Before(time.UnixMilli(r.job.Submitted).Add(m.cfg.KeepFor)) {
+		if !r.job.IsOver() || now.Sub(r.seen) < m.cfg.KeepFor {
 			continue
 		}
 		if vm, ok := gossiper.Assign(id, live); ok && vm.Name == m.cfg.VM {
@@ -74,12 +75,32 @@
 		if err != nil || len(page.Entries) == 0 {
 			return err
 		}
+		if err := m.dropOutputs(ctx, page.Entries); err != nil {
+			return err
+		}
 		if _, err := m.store.Apply(ctx, storer.Change{Deletes: page.Entries}); err != nil {
 			return err
 		}
 	}
 }
 
+// dropOutputs deletes the objects with the outputs of the results among the rows.
+func (m *Manager) dropOutputs(ctx context.Context, rows []storer.Entry) error {
+	for _, e := range rows {
+		head := resultHead{}
+		if e.Table != resultTable || !strings.HasSuffix(e.Key, firstRowSuffix) {
+			continue
+		}
+		if _, err := splitHead(e, &head); err != nil || head.Object == "" {
+			continue
+		}
+		if err := m.store.DeleteBlob(ctx, head.Object); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // dropJob deletes the job's row and subtracts its tokens from the accepted ones of the route. The number of waiting tokens
 // does not change, since the job's items count as finished.
 func (m *Manager) dropJob(ctx context.Context, j jobrecorder.Job) error {
