confirmer: a reset connection is no sign that an endpoint has ended

What callers saw: a 502 for a request that may run once, or an aborted stream, in place of a whole answer without a length or chunks.

Cause: after such an answer its endpoint was asked once, on a new connection. An endpoint resets the connections beyond its limit, and the limit is lower while its queue is long, so under load the question failed and the answer was taken for a part.

Evidence: the case "lives and resets connections beyond its limit" failed with "connection reset by peer". A reset comes as the error of the exchange, or as that of the dial if it arrives at once.

Now the question is repeated, at growing pauses, within the same second, until an answer comes, the port refuses the connection, or another instance answers. A killed endpoint refuses at once, so its requests don't wait.

An endpoint that resets each connection for the whole second still counts as ended.

--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,11 +12,14 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
 
 const (
 	// timeout bounds a question; it is shorter than the pause after which callers give a stream up.
 	timeout = time.Second
+	// firstPause is the time until the question is repeated the first time; it doubles with each further time.
+	firstPause = 50 * time.Millisecond
 	// maxBodyBytes is the number of bytes that are read of an answer.
 	maxBodyBytes = 64 << 10
 )
@@ -52,10 +56,24 @@
 }
 
 // Confirm returns nil once the endpoint has answered a question that was sent after the call began.
+//
+// A connection that breaks is no sign that the endpoint has ended: endpoints reset those beyond their limit. A refused one is.
 func (c *Confirmer) Confirm(ctx context.Context, e registrar.Endpoint) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return errors.Wrapf(c.ask(ctx, e), "endpoint %s gave no sign of life after the end of its answer", e.ID)
+	err := c.ask(ctx, e)
+	for pause := firstPause; err != nil && !hasEnded(err) && sleeper.Sleep(ctx, pause); pause *= 2 {
+		if again := c.ask(ctx, e); again == nil || ctx.Err() == nil {
+			err = again
+		}
+	}
+	return errors.Wrapf(err, "endpoint %s gave no sign of life after the end of its answer", e.ID)
+}
+
+// hasEnded reports whether the error of a question says that the endpoint has ended.
+func hasEnded(err error) bool {
+	other := (*InstanceError)(nil)
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &other)
 }
 
 func (c *Confirmer) ask(ctx context.Context, e registrar.Endpoint) error {
--- a/pkg/confirmer/confirmer_test.go
+++ b/pkg/confirmer/confirmer_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +40,7 @@
 		{"another endpoint", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance", "f") }, "f answers"},
 		{"started again", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "8") }, "next incarnation"},
 		{"says nothing", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "deadline exceeded"},
+		{"lives and resets connections beyond its limit", resetting(2), whole},
 		{"closes the connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "EOF"},
 	}
 	for _, c := range cases {
@@ -91,6 +94,20 @@
 	}
 }
 
+// resetting returns a handler that resets the connections of the first n questions.
+func resetting(n int64) http.HandlerFunc {
+	asked := &atomic.Int64{}
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if asked.Add(1) > n {
+			return
+		}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}
+}
+
 // startOf takes a body of one digit for the endpoint's start.
 func startOf(body []byte) option.Option[int64] {
 	if text := strings.TrimSpace(string(body)); len(text) == 1 {
