relayer: a broken answer to an HTTP/1.0 caller ends with a reset

What callers could see: a part of a stream, or of a large body without a length, that looks whole (ORDER, MIXED). Nobody has reported it; found in a review. The users' pages name HTTP/1.1 only.

Cause: an answer that can't be completed was aborted by net/http, which closes the connection as after a whole answer. Towards HTTP/1.1 the missing last chunk tells them apart; towards HTTP/1.0 there are no chunks, and the close is the end.

Evidence: TestBrokenStreamOfHTTP10CallerIsNotWhole failed: two events and a proper end of a stream that broke off.

Now such a caller's connection is reset.

After: the test passes, for a whole stream too (3 runs with -race).

--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -204,3 +204,29 @@
 		})
 	}
 }
+
+// TestBrokenStreamOfHTTP10CallerIsNotWhole guards against a part of a stream that looks whole to a caller whose answers have no
+// chunks.
+func TestBrokenStreamOfHTTP10CallerIsNotWhole(t *testing.T) {
+	t.Parallel()
+	for name, isWhole := range map[string]bool{"broken": false, "whole": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := newScriptedFleet(t, chunked(isWhole, eventAt(0), eventAt(1)))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.vms[0].base, "http://"))
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			id := newID("h")
+			_, err = fmt.Fprintf(conn, "POST /draft/1 HTTP/1.0\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Token-Count: 450,250\r\n"+
+				"X-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody", testHost, id)
+			require.NoError(t, err)
+			answer, err := io.ReadAll(conn)
+			if !isWhole {
+				assert.Error(t, err, "the answer ended as if it were complete: %q", answer)
+				return
+			}
+			require.NoError(t, err)
+			assert.True(t, strings.HasSuffix(string(answer), standin.CompleteStream(id, 2)), "%q", answer)
+		})
+	}
+}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -116,8 +117,8 @@
 // errTimeout is the cancellation cause of a request whose deadline has passed.
 var errTimeout = errors.New("time is over")
 
-// Serve answers an online request of the route. It panics with http.ErrAbortHandler if an answer has begun and can't be
-// completed.
+// Serve answers an online request of the route. It aborts the caller's connection, mostly by a panic with http.ErrAbortHandler,
+// if an answer has begun and can't be completed.
 func (l *Relayer) Serve(w http.ResponseWriter, r *http.Request, route registrar.Route) {
 	start := time.Now()
 	spanCtx, span := otel.Tracer("relayer").Start(r.Context(), "request "+route.Name)
@@ -158,10 +159,25 @@
 	}
 	q.logEnd()
 	if q.mustAbort {
-		panic(http.ErrAbortHandler)
+		abort(w, r)
 	}
 }
 
+// abort ends an answer that was begun and can't be completed so that the caller can tell it from a whole one.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// Before HTTP/1.1 an answer without a length ends with its connection, so the connection must not end properly.
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // readBody reads a request's body; the error is errStopping if the VM answers what is unanswered meanwhile.
 func (l *Relayer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	outlastEnd := context.AfterFunc(l.ending, func() {
