itemrunner: an item without a rest is begun anew

What callers could see: an item whose text was all there was never listed. Nobody has reported it; found in a review.

Cause: a run broke off after the item's last event. Each further run was asked for the rest, answered with no event and, having neither a length nor chunks, no marked end, and was taken for broken: the same run again and again.

Evidence: the case "no rest and no marked end" of TestItemIsContinuedByItsOwnRestOnly failed with "job has fewer results than awaited" after 20 s.

Whether the output is whole can't be told from such an answer, so the output is discarded and its next run brings all of it. An answer whose endpoint has ended, and an empty one with a marked end, are handled as before.

After: the case passes (2 runs with -race).

--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -77,6 +77,11 @@
 	return b.String()
 }
 
+// unframed returns an answer of status 200 that has neither a length nor chunks.
+func unframed(events ...string) string {
+	return "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" + strings.Join(events, "")
+}
+
 func sized(status, kind, body string) string {
 	length := len(strings.ReplaceAll(body, "ID", newID("c")))
 	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, signedHead, kind, length, body)
@@ -162,6 +167,10 @@
 		{"no content", []string{part, "HTTP/1.1 204 No Content\r\n" + signedHead + "\r\n", rest}},
 		{"a text with status 200", []string{part, sized("200 OK", "text/event-stream", "out of memory\n\n"), rest}},
 		{"a head in the text", []string{part, chunked(true, "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\n\r\n"), rest}},
+		{
+			"no rest and no marked end",
+			[]string{chunked(false, eventAt(0), eventAt(1), eventAt(2), eventAt(3)), unframed(), unframed(), whole},
+		},
 		{"parts without ids", []string{chunked(false, "data: a\n\n", "data: b\n\n"), whole}},
 		{"parts without ids, then with", []string{chunked(false, "data: a\n\n", eventAt(0)), whole}},
 	}
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -40,6 +40,10 @@
 	errStalled   = errors.New("endpoint sent no event within the stall timeout")
 )
 
+// errNoRest says that an endpoint which was asked for the rest of an output sent nothing, and marked no end: the output may be
+// whole or not, and asking again won't tell.
+var errNoRest = errors.New("the rest of the output has no event and no marked end")
+
 // AnswerError says that an endpoint's response carries no result; Detail is the start of its body, or what is wrong with it.
 type AnswerError struct {
 	Endpoint string
@@ -102,6 +106,9 @@
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "panicked"
 	}
+	if errors.Is(err, errNoRest) {
+		t.discardOutput()
+	}
 	how, outcome := placer.EndedFailed, "broken"
 	t.notBefore = time.Now().Add(retryPause)
 	if answer := (*AnswerError)(nil); errors.As(err, &answer) {
@@ -157,6 +164,9 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasFirstEvent && x.EndsAtClose() {
 			err = io.ErrUnexpectedEOF
+			if run.isResumed {
+				err = errNoRest
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			r.isolator.Completed(t.parts)
@@ -198,6 +208,7 @@
 	r.mu.Lock()
 	if last := t.sequence.Last(); last != continuer.NoEvent {
 		h[r.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
+		run.isResumed = true
 	}
 	r.mu.Unlock()
 	return dialer.Request{
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -148,6 +148,8 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
+	// isResumed says that the endpoint was asked for the rest of an output.
+	isResumed bool
 	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
 	// length nor chunks. Both are for the log.
 	firstEvent  int64
