--- a/pkg/assembler/gateway_extra_answer_test.go
+++ b/pkg/assembler/gateway_extra_answer_test.go
@@ -15,8 +15,8 @@
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
-// replaceEndpoints replaces the service's endpoints by n and calls answer for each of their connections.
-func (f *testFleet) replaceEndpoints(service string, n int, answer func(c net.Conn, br *bufio.Reader)) {
+// replaceEndpoints replaces the endpoints of each service by n and calls answer for each of their connections.
+func (f *testFleet) replaceEndpoints(n int, answer func(c net.Conn, br *bufio.Reader), services ...string) {
 	f.t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(f.t, err)
@@ -33,13 +33,15 @@
 			}()
 		}
 	}()
-	f.store.Remove("servers", "", "i-"+service+"-1")
-	f.store.Remove("servers", "", "i-"+service+"-2")
-	for range n {
-		f.store.Put("servers", "", newID("i-raw"), map[string]any{
-			"service": service, "address": ln.Addr().String(), "zone": "syd-a", "version": "v1", "slots": 8, "state": "ready",
-			"coldLeftMs": 0, "seq": 1, "born": 1,
-		})
+	for _, service := range services {
+		f.store.Remove("servers", "", "i-"+service+"-1")
+		f.store.Remove("servers", "", "i-"+service+"-2")
+		for range n {
+			f.store.Put("servers", "", newID("i-raw"), map[string]any{
+				"service": service, "address": ln.Addr().String(), "zone": "syd-a", "version": "v1", "slots": 8, "state": "ready",
+				"coldLeftMs": 0, "seq": 1, "born": 1,
+			})
+		}
 	}
 	f.awaitEndpoints()
 }
@@ -52,7 +54,7 @@
 	f.batchRoute()["maxAttempts"] = 2
 	f.awaitConfig()
 	runs := atomic.Int64{}
-	f.replaceEndpoints("llm", 1, func(c net.Conn, br *bufio.Reader) {
+	f.replaceEndpoints(1, func(c net.Conn, br *bufio.Reader) {
 		extra := ""
 		for {
 			r, err := http.ReadRequest(br)
@@ -74,7 +76,7 @@
 			body := standin.CompleteStream(id, 3)
 			_, _ = io.WriteString(c, extra+head(id, "Content-Length: "+strconv.Itoa(len(body))+"\r\n")+body)
 		}
-	})
+	}, "llm")
 	job, items := newID("job"), newItems(1)
 	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
 	result := f.await(f.vms[0], job, 1).Results[0]
@@ -89,7 +91,7 @@
 	t.Parallel()
 	f := newFleet(t, 1)
 	runs := atomic.Int64{}
-	f.replaceEndpoints("app", 2, func(c net.Conn, br *bufio.Reader) {
+	f.replaceEndpoints(2, func(c net.Conn, br *bufio.Reader) {
 		extra := ""
 		for {
 			r, err := http.ReadRequest(br)
@@ -103,7 +105,7 @@
 			_, _ = io.WriteString(c, extra+head(r.Header.Get("X-Request-Id"), "Content-Length: 2\r\n")+"ok")
 			extra = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
 		}
-	})
+	}, "app")
 	statuses := map[int]int{}
 	for n := range 6 {
 		a := f.call(t.Context(), f.vms[0], http.MethodPost, "/book/1", newID("b"), "body", withHeader("X-Deadline-Ms", "2000"))
