An item that comes to a holder later goes on after what was saved meanwhile

What callers saw, or could: an item that a stopping VM had kept and not ended begins anew at the job's holder, although most of its output is saved; so does an item of a job that a VM hands over and gets back. Results come late.

Cause: the holder read the saved outputs once, when it loaded the job, and took an old answer for the present state. An item is now run only after a read of the checkpoints that began while it was the VM's to run. In the usual case, a job whose items all are the holder's from the start, there is one read, as before.

Before: TestItemThatComesLateGoesOnAfterItsCheckpoints failed with "expected: 39, actual: -1, the item begins anew".

--- a/pkg/itemrunner/abandon_test.go
+++ b/pkg/itemrunner/abandon_test.go
@@ -26,12 +26,7 @@
 			Holder: jobrecorder.VMRef{VM: "v0", Incarnation: 1},
 		})
 		time.Sleep(feedDelay)
-		for range 2 {
-			r.mu.Lock()
-			r.syncJobs(ctx, time.Now())
-			r.mu.Unlock()
-			time.Sleep(feedDelay)
-		}
+		vms[0].sync(ctx)
 		item := r.jobs[testJob].tasks[0]
 		require.NotNil(t, item)
 		route := registrar.Route{AbandonAfter: 20 * time.Second}
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -88,13 +88,23 @@
 // load loads the job as a VM does that comes to hold it, unless the read fails.
 func (v *testVM) load(ctx context.Context) {
 	j := &jobState{id: testJob, tasks: map[int]*task{}, isLoading: true}
-	v.runner.runLoad(ctx, j)
+	v.runner.runLoad(ctx, j, nil)
 	if j.items != nil {
 		v.runner.jobs[testJob] = j
 		v.take()
 	}
 }
 
+// sync lets the VM load the job if it holds it, and take the items that it is to run.
+func (v *testVM) sync(ctx context.Context) {
+	for range 3 {
+		v.runner.mu.Lock()
+		v.runner.syncJobs(ctx, time.Now())
+		v.runner.mu.Unlock()
+		time.Sleep(feedDelay)
+	}
+}
+
 // take makes the item the VM's to run, also if it was before and was another VM's meanwhile.
 func (v *testVM) take() {
 	j := v.runner.jobs[testJob]
@@ -201,3 +211,32 @@
 		synctest.Wait()
 	})
 }
+
+// TestItemThatComesLateGoesOnAfterItsCheckpoints has a former holder go on with an item, and save its output, after the holder
+// has loaded the job.
+func TestItemThatComesLateGoesOnAfterItsCheckpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		vms, store := newTestVMs(ctx, t, 2)
+		holder, former := vms[0], vms[1]
+		row := jobrecorder.Job{
+			ID: testJob, Tokens: []int64{1}, ItemRows: 1, Holder: jobrecorder.VMRef{VM: "v0", Incarnation: 1},
+			PreviousHolder: jobrecorder.VMRef{VM: "v1", Incarnation: 1}, Kept: []int{0},
+		}
+		store.Put("job", testPartition(), testJob, row)
+		time.Sleep(feedDelay)
+		holder.sync(ctx)
+		require.Empty(t, holder.runner.jobs[testJob].tasks)
+		former.load(ctx)
+		former.run(40, 1, "1")
+		former.runner.checkpoint(ctx)
+		row.Kept = nil
+		store.Put("job", testPartition(), testJob, row)
+		time.Sleep(feedDelay)
+		holder.sync(ctx)
+		require.NotEmpty(t, holder.runner.jobs[testJob].tasks)
+		assert.EqualValues(t, 39, holder.runner.jobs[testJob].tasks[0].lastEvent, "the item begins anew")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -77,8 +78,10 @@
 	host  string
 	items []jobmanager.Item
 	tasks map[int]*task
-	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
+	// saved holds the saved output of each item that had a checkpoint when the job was last loaded. loaded holds the items that
+	// were this VM's to run since before then: the output of any other may have been saved since.
 	saved     map[int]jobmanager.Checkpoint
+	loaded    map[int]bool
 	isLoading bool
 	retryLoad time.Time
 }
@@ -235,9 +238,11 @@
 	}
 }
 
-// syncJobs adds the jobs that this VM holds and their unfinished items, and starts to load new jobs; the lock is held.
+// syncJobs adds the jobs that this VM holds and their unfinished items, and starts to load what is new; the lock is held.
 func (r *Runner) syncJobs(ctx context.Context, now time.Time) {
+	runnable := map[string][]int{}
 	for _, h := range r.manager.Held() {
+		runnable[h.Job.ID] = h.Items
 		j, ok := r.jobs[h.Job.ID]
 		if !ok {
 			j = &jobState{
@@ -246,19 +251,32 @@
 			}
 			r.jobs[h.Job.ID] = j
 		}
-		if j.items == nil {
-			if !j.isLoading && now.After(j.retryLoad) {
-				j.isLoading = true
-				go r.runLoad(ctx, j)
-			}
+		missing := r.addTasks(j, h.Items)
+		if (j.items == nil || len(missing) > 0) && !j.isLoading && now.After(j.retryLoad) {
+			j.isLoading = true
+			go r.runLoad(ctx, j, missing)
+		}
+	}
+	for id, j := range r.jobs {
+		maps.DeleteFunc(j.loaded, func(i int, _ bool) bool { return !slices.Contains(runnable[id], i) })
+	}
+}
+
+// addTasks adds the tasks of those items that are loaded, and returns the items that have to be loaded first; the lock is held.
+func (r *Runner) addTasks(j *jobState, items []int) []int {
+	var missing []int
+	for _, i := range items {
+		if _, ok := j.tasks[i]; ok || (j.items != nil && i >= len(j.items)) {
 			continue
 		}
-		for _, i := range h.Items {
-			if _, ok := j.tasks[i]; !ok && i < len(j.items) {
-				j.tasks[i] = r.newTask(j, i)
-			}
+		if !j.loaded[i] {
+			missing = append(missing, i)
+			continue
 		}
+		j.tasks[i] = r.newTask(j, i)
+		delete(j.loaded, i)
 	}
+	return missing
 }
 
 // newTask returns the task of an item, which continues after the item's saved output.
@@ -274,8 +292,8 @@
 	return t
 }
 
-// runLoad reads the items of a job and the checkpoints of their outputs.
-func (r *Runner) runLoad(ctx context.Context, j *jobState) {
+// runLoad reads the job's items, and the checkpoints of the outputs of those that are missing here.
+func (r *Runner) runLoad(ctx context.Context, j *jobState, missing []int) {
 	var items []jobmanager.Item
 	var saved map[int]jobmanager.Checkpoint
 	err := recoverer.Call(func() (err error) {
@@ -296,7 +314,10 @@
 		r.log.WithError(err).WithField("job", j.id).Warn("items of the job not read; retrying")
 		return
 	}
-	j.items, j.saved = items, saved
+	j.items, j.saved, j.loaded = items, saved, map[int]bool{}
+	for _, i := range missing {
+		j.loaded[i] = true
+	}
 }
 
 // reportPanic logs and counts err if it is a panic in the work on a job, and reports whether it is.
