A lease whose release was not written doesn't count as released

What operators saw, or could: an order to an engine reports success, while the lease of its endpoint stays as it was; the next order is refused until the lease lapses, without a word why.

After a failed write the controller reads the row, and took it for the one that it had written if it named the same holder; so it does since the lease was acquired. The whole row is compared now.

Before: TestReleaseThatWasNotWrittenIsAnError failed with "An error is expected but got nil".

--- a/pkg/enginecontroller/controller.go
+++ b/pkg/enginecontroller/controller.go
@@ -155,7 +155,7 @@
 	return heldLease{}, busy
 }
 
-// write writes the leases in one transaction. If the answer is lost, the holder in the row shows whether it was written.
+// write writes the leases in one transaction. If the answer is lost, the row shows whether it was written.
 func (c *Controller) write(ctx context.Context, leases []heldLease) error {
 	tx := storer.Transaction{}
 	for _, h := range leases {
@@ -182,7 +182,7 @@
 		return 0, &BusyError{What: h.key, Lease: h.lease, RetryAfter: busyRetryAfter}
 	}
 	found, version, readErr := storer.ReadJSON[Lease](ctx, c.store, h.key)
-	if readErr != nil || found.Holder != h.lease.Holder {
+	if readErr != nil || found != h.lease {
 		return 0, err
 	}
 	return version, nil
--- a/pkg/enginecontroller/controller_test.go
+++ b/pkg/enginecontroller/controller_test.go
@@ -209,3 +209,24 @@
 	assert.IsType(t, outcome.NotRun{}, o)
 	assert.Empty(t, f.fences)
 }
+
+// failingRelease is a store that refuses all transactions after the first.
+type failingRelease struct {
+	storer.Store
+	commits int
+}
+
+func (s *failingRelease) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
+	if s.commits++; s.commits > 1 {
+		return 0, errors.New("refused")
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// TestReleaseThatWasNotWrittenIsAnError guards against a lease that counts as released since its row still has the holder's name
+// from when it was acquired.
+func TestReleaseThatWasNotWrittenIsAnError(t *testing.T) {
+	f := newFixture()
+	_, _, err := New("vm-1", &failingRelease{Store: f.store}, f.send, f.clock).Execute(ctx, endpoint("e", true), load)
+	assert.ErrorContains(t, err, "its lease must lapse")
+}
