--- a/pkg/assembler/gateway_test.go
+++ b/pkg/assembler/gateway_test.go
@@ -119,21 +119,27 @@
 // later caller may receive it.
 func TestExtraAnswerIsDropped(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 1)
-	for _, e := range f.endpoints {
-		e.SetFault(func(n int, _ *http.Request) standin.EndpointFault {
-			if n%2 == 0 {
-				return standin.ExtraAnswer
+	for name, fault := range map[string]standin.EndpointFault{
+		"an answer to no request": standin.ExtraAnswer, "a late copy of the answer before": standin.Repeat,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			for _, e := range f.endpoints {
+				e.SetFault(func(n int, _ *http.Request) standin.EndpointFault {
+					if n%2 == 0 {
+						return fault
+					}
+					return standin.NoEndpointFault
+				})
+			}
+			for range 20 {
+				id := newID("x")
+				a := f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", id, "body", withHeader("X-Deadline-Ms", "2000"))
+				require.Equal(t, 200, a.status)
+				assert.Equal(t, "answer to "+id, a.body)
 			}
-			return standin.NoEndpointFault
 		})
 	}
-	for range 20 {
-		id := newID("x")
-		a := f.call(context.Background(), f.vms[0], http.MethodPost, "/status/1", id, "body", withHeader("X-Deadline-Ms", "2000"))
-		require.Equal(t, 200, a.status)
-		assert.Equal(t, "answer to "+id, a.body)
-	}
 }
 
 // TestFailingItemsAreAbandoned checks that an item that always fails is abandoned after its route's maxAttempts, and an
