Soak: late copies, unframed kills, nested and removed routes, silent links

- an endpoint sends answers once more where the next one on the connection is expected, and items fail at their first two runs there, one less than lets them be abandoned;
- an endpoint whose streams have neither a length nor chunks is killed under them, its connections ending by FIN;
- a route of another service and of any kind comes below the batch route, on the paths of its items, and goes again: items that run there are ROUTE, abandoned ones MIXED as before;
- the only batch route of a host goes once the results of its job were read: they are read to the end, a 404 is LOST as before;
- after the other faults, when all VMs are in touch, their connections to the store fall silent for good while new ones work; later two endpoints are replaced, whose rows go at once: a request that reaches one later than drainMs after that is DRAIN.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -21,6 +21,8 @@
 	// readInterval is how often a job is read; jobItems is its number of items.
 	readInterval = 200 * time.Millisecond
 	jobItems     = 4
+	// itemPath is what the paths of items have between the prefix of their route and their ids.
+	itemPath = "run/"
 )
 
 // callers make requests of every kind until their context ends. Those of online requests reuse their connections.
@@ -161,13 +163,7 @@
 	defer c.wg.Done()
 	random := rand.New(rand.NewPCG(c.seed, 1000+uint64(n)))
 	for i := 0; ctx.Err() == nil; i++ {
-		j := &job{id: fmt.Sprintf("j%d-%d-%d", c.seed, n, i)}
-		for k := range jobItems {
-			j.items = append(j.items, fmt.Sprintf("%s-i%d", j.id, k))
-		}
-		c.mu.Lock()
-		c.jobs = append(c.jobs, j)
-		c.mu.Unlock()
+		j := c.newJob(fmt.Sprintf("j%d-%d-%d", c.seed, n, i), kind{})
 		for try := 0; try < 4 && !j.isAccepted() && ctx.Err() == nil; try++ {
 			c.submit(j, c.fleet.vms[random.IntN(len(c.fleet.vms))])
 		}
@@ -182,8 +178,25 @@
 	}
 }
 
-// callJob makes a call about a job on a new connection. Status 0 means that no complete answer arrived.
+// newJob returns a job that is still to be submitted; all jobs are checked in the end.
+func (c *callers) newJob(id string, k kind) *job {
+	j := &job{id: id, kind: k}
+	for n := range jobItems {
+		j.items = append(j.items, fmt.Sprintf("%s-i%d", id, n))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs = append(c.jobs, j)
+	return j
+}
+
+// callJob makes a call about a job of the usual host.
 func (c *callers) callJob(v *vm, method, path, id string, body any) (int, []byte) {
+	return c.callJobAt(host, v, method, path, id, body)
+}
+
+// callJobAt makes a call about a job on a new connection. Status 0 means that no complete answer arrived.
+func (c *callers) callJobAt(host string, v *vm, method, path, id string, body any) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	raw, err := json.Marshal(body)
@@ -212,13 +225,14 @@
 
 func (c *callers) submit(j *job, v *vm) {
 	var items []map[string]any
+	k, host := j.route()
 	for _, id := range j.items {
 		items = append(items, map[string]any{
-			"id": id, "path": "/lot/run/" + id, "body": []byte("body of " + id), "tokens": 940,
+			"id": id, "path": k.prefix + itemPath + id, "body": []byte("body of " + id), "tokens": 940,
 			"headers": map[string]string{"X-Model": "m", "X-Token-Count": "540,400"},
 		})
 	}
-	code, _ := c.callJob(v, http.MethodPost, batchJobs.prefix+j.id, j.id, map[string]any{"items": items})
+	code, _ := c.callJobAt(host, v, http.MethodPost, k.prefix+j.id, j.id, map[string]any{"items": items})
 	j.recordSubmission(code, time.Now())
 }
 
@@ -231,7 +245,8 @@
 	if isFromStart {
 		after = 0
 	}
-	code, text := c.callJob(v, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", j.id, after), "read-"+j.id, nil)
+	_, host := j.route()
+	code, text := c.callJobAt(host, v, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", j.id, after), "read-"+j.id, nil)
 	switch code {
 	case http.StatusNotFound:
 		j.recordNotFound(began, v.name)
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -22,6 +22,8 @@
 	// isOnce marks kinds of which each request may run at most once.
 	isOnce bool
 	extra  map[string]any
+	// host is the route's host, if it isn't the one of all others.
+	host string
 }
 
 const (
@@ -48,6 +50,9 @@
 		"name": "r-" + strings.Trim(k.prefix, "/"), "host": host, "pathPrefix": k.prefix, "kind": k.routeKind, "service": k.service,
 		"timeoutMs": routeTimeout.Milliseconds(), "targetLatencyMs": 500, "maxAttempts": 3, "priority": 0,
 	}
+	if k.host != "" {
+		r["host"] = k.host
+	}
 	for name, value := range k.extra {
 		r[name] = value
 	}
@@ -141,6 +146,8 @@
 type job struct {
 	id    string
 	items []string
+	// kind is that of the job's route; batchJobs if it has no prefix.
+	kind kind
 
 	mu sync.Mutex
 	// acceptedAt is the time of the first 202; refusals counts the answers which promise that nothing runs.
@@ -155,6 +162,14 @@
 
 type result struct{ ID, State, Output string }
 
+// route returns the kind and the host of the job's route.
+func (j *job) route() (kind, string) {
+	if j.kind.prefix == "" {
+		return batchJobs, host
+	}
+	return j.kind, j.kind.host
+}
+
 func (j *job) addViolation(format string, args ...any) {
 	j.violations = append(j.violations, fmt.Sprintf("job %s: ", j.id)+fmt.Sprintf(format, args...))
 }
@@ -370,6 +385,10 @@
 			j.recordSubmission(202, accepted)
 			j.recordResults(0, 2, []result{x, {"y", "succeeded", "y.0"}}, "v")
 		})},
+		{name: "an item abandoned too early", want: "MIXED", job: newJob(func(j *job) {
+			j.recordSubmission(202, accepted)
+			j.recordResults(0, 2, []result{x, {"y", "abandoned", ""}}, "v")
+		})},
 		{name: "a refused job that runs", want: "REFUSED", runs: []standin.Run{run("x")}, job: newJob(func(j *job) {
 			j.recordSubmission(503, accepted)
 			j.recordSubmission(429, accepted)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -225,6 +225,8 @@
 	mu        sync.Mutex
 	endpoints []*endpoint
 	started   int
+	// added holds the kinds whose routes the configuration has besides those of kinds.
+	added []kind
 }
 
 func newFleet(t testing.TB, vms int) *fleet {
@@ -275,7 +277,7 @@
 }
 
 // addEndpoint starts an endpoint of the service, applies adjust to it and announces it.
-func (f *fleet) addEndpoint(service string, adjust ...func(*standin.Endpoint)) {
+func (f *fleet) addEndpoint(service string, adjust ...func(*standin.Endpoint)) *endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started++
@@ -291,6 +293,7 @@
 	e.OnCrash = func() { go f.crash(proxied) }
 	f.endpoints = append(f.endpoints, proxied)
 	f.announce(proxied, "ready")
+	return proxied
 }
 
 // announce writes the endpoint's row to the store, with the address of its proxy.
@@ -329,6 +332,38 @@
 	return runs
 }
 
+// killEndpoint kills the endpoint: its connections end as those of a killed process do. Its row goes after lostRowRetention.
+func (f *fleet) killEndpoint(e *endpoint) {
+	_ = e.link.socket.Close()
+	e.Kill()
+	time.Sleep(lostRowRetention)
+	f.store.Remove(platform.EndpointTable, "", e.ID)
+}
+
+// runsAt returns the number of runs with the path prefix at the endpoints of a service.
+func (f *fleet) runsAt(service, prefix string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.endpoints {
+		if e.Service == service {
+			n += len(slices.DeleteFunc(e.Runs(), func(r standin.Run) bool { return !strings.HasPrefix(r.Path, prefix) }))
+		}
+	}
+	return n
+}
+
+// setRoute writes a configuration with the route of the kind, or without it.
+func (f *fleet) setRoute(k kind, isThere bool) {
+	f.mu.Lock()
+	f.added = slices.DeleteFunc(f.added, func(a kind) bool { return a.prefix == k.prefix && a.host == k.host })
+	if isThere {
+		f.added = append(f.added, k)
+	}
+	f.mu.Unlock()
+	f.configure()
+}
+
 // configure writes the next version of the configuration to the store; services that only further kinds name
 // are declared as engines.
 func (f *fleet) configure(further ...kind) {
@@ -344,7 +379,7 @@
 		}
 	}
 	var routes []map[string]any
-	for _, k := range slices.Concat(kinds, further) {
+	for _, k := range slices.Concat(kinds, f.added, further) {
 		routes = append(routes, k.route())
 	}
 	f.store.Put(platform.OperatorTable, "", platform.ConfigKey, map[string]any{
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	fault linkFault
 	conns map[net.Conn]struct{}
+	// silenced holds the connections that no longer forward anything, nor end.
+	silenced map[net.Conn]struct{}
 	// changed is closed and replaced when the fault changes.
 	changed chan struct{}
 }
@@ -47,7 +49,10 @@
 	t.Helper()
 	socket, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	p := &proxy{target: target, socket: socket, conns: map[net.Conn]struct{}{}, changed: make(chan struct{})}
+	p := &proxy{
+		target: target, socket: socket, conns: map[net.Conn]struct{}{}, silenced: map[net.Conn]struct{}{},
+		changed: make(chan struct{}),
+	}
 	t.Cleanup(p.close)
 	go p.run()
 	return p
@@ -74,13 +79,27 @@
 		abort(c)
 	}
 	clear(p.conns)
+	clear(p.silenced)
+}
+
+// silence makes the open connections fall silent for good; new ones are forwarded.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silenced[c] = struct{}{}
+	}
 }
 
-// awaitForwarding waits until bytes may be forwarded in the direction that the fault held holds back; false means reset.
-func (p *proxy) awaitForwarding(held linkFault) bool {
+// awaitForwarding waits until bytes from the connection may be forwarded in the direction that the fault held holds back; false
+// means reset.
+func (p *proxy) awaitForwarding(from net.Conn, held linkFault) bool {
 	for isDelayed := false; ; {
 		p.mu.Lock()
 		f, changed := p.fault, p.changed
+		if _, isSilent := p.silenced[from]; isSilent && f != linkReset {
+			f = linkSilent
+		}
 		p.mu.Unlock()
 		switch {
 		case f == linkReset:
@@ -152,7 +171,7 @@
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
-		if !p.awaitForwarding(held) {
+		if !p.awaitForwarding(from, held) {
 			abort(to)
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,14 +108,16 @@
 func runSeed(t *testing.T, seed uint64) {
 	f := newFleet(t, vmCount)
 	s := &soak{t: t, fleet: f, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), outages: newOutages()}
+	s.callers = &callers{fleet: f, seed: seed, outages: s.outages}
 	f.store.SetFault(func(r *http.Request) standin.StoreFault {
 		return s.storeFault(strings.TrimPrefix(r.UserAgent(), "dogwoodledge/"))
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	c := &callers{fleet: f, seed: seed, outages: s.outages}
+	c := s.callers
 	c.start(ctx, callerCount)
 	s.run()
+	s.injectAfterwards(seed)
 	// Callers continue without faults for this long; the waits for VMs and jobs below poll conditions.
 	time.Sleep(quietPeriod)
 	stop()
@@ -145,6 +147,7 @@
 	seed    uint64
 	random  *rand.Rand
 	outages *outages
+	callers *callers
 
 	mu         sync.Mutex
 	violations []string
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -25,6 +25,10 @@
 	timeToReact = 4 * time.Second
 	maxLate     = 3
 	repeatTime  = 7 * time.Second
+	// repeatedFailures is how many runs of an item fail at an endpoint that repeats answers: less than the route's maxAttempts.
+	repeatedFailures = 2
+	// slowStep is the time between the events of a stream that is cut by the end of its endpoint.
+	slowStep = 60 * time.Millisecond
 )
 
 // crashes records the ends of endpoints under the crashing request.
@@ -55,7 +59,9 @@
 // injectTroubles injects, beside the other faults, those that only some seeds have. Their draws leave the others as they are.
 func (s *soak) injectTroubles(seed uint64, start time.Time) {
 	random := rand.New(rand.NewPCG(seed, 2))
-	for _, apply := range []func(*injection){s.limitEndpoint, s.repeatCrashingRequest, s.mixSoftware} {
+	for _, apply := range []func(*injection){
+		s.limitEndpoint, s.repeatCrashingRequest, s.mixSoftware, s.repeatAnswers, s.killUnframed, s.nestRoute, s.removeRoute,
+	} {
 		inj := &injection{
 			at: time.Duration(random.Int64N(int64(injectionWindow / 2))), duration: faultDurationSpan, n: random.IntN(1 << 20),
 		}
@@ -125,6 +131,38 @@
 	}
 }
 
+// repeatAnswers makes an endpoint send answers once more, where the next one on the connection is expected. Items fail at their
+// first runs there, which is too seldom for them to be abandoned.
+func (s *soak) repeatAnswers(inj *injection) {
+	failures := map[string]int{}
+	e := s.fleet.addEndpoint(note.service, func(e *standin.Endpoint) {
+		e.SetFault(func(n int, r *http.Request) standin.EndpointFault {
+			id := r.Header.Get("X-Request-Id")
+			switch {
+			case !strings.HasPrefix(r.URL.Path, batchJobs.prefix):
+				if n%2 == 0 {
+					return standin.Repeat
+				}
+			case failures[id] < repeatedFailures:
+				failures[id]++
+				return standin.FailAndRepeat
+			}
+			return standin.NoEndpointFault
+		})
+	})
+	s.recordInjection(inj, "late copies of answers from "+e.ID)
+	time.Sleep(inj.duration)
+	e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoEndpointFault })
+}
+
+// killUnframed kills an endpoint whose streams have neither a length nor chunks.
+func (s *soak) killUnframed(inj *injection) {
+	e := s.fleet.addEndpoint(note.service, func(e *standin.Endpoint) { e.IsUnframed, e.Step = true, slowStep })
+	s.recordInjection(inj, "unframed answers, then kill of "+e.ID)
+	time.Sleep(inj.duration)
+	s.fleet.killEndpoint(e)
+}
+
 // wasAnyVMDown reports whether a VM was down or recovering at some time after began.
 func (s *soak) wasAnyVMDown(began time.Time) bool {
 	for _, v := range s.fleet.vms {
