--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -40,16 +40,18 @@
 
 // Runner runs the items of the batch jobs that this VM holds.
 type Runner struct {
-	headers  relayer.Headers
-	manager  *jobmanager.Manager
-	registry func() *registrar.Registry
-	balancer *balancer.Balancer
-	pool     *dialer.Pool
-	isolator relayer.Isolator
+	headers   relayer.Headers
+	manager   *jobmanager.Manager
+	registry  func() *registrar.Registry
+	balancer  *balancer.Balancer
+	pool      *dialer.Pool
+	isolator  relayer.Isolator
+	confirmer relayer.Confirmer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
-	// onlySoftware returns the software version that alone may have begun outputs of the service lately, if there is one.
-	onlySoftware func(service string) option.Option[registrar.Software]
+	// onlySoftware returns the software version that alone may have begun an output of the service that existed at the time, if
+	// there is one; false if that isn't known yet.
+	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool)
 	metrics      Metrics
 	log          logrus.FieldLogger
 
@@ -74,9 +76,7 @@
 	items      []jobmanager.Item
 	tasks      map[int]*task
 	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
-	saved map[int]jobmanager.Checkpoint
-	// writer identifies this VM's checkpoints of the job; it is new each time that the job is loaded.
-	writer    string
+	saved     map[int]jobmanager.Checkpoint
 	isLoading bool
 	retryLoad time.Time
 }
@@ -94,12 +94,7 @@
 	// parts holds the ids of the shared parts of the item's prompt.
 	parts []string
 
-	// lastEvent is the id of the last event received, or -1.
-	lastEvent int64
-	output    []byte
-	hasOutput bool
-	// begun is the software version that began the output; none while there is none.
-	begun option.Option[registrar.Software]
+	*itemOutput
 	// idleSince is when its last run ended, or when this VM got the item.
 	idleSince time.Time
 	notBefore time.Time
@@ -108,12 +103,38 @@
 	runTime time.Duration
 	// isLate says that the item is planned after all items that can still meet their due time.
 	isLate bool
+	isOver bool
+}
+
+// itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
+// reset, so that a checkpoint which is being written can't be taken for one of the next output.
+type itemOutput struct {
+	id string
+	// continues is the id of the saved output that this one goes on with; empty if it began with the first event.
+	continues string
+	// sequence is that of the events received.
+	sequence  continuer.Sequence
+	output    []byte
+	hasOutput bool
+	// begun is the software version that began the output; none while there is none.
+	begun option.Option[registrar.Software]
 	// savedBytes of the output, up to the event savedEvent, are in checkpoints.
 	savedBytes int
 	savedEvent int64
-	// hasSaved says that this VM has saved a checkpoint of the item since it loaded the job.
+	// hasSaved says that this VM has saved a checkpoint of the output.
 	hasSaved bool
-	isOver   bool
+}
+
+func newItemOutput() *itemOutput {
+	return &itemOutput{id: uuid.NewString(), sequence: continuer.NewSequence(continuer.NoEvent), savedEvent: continuer.NoEvent}
+}
+
+// continued returns an output that goes on after what was saved of another one.
+func continued(c jobmanager.Checkpoint) *itemOutput {
+	return &itemOutput{
+		id: uuid.NewString(), continues: c.OutputID, sequence: continuer.NewSequence(c.LastEvent), output: c.Output, hasOutput: true,
+		begun: option.Some(c.Software), savedBytes: len(c.Output), savedEvent: c.LastEvent,
+	}
 }
 
 // itemRun is one run of an item at an endpoint.
@@ -122,16 +143,21 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
+	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
+	// length nor chunks. Both are for the log.
+	firstEvent  int64
+	endsAtClose bool
 }
 
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, onlySoftware func(service string) option.Option[registrar.Software],
+	i relayer.Isolator, c relayer.Confirmer,
+	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool),
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
-		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, onlySoftware: onlySoftware,
+		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, confirmer: c, onlySoftware: onlySoftware,
 		onLeaving: onLeaving, metrics: m, log: log,
 		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(),
 	}
@@ -246,12 +272,11 @@
 // newTask returns the task of an item, which continues after the item's saved output.
 func (r *Runner) newTask(j *jobState, i int) *task {
 	t := &task{
-		job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), lastEvent: noEvent, savedEvent: noEvent,
+		job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), itemOutput: newItemOutput(),
 		idleSince: time.Now(),
 	}
 	if c, ok := j.saved[i]; ok {
-		t.lastEvent, t.output, t.hasOutput, t.begun = c.LastEvent, c.Output, true, option.Some(c.Software)
-		t.savedBytes, t.savedEvent = len(c.Output), c.LastEvent
+		t.itemOutput = continued(c)
 		delete(j.saved, i)
 	}
 	return t
@@ -273,7 +298,6 @@
 		return
 	}
 	j.items, j.saved = items, saved
-	j.writer = uuid.NewString()
 }
 
 // stopUnneededRuns ends the runs of items that already have a result, or whose job has ended or moved to another VM; the lock
@@ -416,13 +440,21 @@
 func (r *Runner) startItem(
 	ctx context.Context, now time.Time, t *task, route registrar.Route, service string, served []registrar.Software,
 ) bool {
+	waited := now.Sub(t.idleSince)
 	if software, ok := t.begun.Get(); ok && software == continuer.Ambiguous {
 		// The output is from checkpoints of a build that did not record the version.
-		if only, ok := r.onlySoftware(service).Get(); ok {
-			t.begun = option.Some(only)
+		only, isKnown := r.onlySoftware(service, t.idleSince)
+		if !isKnown && waited < continuer.MaxAwait {
+			return false
+		}
+		if _, ok := only.Get(); ok {
+			t.begun = only
 		}
 	}
-	waited := now.Sub(t.idleSince)
+	if !t.sequence.CanResume() {
+		// No id tells the endpoint where the output ended.
+		t.discardOutput()
+	}
 	e, ticket, ok := r.balancer.TakeOfferAt(service, func(e registrar.Endpoint) bool {
 		return continuer.At(t.begun, e, served, waited) != continuer.Await
 	})
@@ -431,25 +463,18 @@
 	}
 	if continuer.At(t.begun, e, served, waited) == continuer.Restart {
 		r.log.WithFields(logrus.Fields{
-			"job": t.job.id, "item": t.item.ID, "lastEvent": t.lastEvent, "endpoint": e.ID, "softwareVersion": e.SoftwareVersion,
+			"job": t.job.id, "item": t.item.ID, "lastEvent": t.sequence.Last(), "endpoint": e.ID, "softwareVersion": e.SoftwareVersion,
 		}).Info("output of item discarded: no slot at the software version that began it")
 		t.discardOutput()
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
-	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
+	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now, firstEvent: continuer.NoEvent}
 	go r.runItem(runCtx, t, t.run, route)
 	return true
 }
 
 // discardOutput makes the item's next run begin anew.
-func (t *task) discardOutput() {
-	t.output, t.hasOutput, t.lastEvent = nil, false, noEvent
-	t.begun = option.None[registrar.Software]()
-	t.savedBytes, t.savedEvent, t.hasSaved = 0, noEvent, false
-}
-
-// noEvent is the id of the last event before the first.
-const noEvent = -1
+func (t *task) discardOutput() { t.itemOutput = newItemOutput() }
 
 // lateUrgency is the time until due that the balancer receives for items that can no longer meet their due time.
 const lateUrgency = time.Minute
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -50,29 +50,34 @@
 	BeginProbe(part string) bool
 	// Completed records that a request with the parts was completed.
 	Completed(parts []string)
-	// EndedAtClose records that the answer to a request with the parts ended with its connection to the endpoint.
-	EndedAtClose(e registrar.Endpoint, parts []string)
 	// BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun.
 	BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool)
 }
 
+// Confirmer tells whole answers from parts.
+type Confirmer interface {
+	// BodyOf returns a reader of the answer's body, which returns io.EOF only if the answer is whole.
+	BodyOf(ctx context.Context, x *dialer.Exchange, e registrar.Endpoint) io.Reader
+}
+
 // Resumer knows which software version began a stream.
 type Resumer interface {
-	// SoftwareOf returns the software version that began the stream of the service, by the id of the attempt that brought its
-	// first event; none if it can't be told.
-	SoftwareOf(ctx context.Context, service, stream string) option.Option[registrar.Software]
+	// SoftwareOf returns the software version that began the stream for a request with the host and path, by the id of the attempt
+	// that brought its first event; none if it can't be told.
+	SoftwareOf(ctx context.Context, host, path, stream string) option.Option[registrar.Software]
 	// Began records that the endpoint brings the first event of the stream, or continues it; it must not block.
 	Began(stream string, e registrar.Endpoint)
 }
 
 // Relayer serves the online requests of callers.
 type Relayer struct {
-	headers  Headers
-	registry func() *registrar.Registry
-	balancer *balancer.Balancer
-	pool     *dialer.Pool
-	isolator Isolator
-	resumer  Resumer
+	headers   Headers
+	registry  func() *registrar.Registry
+	balancer  *balancer.Balancer
+	pool      *dialer.Pool
+	isolator  Isolator
+	confirmer Confirmer
+	resumer   Resumer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	metrics   Metrics
@@ -86,13 +91,14 @@
 
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
-	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator, rs Resumer,
+	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator, c Confirmer, rs Resumer,
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
 	ending, end := context.WithCancel(context.Background())
 	return &Relayer{
 		ending: ending, end: end,
-		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, resumer: rs, onLeaving: onLeaving, metrics: m, log: log,
+		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, confirmer: c, resumer: rs,
+		onLeaving: onLeaving, metrics: m, log: log,
 	}
 }
 
@@ -128,12 +134,12 @@
 	}
 	q := &request{
 		Relayer: l, w: w, r: r, route: route, body: body, start: start,
-		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, lastEvent: -1,
+		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, firstEvent: continuer.NoEvent,
 		parts: slices.Concat(
 			l.headers.PartsOf(r.Header), []string{quarantiner.RequestPart(r.Method, r.Host, r.RequestURI, body)},
 		),
 	}
-	q.stream = q.id
+	q.stream, q.sequence = q.id, continuer.NewSequence(q.resumedAfter())
 	q.deadline = start.Add(q.timeLimit())
 	// The body may have come slowly, so the time of its end counts.
 	if d := l.drain.Load(); d != nil && !d.Accepts(time.Now(), q.deadline) {
@@ -267,8 +273,10 @@
 	tried map[string]bool
 	// hasAnswer says that the head of an answer has been forwarded.
 	hasAnswer bool
-	// lastEvent is the id of the last event forwarded, -1 before the first.
-	lastEvent int64
+	// sequence is that of the events that were forwarded, to the caller's earlier attempts too if the request resumes their stream.
+	sequence continuer.Sequence
+	// mediaType is that of the answer that was begun.
+	mediaType string
 	// events counts the events forwarded.
 	events int
 	// stream is the id of the attempt that brought the stream's first event, and begun the software version that did; none while
@@ -286,13 +294,17 @@
 
 	// The fields below are logged when the request ends.
 
-	endpoint  string
-	decision  string
-	estimate  time.Duration
-	load      placer.Load
-	firstByte time.Duration
-	status    int
-	cause     error
+	endpoint string
+	// endsAtClose says that the last answer had neither a length nor chunks.
+	endsAtClose bool
+	// firstEvent is the id of the first event of the last attempt, continuer.NoEvent before it.
+	firstEvent int64
+	decision   string
+	estimate   time.Duration
+	load       placer.Load
+	firstByte  time.Duration
+	status     int
+	cause      error
 }
 
 // timeLimit returns the shorter of the route's timeout and the one that the caller's header states in milliseconds.
@@ -307,6 +319,18 @@
 	return limit
 }
 
+// resumedAfter returns the id of the event after which the request resumes a stream, or continuer.NoEvent.
+func (q *request) resumedAfter() int64 {
+	if q.route.Kind != registrar.KindStream || !q.route.IsResumable {
+		return continuer.NoEvent
+	}
+	last, err := strconv.ParseInt(q.r.Header.Get(q.headers.LastEventID), 10, 64)
+	if err != nil || last < 0 {
+		return continuer.NoEvent
+	}
+	return last
+}
+
 // findBeginning finds which software version began the stream that the request resumes, if it does. It refuses the request if
 // that can't be told, and returns false: what another version writes would not fit.
 func (q *request) findBeginning() bool {
@@ -316,7 +340,7 @@
 	if id := q.r.Header.Get(q.headers.Resumes); id != "" {
 		q.stream = id
 	}
-	q.begun = q.resumer.SoftwareOf(q.ctx, q.route.ServiceFor(q.stream), q.stream)
+	q.begun = q.resumer.SoftwareOf(q.ctx, q.r.Host, q.r.URL.Path, q.stream)
 	if _, ok := q.begun.Get(); !ok {
 		q.refuse(placer.Refuse{
 			Reason: "it is not known which software version began the stream", RetryAfter: unknownRetryAfter,
@@ -346,6 +370,7 @@
 		if isOver {
 			return
 		}
+		q.logAttempt()
 	}
 }
 
@@ -408,7 +433,8 @@
 	ending := placer.EndedFailed
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
-	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address)
+	q.endsAtClose, q.firstEvent = false, continuer.NoEvent
+	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address, q.id)
 	if err != nil {
 		q.cause = err
 		if q.ctx.Err() != nil {
@@ -443,6 +469,7 @@
 		return q.endUnlessRetryable(err)
 	}
 	defer x.Close()
+	q.endsAtClose = x.EndsAtClose()
 	if x.Response.Header.Get(q.headers.Leaving) != "" {
 		q.onLeaving(s.Endpoint)
 	}
@@ -450,20 +477,11 @@
 	isOver, how := q.handleAnswer(x, ticket, s)
 	ending = how
 	if how == placer.EndedComplete && x.Response.StatusCode < 300 {
-		q.recordComplete(x, s.Endpoint)
+		q.isolator.Completed(q.parts)
 	}
 	return isOver
 }
 
-// recordComplete records that the answer was complete, as far as it can be told.
-func (q *request) recordComplete(x *dialer.Exchange, e registrar.Endpoint) {
-	if x.EndsAtClose() {
-		q.isolator.EndedAtClose(e, q.parts)
-		return
-	}
-	q.isolator.Completed(q.parts)
-}
-
 // recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
 func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
 	if q.attemptCtx.Err() == nil {
@@ -502,8 +520,8 @@
 	h := ForwardHeader(q.r.Header)
 	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	h[q.headers.ExpectInstance] = []string{e.ID}
-	if q.lastEvent >= 0 {
-		h[q.headers.LastEventID] = []string{strconv.FormatInt(q.lastEvent, 10)}
+	if last := q.sequence.Last(); last != continuer.NoEvent {
+		h[q.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
 	}
 	return dialer.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
@@ -535,8 +553,9 @@
 		q.cause = errors.Errorf("endpoint %s answered status %d", s.Endpoint.ID, status)
 		return false, placer.EndedFailed
 	}
-	if status >= 300 && q.hasAnswer {
-		q.cause = errors.Errorf("endpoint %s answered status %d to a resumed stream", s.Endpoint.ID, status)
+	if q.hasAnswer && !q.isRestOfAnswer(res) {
+		q.cause = errors.Errorf("endpoint %s answered status %d, type %q to a resumed stream of type %q", s.Endpoint.ID, status,
+			res.Header.Get("Content-Type"), q.mediaType)
 		return q.endUnlessRetryable(q.cause), placer.EndedFailed
 	}
 	if q.route.Kind == registrar.KindStream && status < 300 {
@@ -545,9 +564,14 @@
 	return q.forwardBody(x, ticket, s)
 }
 
+// isRestOfAnswer reports whether the answer can be the rest of the one that was begun, by its status and media type.
+func (q *request) isRestOfAnswer(res *http.Response) bool {
+	return res.StatusCode == q.status && mediaTypeOf(res.Header) == q.mediaType
+}
+
 // canRetry reports whether the request may be sent again after an attempt in which it may have run.
 func (q *request) canRetry() bool {
-	return q.route.IsIdempotent() && q.runs < q.route.MaxAttempts && q.ctx.Err() == nil &&
+	return q.route.IsIdempotent() && q.sequence.CanResume() && q.runs < q.route.MaxAttempts && q.ctx.Err() == nil &&
 		time.Until(q.deadline) > minTimeLeft
 }
 
@@ -624,6 +648,26 @@
 // unknownRetryAfter is the Retry-After for a stream of which it is not known what began it: the VM that knows may be starting.
 const unknownRetryAfter = 300 * time.Millisecond
 
+// logAttempt logs an attempt after which the request is not over.
+func (q *request) logAttempt() {
+	fields := logrus.Fields{"request": q.id, "endpoint": q.endpoint, "runs": q.runs, "refusals": q.refusals}
+	q.addEventFields(fields)
+	if q.cause != nil {
+		fields["cause"] = q.cause.Error()
+	}
+	q.log.WithFields(fields).Info("attempt ended")
+}
+
+// addEventFields adds which events the last attempt brought, and how the end of its answer was marked.
+func (q *request) addEventFields(fields logrus.Fields) {
+	if q.events > 0 {
+		fields["firstEvent"], fields["lastEvent"] = q.firstEvent, q.sequence.Last()
+	}
+	if q.endsAtClose {
+		fields["endsAtClose"] = true
+	}
+}
+
 func (q *request) logEnd() {
 	took := time.Since(q.start)
 	q.metrics.RequestEnded(q.route.Name, q.decision, took)
@@ -635,6 +679,7 @@
 	if q.events > 0 {
 		fields["events"] = q.events
 	}
+	q.addEventFields(fields)
 	if q.stream != q.id {
 		fields["resumes"] = q.stream
 	}
--- a/pkg/resumer/resumer_test.go
+++ b/pkg/resumer/resumer_test.go
@@ -1,14 +1,19 @@
 package resumer
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/platform"
@@ -57,23 +62,45 @@
 	for i := range vms {
 		vm := fmt.Sprint("v", i)
 		n.vms[vm] = New(vm, n, store, func(string) int { return 0 }, log)
+		n.vms[vm].SetSource(&fakeSource{resumer: n.vms[vm]})
 	}
 	return n
 }
 
+// fakeSource has the registry by what the store holds; nil stands for a store that can't be reached.
+type fakeSource struct {
+	resumer *Resumer
+	stored  *registrar.Registry
+}
+
+func (e *fakeSource) Refresh(context.Context) error {
+	if e.stored == nil {
+		return errors.New("the store gave no answer")
+	}
+	e.resumer.Observe(e.stored)
+	return nil
+}
+
 func (n *fakeNetwork) observe(reg *registrar.Registry) {
 	for _, r := range n.vms {
 		r.Observe(reg)
 	}
 }
 
+const testHost = "desk.example"
+
+// testConfig has a route of the service s.
+var testConfig = (&registrar.Config{Routes: []registrar.Route{
+	{Host: testHost, PathPrefix: "/s/", Kind: registrar.KindStream, Splits: []registrar.Split{{Service: "s", Weight: 1}}},
+}}).Index()
+
 func registryOf(versions ...string) *registrar.Registry {
 	endpoints := map[string]registrar.Endpoint{}
 	for i, v := range versions {
 		id := fmt.Sprint("e", i)
 		endpoints[id] = registrar.Endpoint{ID: id, Service: "s", SoftwareVersion: v, Slots: 1}
 	}
-	return registrar.NewRegistry(nil, endpoints)
+	return registrar.NewRegistry(testConfig, endpoints)
 }
 
 // TestMostBeginningsOutlastTheLossOfMostVMs has all VMs but a tenth lost at once while two versions serve: the others must resume
@@ -101,7 +128,7 @@
 			for i := left; i < vms; i++ {
 				for k := range streams {
 					wg.Go(func() {
-						s, ok := n.vms["v0"].SoftwareOf(t.Context(), "s", fmt.Sprintf("stream-%d-%d", i, k)).Get()
+						s, ok := n.vms["v0"].SoftwareOf(t.Context(), testHost, "/s/1", fmt.Sprintf("stream-%d-%d", i, k)).Get()
 						mu.Lock()
 						defer mu.Unlock()
 						if ok {
@@ -128,7 +155,7 @@
 	n.vms["v0"].Observe(registryOf("v1", "v2"))
 	assert.NotZero(t, n.sent)
 	n.lose("v0")
-	s, ok := n.vms["v1"].SoftwareOf(t.Context(), "s", "a").Get()
+	s, ok := n.vms["v1"].SoftwareOf(t.Context(), testHost, "/s/1", "a").Get()
 	assert.True(t, ok)
 	assert.Equal(t, registryOf("v1").Endpoints["e0"].Software(), s)
 }
@@ -142,7 +169,93 @@
 	n.vms["v0"].Began("a", registryOf("v1").Endpoints["e0"])
 	n.observe(registryOf("v3", "v2"))
 	for _, vm := range []string{"v0", "v1"} {
-		_, ok := n.vms[vm].SoftwareOf(t.Context(), "s", "a").Get()
+		_, ok := n.vms[vm].SoftwareOf(t.Context(), testHost, "/s/1", "a").Get()
 		assert.False(t, ok, vm)
 	}
 }
+
+// newLateVM returns a VM that has known one software version for longer than continuer.Memory, alone with what the store holds.
+func newLateVM(t *testing.T) (*Resumer, *fakeSource) {
+	t.Helper()
+	r := newFakeNetwork(1).vms["v0"]
+	r.history = continuer.NewHistory(time.Now().Add(-continuer.Memory))
+	r.Observe(registryOf("v1"))
+	stored := &fakeSource{resumer: r, stored: registryOf("v1")}
+	r.SetSource(stored)
+	return r, stored
+}
+
+// TestOnlyVersionIsTrustedIfTheStoreConfirmsIt guards against a stream that goes on at the only software version that a VM knows,
+// while another one has joined that it has not heard of.
+func TestOnlyVersionIsTrustedIfTheStoreConfirmsIt(t *testing.T) {
+	t.Parallel()
+	passed := registryOf("v1")
+	passed.Passed = []registrar.Endpoint{{ID: "e1", Service: "s", SoftwareVersion: "v2"}}
+	gap := registryOf("v1")
+	gap.HasGap = true
+	movedConfig := (&registrar.Config{Routes: []registrar.Route{
+		{Host: testHost, PathPrefix: "/s/", Kind: registrar.KindStream, Splits: []registrar.Split{{Service: "other", Weight: 1}}},
+	}}).Index()
+	moved := registrar.NewRegistry(movedConfig, map[string]registrar.Endpoint{
+		"e0": {ID: "e0", Service: "s", SoftwareVersion: "v1"}, "o": {ID: "o", Service: "other", SoftwareVersion: "v1"},
+	})
+	for name, c := range map[string]struct {
+		stored *registrar.Registry
+		want   bool
+	}{
+		"the same":                        {registryOf("v1", "v1"), true},
+		"another joined":                  {registryOf("v1", "v2"), false},
+		"another took its place":          {registryOf("v2"), false},
+		"another came and went":           {passed, false},
+		"another may have come and gone":  {gap, false},
+		"its route moved to another one":  {moved, false},
+		"the store gives no answer":       {nil, false},
+		"the service has no endpoint now": {registryOf(), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, endpoints := newLateVM(t)
+			endpoints.stored = c.stored
+			s, ok := r.SoftwareOf(t.Context(), testHost, "/s/1", "a").Get()
+			assert.Equal(t, c.want, ok)
+			if c.want {
+				assert.Equal(t, registryOf("v1").Endpoints["e0"].Software(), s)
+			}
+			assert.Equal(t, !c.want, r.Counters.Unknown.Load() == 1)
+		})
+	}
+}
+
+// TestOutputOfUnknownVersionWaitsForTheStore checks OnlySoftware, whose callers don't wait.
+func TestOutputOfUnknownVersionWaitsForTheStore(t *testing.T) {
+	t.Parallel()
+	r, endpoints := newLateVM(t)
+	saved := time.Now()
+	_, isKnown := r.OnlySoftware("s", saved)
+	assert.False(t, isKnown)
+	require.Eventually(t, func() bool {
+		only, isKnown := r.OnlySoftware("s", saved)
+		_, isOnly := only.Get()
+		return isKnown && isOnly
+	}, time.Second, time.Millisecond)
+	endpoints.stored = registryOf("v1", "v2")
+	saved = time.Now()
+	require.Eventually(t, func() bool {
+		only, isKnown := r.OnlySoftware("s", saved)
+		_, isOnly := only.Get()
+		require.False(t, isOnly)
+		return isKnown
+	}, time.Second, time.Millisecond)
+}
+
+// TestRecordIsDueInTimeHoweverOftenVersionsChange guards against a record that is put off by each change.
+func TestRecordIsDueInTimeHoweverOftenVersionsChange(t *testing.T) {
+	t.Parallel()
+	r := newFakeNetwork(1).vms["v0"].records
+	r.rank = func(string) int { return 1 }
+	start := time.Now().Add(recordDelay)
+	r.changed(start, "s")
+	r.changed(start.Add(rankDelay-1), "s")
+	assert.Empty(t, r.takeDue(start.Add(rankDelay-1)))
+	assert.Equal(t, []string{"s"}, r.takeDue(start.Add(rankDelay)))
+}
