--- a/soak/routes_test.go
+++ b/soak/routes_test.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// readsWithoutRoute is how often each VM is asked for the results of a job whose route was removed.
+const readsWithoutRoute = 4
+
 // nestRoute adds a route of another service below that of the batch jobs, on the paths of their items, and removes it.
 func (s *soak) nestRoute(inj *injection) {
 	below := kind{prefix: batchJobs.prefix + itemPath, service: status.service, extra: batchJobs.extra}
@@ -37,4 +40,10 @@
 		}
 	}
 	s.fleet.setRoute(k, false)
+	for range readsWithoutRoute {
+		for _, v := range s.fleet.vms {
+			s.callers.read(j, v, true)
+			time.Sleep(readInterval)
+		}
+	}
 }
