--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -235,7 +235,7 @@
 		time.Sleep(feedDelay)
 		holder.sync(ctx)
 		require.NotEmpty(t, holder.runner.jobs[testJob].tasks)
-		assert.EqualValues(t, 39, holder.runner.jobs[testJob].tasks[0].lastEvent, "the item begins anew")
+		assert.EqualValues(t, 39, holder.runner.jobs[testJob].tasks[0].sequence.Last(), "the item begins anew")
 		cancel()
 		synctest.Wait()
 	})
