--- a/pkg/confirmer/confirmer_test.go
+++ b/pkg/confirmer/confirmer_test.go
@@ -37,6 +37,7 @@
 		{"lives and has no room", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, whole},
 		{"states its start", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "7") }, whole},
 		{"port closed", nil, "refused"},
+		{"port closed after its connections", closeAll, "refused"},
 		{"another endpoint", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance", "f") }, "f answers"},
 		{"started again", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "8") }, "next incarnation"},
 		{"says nothing", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "deadline exceeded"},
@@ -94,6 +95,14 @@
 	}
 }
 
+// closeAll closes the question's connection and then the port.
+func closeAll(w http.ResponseWriter, r *http.Request) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+	_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+}
+
 // resetting returns a handler that resets the connections of the first n questions.
 func resetting(n int64) http.HandlerFunc {
 	asked := &atomic.Int64{}
