relayer: a negative event id is none

What callers could see: nothing that was reported; found in a review.

Cause: the id -5 became the last event of a stream, and the further attempt asked for the rest after event -5; -1 stands for no event.

Evidence: TestNegativeIDIsNone failed with the id -5.

Now such an id is ignored, as one that is no number.

--- a/pkg/relayer/events.go
+++ b/pkg/relayer/events.go
@@ -122,7 +122,7 @@
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
-		if id, err := strconv.ParseInt(string(value), 10, 64); err == nil {
+		if id, err := strconv.ParseInt(string(value), 10, 64); err == nil && id >= 0 {
 			e.ID = id
 		}
 	case "data":
--- a/pkg/relayer/events_test.go
+++ b/pkg/relayer/events_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 )
 
 func TestEventsAreCompleteOrAbsent(t *testing.T) {
@@ -59,3 +61,12 @@
 		assert.Equal(t, want, e.IsProgress(), "%q", e.Raw)
 	}
 }
+
+// TestNegativeIDIsNone guards against an id that is taken for the one of no event, or for one before it.
+func TestNegativeIDIsNone(t *testing.T) {
+	for _, id := range []string{"-1", "-5"} {
+		e, err := NewEventReader(strings.NewReader("id: " + id + "\ndata: a\n\n")).Next()
+		require.NoError(t, err)
+		assert.Equal(t, continuer.NoEvent, e.ID)
+	}
+}
