isolator: an endpoint that resets connections has not ended

What callers could see: refusals of sound requests, since their prompts were quarantined. Nobody has reported it; found in a review.

Cause: an endpoint under which a request broke off counted as ended if no connection to it could be opened, and a reset counted as that. Endpoints reset the connections beyond their limit, and the limit is lower while their queue is long, so under load both the request and the check were reset, and the prompt got a strike.

TestEndpointThatResetsConnectionsHasNotEnded failed: quarantined by three strikes.

Now a reset is tried again; an endpoint that is closing its port refuses soon, and one that resets all tries counts as living, unless another incarnation is registered.

After: the tests of pkg/isolator pass with -race, and those of crashes and quarantines in pkg/assembler.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -6,8 +6,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
@@ -23,6 +25,8 @@
 	confirmDelay = 30 * time.Millisecond
 	// replaceDelay is how long after that an endpoint that takes connections again has registered as another incarnation.
 	replaceDelay = time.Second
+	// maxResets is the number of connections that are opened to an endpoint that resets them.
+	maxResets = 3
 	// maxPending bounds the strikes that wait for the store, and the endpoints that wait for confirmation.
 	maxPending = 256
 	// maxPendingRequests is the number of those strikes from which on whole requests get none, so that an outage that breaks many
@@ -206,7 +210,7 @@
 	if !sleeper.Sleep(i.ctx, confirmDelay) {
 		return false
 	}
-	if i.dialer.Reach(i.ctx, e.ID, e.Address) != nil {
+	if i.reach(e) != nil {
 		return true
 	}
 	if !sleeper.Sleep(i.ctx, replaceDelay) {
@@ -220,6 +224,21 @@
 	return false
 }
 
+// reach returns an error if the endpoint takes no connections. One that is reset says nothing: an endpoint resets those beyond
+// its limit, and so does one that closes its port.
+func (i *Isolator) reach(e registrar.Endpoint) error {
+	for range maxResets {
+		err := i.dialer.Reach(i.ctx, e.ID, e.Address)
+		if !errors.Is(err, syscall.ECONNRESET) {
+			return err
+		}
+		if !sleeper.Sleep(i.ctx, confirmDelay) {
+			return nil
+		}
+	}
+	return nil
+}
+
 // recordEnd records the strikes of requests whose endpoint has ended; the lock is held.
 func (i *Isolator) recordEnd(strikes []quarantiner.Strike) {
 	now := time.Now()
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/platform"
@@ -27,10 +29,21 @@
 
 func (deadDialer) Reach(context.Context, string, netip.AddrPort) error { return errors.New("refused") }
 
+// resettingDialer finds that all endpoints reset their connections.
+type resettingDialer struct{}
+
+func (resettingDialer) Reach(context.Context, string, netip.AddrPort) error {
+	return &dialer.ConnectError{Cause: syscall.ECONNRESET}
+}
+
 func noEndpoints() *registrar.Registry { return registrar.NewRegistry(nil, nil) }
 
 // newOne returns a started isolator of a VM.
 func newOne(t *testing.T, addr netip.AddrPort, n int, duty bool) *isolator.Isolator {
+	return newOneWith(t, addr, n, duty, deadDialer{})
+}
+
+func newOneWith(t *testing.T, addr netip.AddrPort, n int, duty bool, d isolator.Dialer) *isolator.Isolator {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	rank := func(string) (int, int) {
@@ -39,7 +52,7 @@
 		}
 		return 1, 2
 	}
-	i := isolator.New(platform.NewStore(addr, fmt.Sprint("front-", n)), deadDialer{}, noEndpoints, rank, log)
+	i := isolator.New(platform.NewStore(addr, fmt.Sprint("front-", n)), d, noEndpoints, rank, log)
 	i.Start(t.Context())
 	return i
 }
@@ -70,6 +83,19 @@
 	assert.Equal(t, "ab", p, "the quarantine ended 3 s after its last strike, since another VM started")
 }
 
+// TestEndpointThatResetsConnectionsHasNotEnded guards against the quarantine of sound prompts, since endpoints under load reset
+// the connections beyond their limit.
+func TestEndpointThatResetsConnectionsHasNotEnded(t *testing.T) {
+	_, addr := newStore(t)
+	i := newOneWith(t, addr, 1, false, resettingDialer{})
+	for n := range 3 {
+		i.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Empty(t, i.Check([]string{"ca"}).Part)
+	assert.Zero(t, i.Counters.Strikes.Load())
+}
+
 // TestStrikeWrittenAfterItsRefutationCountsForNothing completes a request while the rows of strikes are being written.
 func TestStrikeWrittenAfterItsRefutationCountsForNothing(t *testing.T) {
 	s, addr := newStore(t)
