--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -79,7 +79,8 @@
 
 // unframed returns an answer of status 200 that has neither a length nor chunks.
 func unframed(events ...string) string {
-	return "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" + strings.Join(events, "")
+	head := "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	return head + strings.Join(events, "")
 }
 
 func sized(status, kind, body string) string {
