confirmer: a connection that stays open is a sign of life

What callers saw, or could: whole answers without a length that were answered with 502 after a second. A health check waits for a slot, and an endpoint without a health path counted as living once a connection to it was opened.

TestEndAtCloseNeedsALiveEndpoint had wanted an error for an endpoint that keeps the connection and says nothing; the kernel closes the connections of a process that ends, so one that stays open for 200 ms shows that it lives: the case wants a whole answer now. TestConnectionOfAServiceWithoutAHealthPathMustStayOpen holds both ways.

--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -20,6 +22,9 @@
 	timeout = time.Second
 	// firstPause is the time until the question is repeated the first time; it doubles with each further time.
 	firstPause = 50 * time.Millisecond
+	// openTime is how long a connection must stay open to be a sign of life in place of an answer: the kernel closes those of a
+	// process that ends.
+	openTime = 200 * time.Millisecond
 	// maxBodyBytes is the number of bytes that are read of an answer.
 	maxBodyBytes = 64 << 10
 )
@@ -55,7 +60,8 @@
 	return "endpoint " + e.Want + " has ended: " + e.Got + " answers at its address"
 }
 
-// Confirm returns nil once the endpoint has answered a question that was sent after the call began.
+// Confirm returns nil once the endpoint has answered a question that was sent after the call began, or has kept its connection open
+// for openTime: a question may wait for a slot.
 //
 // A connection that breaks is no sign that the endpoint has ended: endpoints reset those beyond their limit. A refused one is.
 func (c *Confirmer) Confirm(ctx context.Context, e registrar.Endpoint) error {
@@ -78,17 +84,22 @@
 
 func (c *Confirmer) ask(ctx context.Context, e registrar.Endpoint) error {
 	path := c.pathFor(e)
-	if path == "" {
-		return c.pool.Reach(ctx, e.ID, e.Address)
-	}
 	// A process that ends may close its port first, and answer on open connections until they are closed.
 	conn, err := c.pool.Open(ctx, e.ID, e.Address)
 	if err != nil {
 		return err
 	}
-	x, err := c.pool.Do(ctx, conn, dialer.Request{
+	if path == "" {
+		return awaitOpen(conn)
+	}
+	answerCtx, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
+	x, err := c.pool.Do(answerCtx, conn, dialer.Request{
 		Method: http.MethodGet, Target: path, Host: e.Address.String(), Header: http.Header{},
 	})
+	if err != nil && answerCtx.Err() != nil && ctx.Err() == nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -107,6 +118,18 @@
 	return nil
 }
 
+// awaitOpen returns nil once the connection was open for openTime.
+func awaitOpen(conn net.Conn) error {
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(openTime)); err != nil {
+		return err
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Errorf("connection not open for %s: %v", openTime, err)
+	}
+	return nil
+}
+
 // pathFor returns the path of the question, if the endpoint has one: for an engine one that needs no slot.
 func (c *Confirmer) pathFor(e registrar.Endpoint) string {
 	service := c.registry().Config.Services[e.Service]
