continuer: within one answer ids increase; only a join needs the next one

What callers could see: a stream whose endpoint leaves out ids, or sends an event without one, is aborted.

Where two answers are joined it is as strict as before, and an output with an event without an id is still not resumed. Batch items keep their older check, each id one after the other.

--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -206,6 +206,9 @@
 	h[r.headers.RequestID] = []string{t.item.ID}
 	h[r.headers.ExpectInstance] = []string{run.endpoint.ID}
 	r.mu.Lock()
+	if t.run == run {
+		t.sequence.Begin()
+	}
 	if last := t.sequence.Last(); last != continuer.NoEvent {
 		h[r.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
 		run.isResumed = true
@@ -246,6 +249,9 @@
 	if len(t.output)+len(e.Data) > maxOutputBytes {
 		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
 	}
+	if last := t.sequence.Last(); e.ID != continuer.NoEvent && last != continuer.NoEvent && e.ID != last+1 {
+		return &continuer.GapError{After: last, Event: e.ID}
+	}
 	if err := t.sequence.Add(e.ID); err != nil {
 		return err
 	}
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -73,7 +73,7 @@
 	if length >= 0 && hasBody(q.r.Method, res.StatusCode) {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	q.hasAnswer, q.status, q.mediaType = true, res.StatusCode, mediaTypeOf(res.Header)
+	q.hasAnswer, q.status, q.mediaType = true, res.StatusCode, MediaTypeOf(res.Header)
 	q.w.WriteHeader(res.StatusCode)
 }
 
@@ -95,6 +95,7 @@
 func (q *request) forwardStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	events := NewEventReader(q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint))
 	flush := http.NewResponseController(q.w)
+	q.sequence.Begin()
 	hasBegun, isRecorded := false, false
 	for {
 		e, err := events.Next()
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -41,8 +41,8 @@
 	return res.Header.Get(h.Signature) != "" && res.Header.Get(h.RequestID) == id
 }
 
-// mediaTypeOf returns the media type that the headers name, without parameters; empty if they name none.
-func mediaTypeOf(h http.Header) string {
+// MediaTypeOf returns the media type that the headers name, without parameters; empty if they name none.
+func MediaTypeOf(h http.Header) string {
 	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
 	return strings.ToLower(strings.TrimSpace(name))
 }
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -582,7 +582,7 @@
 
 // isRestOfAnswer reports whether the answer can be the rest of the one that was begun, by its status and media type.
 func (q *request) isRestOfAnswer(res *http.Response) bool {
-	return res.StatusCode == q.status && mediaTypeOf(res.Header) == q.mediaType
+	return res.StatusCode == q.status && MediaTypeOf(res.Header) == q.mediaType
 }
 
 // canRetry reports whether the request may be sent again after an attempt in which it may have run.
