itemrunner: an answer without an event, or of another type, is no item's text

A signed 200 with a marked end counted as the end, whatever it brought.

Now an item's answer is a stream of events by its media type, if it names one, and the first run of an output brings one event at least. An empty rest with a marked end stays the end of an output that broke off after its last event.

--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -172,6 +172,9 @@
 			"no rest and no marked end",
 			[]string{chunked(false, eventAt(0), eventAt(1), eventAt(2), eventAt(3)), unframed(), unframed(), whole},
 		},
+		{"an empty text", []string{part, sized("200 OK", "text/plain", ""), rest}},
+		{"nothing at first", []string{sized("200 OK", "text/event-stream", ""), whole}},
+		{"a comment only", []string{chunked(true, ": wait\n\n"), whole}},
 		{"parts without ids", []string{chunked(false, "data: a\n\n", "data: b\n\n"), whole}},
 		{"parts without ids, then with", []string{chunked(false, "data: a\n\n", eventAt(0)), whole}},
 	}
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -40,6 +40,9 @@
 	errStalled   = errors.New("endpoint sent no event within the stall timeout")
 )
 
+// errNoEvent says that an answer is complete and brought nothing, though each item has at least one event.
+var errNoEvent = errors.New("the answer has no event")
+
 // errNoRest says that an endpoint which was asked for the rest of an output sent nothing, and marked no end: the output may be
 // whole or not, and asking again won't tell.
 var errNoRest = errors.New("the rest of the output has no event and no marked end")
@@ -169,6 +172,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if !hasFirstEvent && !run.isResumed {
+				return errNoEvent
+			}
 			r.isolator.Completed(t.parts)
 			return nil
 		}
@@ -227,12 +233,18 @@
 		if !r.headers.IsSigned(res, t.item.ID) {
 			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
 		}
+		if kind := relayer.MediaTypeOf(res.Header); kind != "" && kind != eventStream {
+			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "type " + kind + " is no stream of events"}
+		}
 		return nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(x, maxErrorBody))
 	return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: string(text[:min(len(text), maxDetail)])}
 }
 
+// eventStream is the media type of an item's answer.
+const eventStream = "text/event-stream"
+
 // maxDetail is the maximum number of bytes of an error response that are put into an error.
 const maxDetail = 100
 
