Quarantine: progress refutes ends, and only probes put off probes

Cause: an end in a series is charged to the part that its items share, however far they had come. The part was quarantined at the sixth end; the ends of the items that were still in flight put off the first probe by minutes; and only a completed request refuted strikes, while items run for seconds.

Fix: the strike of an item holds how many events of its output there were. An item that goes on for 500 ms from some event on refutes the strikes of those that ended at no later event, on all VMs. Of ends under items only those of probes put off the next probe, and those not if a resumed probe made progress. Ends of items in flight without progress count once two endpoints ended under probes, so that a cause gets two probes, 3 s and 12 s after, and then hardly any. A cause that acts late in the answer is contained as before: its point is never passed.

--- a/pkg/assembler/gateway_crash_test.go
+++ b/pkg/assembler/gateway_crash_test.go
@@ -273,3 +273,20 @@
 	assert.GreaterOrEqual(t, time.Since(start), 4*time.Second)
 	assert.LessOrEqual(t, f.reached.Load(), int64(5))
 }
+
+// TestItemsThatCrashEndpointsSeldomReachThem submits a job all of whose items have the crashing part.
+func TestItemsThatCrashEndpointsSeldomReachThem(t *testing.T) {
+	t.Parallel()
+	f := newCrashingFleet(t, 3, 12)
+	items := newItems(24)
+	for n := range items {
+		items[n].Headers["X-Prompt-Prefix"] = callerPart + ":200," + crashingPart + ":100,f0:150"
+	}
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], newID("job"), items).status)
+	time.Sleep(5 * timeToReact)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("reached %d, late %d, crashes %d", f.reached.Load(), f.reachedLate.Load(), f.crashes)
+	assert.GreaterOrEqual(t, f.crashes, 3)
+	assert.LessOrEqual(t, f.reachedLate.Load(), int64(3), "items that crash engines still reach them")
+}
--- a/pkg/core/quarantiner/known_red_test.go
+++ b/pkg/core/quarantiner/known_red_test.go
@@ -3,6 +3,7 @@
 package quarantiner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -21,3 +22,14 @@
 func TestKnownRedRepeatedRequestWithSlowRows(t *testing.T) {
 	repeatedTest{vms: 9, endpoints: 3, rate: 4, burst: 1, rowDelay: time.Second, last: time.Minute, runs: 1000}.run(t)
 }
+
+// TestKnownRedItemsInFlight ends endpoints under items with the cause that were sent before its quarantine.
+func TestKnownRedItemsInFlight(t *testing.T) {
+	for _, tt := range []seldomTest{
+		{vms: 195, rate: 40, burst: 1, last: Duration, before: 2, apart: 100 * time.Millisecond},
+		{vms: 195, rate: 40, burst: 1, last: Duration, before: 2, apart: 300 * time.Millisecond},
+		{vms: 9, rate: 40, burst: 1, last: Duration, before: 6, apart: 300 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, %d before %s apart", tt.vms, tt.before, tt.apart), tt.run)
+	}
+}
--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,6 +16,9 @@
 	// A request whose answer had begun when its endpoint ended is more likely to be a sound one that ran beside the cause.
 	fullWeight   = 2
 	answerWeight = 1
+	// SoundTime is how long events of an answer come until its request has made progress: one that crashes its endpoint ends it soon
+	// after it begins.
+	SoundTime = 500 * time.Millisecond
 	// momentTime is the time within which ends of endpoints under answers that had begun count as one strike without an answer: they
 	// may have a cause in common, such as a rack.
 	momentTime = 200 * time.Millisecond
@@ -28,6 +32,8 @@
 	probeFactor      = 4
 	maxProbe         = Duration
 	maxEndsPerMoment = 2
+	// endsBeforeLater is the number of these ends from which on those under requests that were sent before the quarantine count too.
+	endsBeforeLater = 2
 	// maxParts bounds the parts with strikes, and those of recently completed requests. Whole requests get at most maxRequests of
 	// them: they are new each time, and would leave no room for the parts that many share.
 	maxParts    = 4096
@@ -43,10 +49,27 @@
 	Endpoint string
 	// HadAnswer says that the request's answer had begun.
 	HadAnswer bool
+	// Events is the number of events of the request's answer, those of earlier runs too, which it resumed; 0 if there are none, or
+	// if it is not known.
+	Events int
+	// Delay says how the end puts off the probes that follow.
+	Delay Delay
 	// At is when the request broke off, by the clock of the VM that saw it.
 	At time.Time
 }
 
+// Delay says how the end of an endpoint under a request puts off the probes of the request's parts.
+type Delay int
+
+const (
+	// DelaysNext is that of a probe, and of all requests of which no more is known.
+	DelaysNext Delay = iota
+	// DelaysLater is that of a request that was no probe and had made no progress: it puts off probes once two have ended endpoints.
+	DelaysLater
+	// DelaysNone is that of a request that had made progress.
+	DelaysNone
+)
+
 // Verdict is what Check says of a request; Part is empty if the request may be sent.
 type Verdict struct {
 	// Part is a quarantined part, and Left how long it stays so.
@@ -178,9 +201,12 @@
 }
 
 // Refutation says that a request with the part was completed after all strikes up to the time.
+//
+// If Events is not 0, it was not completed, but has made progress since it had that many events.
 type Refutation struct {
-	Part string
-	At   time.Time
+	Part   string
+	At     time.Time
+	Events int
 }
 
 // Completed records that a request with the parts was completed. It returns the refutations of those with strikes: they are not
@@ -203,6 +229,32 @@
 	return refutations
 }
 
+// Outlived records that a request with the parts has made progress since it had that many events of its answer. It returns the
+// refutations of strikes of requests that had no more events: the parts are not the cause of these ends.
+func (q *Quarantiner) Outlived(now time.Time, parts []string, events int) []Refutation {
+	var refutations []Refutation
+	for _, p := range parts {
+		if r, ok := q.records[p]; ok && r.hasStrikeUpTo(events) {
+			refutation := Refutation{Part: p, At: r.lastStrike(now), Events: max(events, r.outlived.events)}
+			refutations = append(refutations, refutation)
+			q.RefuteUpTo(now, refutation)
+		}
+	}
+	return refutations
+}
+
+// RefuteUpTo drops the strikes against the part up to the time, of requests that had no more events than one that went on, here
+// or on another VM.
+func (q *Quarantiner) RefuteUpTo(now time.Time, f Refutation) {
+	r, ok := q.recordOf(now, f.Part)
+	if !ok {
+		return
+	}
+	r.outlived = r.outlived.with(point{at: f.At, events: f.Events})
+	r.drop()
+	q.decide()
+}
+
 // Refute drops the strikes against the part up to the time at which a request with it was completed, here or on another VM.
 func (q *Quarantiner) Refute(now time.Time, part string, at time.Time) {
 	r, ok := q.recordOf(now, part)
@@ -210,13 +262,7 @@
 		return
 	}
 	r.refutedAt = at
-	for e, s := range r.strikes {
-		if s = s.after(at); s.weight() == 0 {
-			delete(r.strikes, e)
-		} else {
-			r.strikes[e] = s
-		}
-	}
+	r.drop()
 	q.decide()
 }
 
@@ -302,19 +348,39 @@
 	}
 }
 
+// unknownEvents is more than any number of events.
+const unknownEvents = math.MaxInt
+
+// point is how many events of their answers requests had at a time.
+type point struct {
+	at     time.Time
+	events int
+}
+
+// with returns the later time and the larger number of events.
+func (p point) with(other point) point {
+	if other.at.After(p.at) {
+		p.at = other.at
+	}
+	p.events = max(p.events, other.events)
+	return p
+}
+
 // seen is the strike against one part at one endpoint. VMs see the end of an endpoint each at a time of its own; the latest times
 // are kept, so that strikes and refutations have one result in any order.
 type seen struct {
-	// unanswered is when the last request broke off whose answer had not begun, answered the last one whose answer had; zero if
-	// none.
-	unanswered, answered time.Time
+	// unanswered is when the last request broke off whose answer had not begun, answered the last one whose answer had, with the
+	// largest number of events; the time is zero if none.
+	unanswered, answered point
+	// delaysNext and delaysLater are when the last requests with these delays broke off; zero if none.
+	delaysNext, delaysLater time.Time
 }
 
 func (s seen) weight() int {
 	switch {
-	case !s.unanswered.IsZero():
+	case !s.unanswered.at.IsZero():
 		return fullWeight
-	case !s.answered.IsZero():
+	case !s.answered.at.IsZero():
 		return answerWeight
 	default:
 		return 0
@@ -323,32 +389,34 @@
 
 func (s seen) at() time.Time {
 	if s.weight() == fullWeight {
-		return s.unanswered
+		return s.unanswered.at
 	}
-	return s.answered
+	return s.answered.at
 }
 
 // with returns the strike with a further report of it.
 func (s seen) with(report Strike) seen {
-	last := &s.unanswered
+	p := report.point()
 	if report.HadAnswer {
-		last = &s.answered
+		s.answered = s.answered.with(p)
+	} else {
+		s.unanswered = s.unanswered.with(p)
 	}
-	if report.At.After(*last) {
-		*last = report.At
+	switch {
+	case report.Delay == DelaysNext && report.At.After(s.delaysNext):
+		s.delaysNext = report.At
+	case report.Delay == DelaysLater && report.At.After(s.delaysLater):
+		s.delaysLater = report.At
 	}
 	return s
 }
 
-// after returns what is left of the strike if its reports up to the time don't count.
-func (s seen) after(at time.Time) seen {
-	if !s.unanswered.After(at) {
-		s.unanswered = time.Time{}
-	}
-	if !s.answered.After(at) {
-		s.answered = time.Time{}
+// point returns when and where the request broke off.
+func (s Strike) point() point {
+	if s.HadAnswer && s.Events == 0 {
+		return point{at: s.At, events: unknownEvents}
 	}
-	return s
+	return point{at: s.At, events: s.Events}
 }
 
 // record holds the strikes against one part, by endpoint.
@@ -359,11 +427,15 @@
 	lastAt time.Time
 	// refutedAt is when a request with the part was last known to be completed.
 	refutedAt time.Time
+	// outlived is the last time and the furthest point from which a request with the part is known to have made progress.
+	outlived point
 	// probedAt is when this VM began the last probe or learned of it, probeAt when it began by the clock of its VM.
 	probedAt, probeAt time.Time
 	// total is the weight of all strikes as of the last decision, and furtherEnds the number of ends that count after those that
 	// had sufficed.
 	total, furtherEnds int
+	// laterEnds is the number of ends that delay later probes.
+	laterEnds int
 	// isRequest says that the part stands for a whole request.
 	isRequest                     bool
 	isQuarantined, wasQuarantined bool
@@ -373,19 +445,59 @@
 func (r *record) lastStrike(now time.Time) time.Time {
 	last := now
 	for _, s := range r.strikes {
-		for _, at := range []time.Time{s.unanswered, s.answered} {
-			if at.After(last) {
-				last = at
+		for _, p := range []point{s.unanswered, s.answered} {
+			if p.at.After(last) {
+				last = p.at
 			}
 		}
 	}
 	return last
 }
 
+// hasStrikeUpTo reports whether there is a strike of a request that had no more events.
+func (r *record) hasStrikeUpTo(events int) bool {
+	for _, s := range r.strikes {
+		for _, p := range []point{s.unanswered, s.answered} {
+			if !p.at.IsZero() && p.events <= events {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isRefuted reports whether a request was completed, or went on past the point, after one broke off there.
+func (r *record) isRefuted(p point) bool {
+	return !p.at.After(r.refutedAt) || (!p.at.After(r.outlived.at) && p.events <= r.outlived.events)
+}
+
+// drop drops what is refuted of the strikes.
+func (r *record) drop() {
+	for e, s := range r.strikes {
+		if r.isRefuted(s.unanswered) {
+			s.unanswered = point{}
+		}
+		if r.isRefuted(s.answered) {
+			s.answered = point{}
+		}
+		if !s.delaysNext.After(r.refutedAt) {
+			s.delaysNext = time.Time{}
+		}
+		if !s.delaysLater.After(r.refutedAt) {
+			s.delaysLater = time.Time{}
+		}
+		if s.weight() == 0 {
+			delete(r.strikes, e)
+		} else {
+			r.strikes[e] = s
+		}
+	}
+}
+
 // add records a strike and reports whether it changes anything.
 func (r *record) add(now time.Time, s Strike) bool {
 	r.position = max(r.position, s.Position)
-	if !s.At.After(r.refutedAt) {
+	if r.isRefuted(s.point()) {
 		return false
 	}
 	old := r.strikes[s.Endpoint]
@@ -421,8 +533,9 @@
 type moment struct {
 	begin time.Time
 	ends  int
-	// unanswered is the number of ends under requests without an answer.
-	unanswered int
+	// unanswered is the number of ends under requests without an answer, next and later of those with a request that delays the next
+	// probe, and later ones only.
+	unanswered, next, later int
 }
 
 // weight returns the weight of the ends. Those under answers that had begun count as one strike without an answer at most, and
@@ -444,6 +557,11 @@
 		if s.weight() == fullWeight {
 			m.unanswered++
 		}
+		if !s.delaysNext.IsZero() {
+			m.next++
+		} else if !s.delaysLater.IsZero() {
+			m.later++
+		}
 	}
 	return moments
 }
@@ -486,18 +604,26 @@
 	return min(wait, maxProbe)
 }
 
-// countFurtherEnds counts the ends of endpoints after the moment with which the strikes had sufficed, at most maxEndsPerMoment of
-// each moment. Of a whole request it counts those that probes may have caused: the others were sent before the VMs knew.
+// countFurtherEnds counts the ends of endpoints that delay probes after the moment with which the strikes had sufficed, at most
+// maxEndsPerMoment of each moment; of that moment itself only those that delay later ones. Of a whole request it counts those
+// that probes may have caused: the others were sent before the VMs knew.
 func (r *record) countFurtherEnds() int {
-	total, further := 0, 0
+	total, next, later := 0, 0, 0
 	sufficedAt := time.Time{}
 	for _, m := range momentsOf(slices.Collect(maps.Values(r.strikes))) {
 		if total >= threshold && (!r.isRequest || m.begin.Sub(sufficedAt) >= firstProbe) {
-			further += min(m.ends, maxEndsPerMoment)
+			next += min(m.next, maxEndsPerMoment)
 		}
 		if total += m.weight(); total >= threshold && sufficedAt.IsZero() {
 			sufficedAt = m.begin
 		}
+		if total >= threshold {
+			later += min(m.later, maxEndsPerMoment)
+		}
+	}
+	r.laterEnds = later
+	if next >= endsBeforeLater {
+		return next + later
 	}
-	return further
+	return next
 }
--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -16,7 +16,8 @@
 
 // TestScripts replays the load patterns of the scripts. "broke" is a request whose endpoint ended, "completed" one that was
 // completed, each with the shared parts of its prompt; "check" asks whether a request may be sent by the VM of a rank, the only
-// VM if it is not given; "probed" is another VM's probe that began some time ago.
+// VM if it is not given; "outlived" is progress of a request past a number of events; "probed" is another VM's probe that began
+// some time ago.
 func TestScripts(t *testing.T) {
 	replay(t, "testdata/*.txt")
 }
@@ -32,7 +33,8 @@
 				strikes := []Strike{}
 				for _, p := range q.Suspects(s.At, parts) {
 					strikes = append(strikes, Strike{
-						Part: p, Position: slices.Index(parts, p), Endpoint: s.Name, HadAnswer: s.Has("answering"), At: s.At,
+						Part: p, Position: slices.Index(parts, p), Endpoint: s.Name, HadAnswer: s.Has("answering"),
+						Events: s.Int("events", 0), Delay: delayOf(s), At: s.At,
 					})
 				}
 				for _, p := range q.Add(s.At, strikes...) {
@@ -42,6 +44,10 @@
 				for _, r := range q.Completed(s.At, parts) {
 					out = append(out, "refuted "+r.Part)
 				}
+			case "outlived":
+				for _, r := range q.Outlived(s.At, parts, s.Int("events", 0)) {
+					out = append(out, fmt.Sprintf("refuted %s up to %d", r.Part, r.Events))
+				}
 			case "probed":
 				q.Probed(s.At, s.Name, s.At.Add(-s.Duration("ago", 0)))
 			case "check":
@@ -60,6 +66,18 @@
 	})
 }
 
+// delayOf returns the delay of a request that had made "progress", or was sent "before" the quarantine.
+func delayOf(s scripter.Step) Delay {
+	switch {
+	case s.Has("progress"):
+		return DelaysNone
+	case s.Has("before"):
+		return DelaysLater
+	default:
+		return DelaysNext
+	}
+}
+
 // TestOnlyTheCauseIsQuarantined draws traffic in which one part crashes endpoints and no request is completed meanwhile, so that
 // only the strikes tell the cause from what its requests share with sound ones. The cause must be quarantined by the sixth
 // crash, or by the third if no answer had begun; the caller's part never, if the cause is another one. Parts of requests beside
--- a/pkg/core/quarantiner/turn.go
+++ b/pkg/core/quarantiner/turn.go
@@ -9,6 +9,9 @@
 	// minRequestTurn is minTurn for whole requests: a later probe holds up one request only, a needless one ends an endpoint.
 	minRequestTurn = 2 * minTurn
 	turnsPerWait   = 20
+	// minLaterTurn is minTurn after a probe if ends delay later ones: the first turns, of few VMs, are long enough for a request
+	// to come.
+	minLaterTurn = 4 * minTurn
 	// Of n VMs n/vmsPerProber have a turn together at most, or minProbers if that is more; minProbers for whole requests.
 	vmsPerProber = 8
 	minProbers   = 2
@@ -44,6 +47,9 @@
 		return -1
 	}
 	length := max(minTurn, r.probeWait()/turnsPerWait)
+	if r.furtherEnds > 0 && r.laterEnds > 0 {
+		length = max(length, minLaterTurn)
+	}
 	if r.isRequest {
 		length = max(length, minRequestTurn)
 	}
--- a/pkg/core/quarantiner/turn_test.go
+++ b/pkg/core/quarantiner/turn_test.go
@@ -195,6 +195,9 @@
 	rate  float64
 	burst int
 	last  time.Duration
+	// before is the number of endpoints that end soon after the quarantine, apart, under items that were sent before it.
+	before int
+	apart  time.Duration
 }
 
 // TestCrashingPartIsProbedSeldom lets requests with the cause come for some time, and counts those that reach endpoints later
@@ -208,8 +211,16 @@
 		{vms: 195, rate: 1.5, burst: 1, last: Duration},
 		{vms: 9, rate: 1.5, burst: 1, last: Duration},
 		{vms: 195, rate: 40, burst: 1, last: Duration},
+		{vms: 195, rate: 1.5, burst: 1, last: Duration, before: 2, apart: 100 * time.Millisecond},
+		{vms: 9, rate: 1.5, burst: 1, last: Duration, before: 2, apart: 300 * time.Millisecond},
+		{vms: 9, rate: 40, burst: 1, last: Duration, before: 1, apart: 300 * time.Millisecond},
+		{vms: 9, rate: 40, burst: 1, last: Duration, before: 6, apart: 100 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprintf("%d VMs, %g a second in bursts of %d, %s", tt.vms, tt.rate, tt.burst, tt.last), tt.run)
+		name := fmt.Sprintf("%d VMs, %g a second in bursts of %d, %s", tt.vms, tt.rate, tt.burst, tt.last)
+		if tt.before > 0 {
+			name += fmt.Sprintf(", %d before %s apart", tt.before, tt.apart)
+		}
+		t.Run(name, tt.run)
 	}
 }
 
@@ -217,16 +228,31 @@
 	const (
 		runs        = 200
 		timeToReact = 4 * time.Second
-		crashesSeen = 5 - 3
+		fifth       = 5
 	)
 	counts := map[int]int{}
 	for seed := range uint64(runs) {
 		f := newModel(tt.vms, seed)
 		f.isCrashing = true
+		var ends []time.Time
+		for range 3 {
+			ends = append(ends, f.now)
+		}
+		for n := range tt.before {
+			d := time.Duration(n+1) * tt.apart
+			end := f.now.Add(d)
+			ends = append(ends, end)
+			f.after(d, f.anyVM(), func(q *Quarantiner) {
+				q.Add(f.now, Strike{Part: "p", Endpoint: fmt.Sprint("before ", n), Delay: DelaysLater, At: end})
+			})
+		}
 		f.run(tt.last, tt.rate, tt.burst, f.anyVM)
 		late := 0
 		for _, at := range f.probes {
-			if len(f.probes) >= crashesSeen && at.Sub(f.probes[crashesSeen-1].Add(probeTime)) > timeToReact {
+			ends = append(ends, at.Add(probeTime))
+		}
+		for _, at := range f.probes {
+			if len(ends) >= fifth && at.Sub(ends[fifth-1]) > timeToReact {
 				late++
 			}
 		}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -151,7 +151,29 @@
 			i.log.WithField("part", p).Warn("a request with this quarantined part of a prompt was completed; it is released")
 		}
 	}
-	for _, r := range i.quarantiner.Completed(now, parts) {
+	i.putRefutations(now, i.quarantiner.Completed(now, parts))
+}
+
+// Outlived records that a request with the parts has made progress since it had that many events of its answer, which refutes
+// strikes of requests that had no more.
+func (i *Isolator) Outlived(parts []string, events int) {
+	if len(parts) == 0 || events == 0 || !i.hasStrikes.Load() {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	refutations := i.quarantiner.Outlived(now, parts, events)
+	for _, r := range refutations {
+		i.log.WithFields(logrus.Fields{"part": r.Part, "events": r.Events, "isQuarantined": i.quarantiner.IsQuarantined(r.Part)}).
+			Info("a request with this part of a prompt went on past the events at which others ended with their endpoints")
+	}
+	i.putRefutations(now, refutations)
+}
+
+// putRefutations has refutations written; the lock is held.
+func (i *Isolator) putRefutations(now time.Time, refutations []quarantiner.Refutation) {
+	for _, r := range refutations {
 		i.putRefutation(now, r)
 	}
 	i.hasStrikes.Store(i.quarantiner.HasStrikes())
@@ -160,6 +182,11 @@
 // BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun. If the
 // endpoint has ended, the parts get a strike.
 func (i *Isolator) BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool) {
+	i.RunBrokeOff(e, parts, quarantiner.Strike{HadAnswer: hadAnswer})
+}
+
+// RunBrokeOff is BrokeOff for a request of whose answer more is known: its strikes are like the one given.
+func (i *Isolator) RunBrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
@@ -169,9 +196,8 @@
 	}
 	if s, ok := i.suspect(e); ok {
 		for _, p := range suspects {
-			s.strikes = append(s.strikes, quarantiner.Strike{
-				Part: p, Position: slices.Index(parts, p), Endpoint: e.LeavingKey(), HadAnswer: hadAnswer, At: now,
-			})
+			strike.Part, strike.Position, strike.Endpoint, strike.At = p, slices.Index(parts, p), e.LeavingKey(), now
+			s.strikes = append(s.strikes, strike)
 		}
 	}
 }
@@ -248,7 +274,7 @@
 	})
 	for _, s := range strikes {
 		i.Counters.Strikes.Add(1)
-		i.log.WithFields(logrus.Fields{"part": s.Part, "endpoint": s.Endpoint, "hadAnswer": s.HadAnswer}).
+		i.log.WithFields(logrus.Fields{"part": s.Part, "endpoint": s.Endpoint, "hadAnswer": s.HadAnswer, "events": s.Events}).
 			Info("endpoint ended under a request with this part of a prompt")
 		i.putStrike(now, s)
 	}
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -195,3 +195,27 @@
 	put(now)
 	assert.Eventually(t, isQuarantined, 5*time.Second, 5*time.Millisecond, "the later reports were ignored")
 }
+
+// TestProgressPastTheEndsReleasesAPart has a request go on past the events at which others ended with their endpoints: the part
+// is released on all VMs, also on one that starts later.
+func TestProgressPastTheEndsReleasesAPart(t *testing.T) {
+	s, addr := newStore(t)
+	a, b := newOne(t, addr, 1, false), newOne(t, addr, 2, false)
+	const part = "ab"
+	for n := range 6 {
+		at := time.Now().Add(time.Duration(n-6) * time.Second).UnixMilli()
+		s.Put("quarantine", "", fmt.Sprintf("%s/e%d@1/answer", part, n), fmt.Appendf(nil, "1@%d@%d@none", at, 40+n))
+	}
+	isRefused := func(i *isolator.Isolator) bool { return i.Check([]string{part}).Part == part }
+	for _, i := range []*isolator.Isolator{a, b} {
+		require.Eventually(t, func() bool { return isRefused(i) }, 5*time.Second, 5*time.Millisecond)
+	}
+	a.Outlived([]string{part}, 39)
+	assert.True(t, isRefused(a), "released by progress before the ends")
+	a.Outlived([]string{part}, 45)
+	assert.False(t, isRefused(a))
+	require.Eventually(t, func() bool { return !isRefused(b) }, 3*time.Second, 5*time.Millisecond, "the other VM does not know it")
+	later := newOne(t, addr, 3, false)
+	time.Sleep(500 * time.Millisecond)
+	assert.False(t, isRefused(later), "a new VM counts refuted strikes")
+}
--- a/pkg/isolator/row_test.go
+++ b/pkg/isolator/row_test.go
@@ -30,6 +30,12 @@
 		{"/probed", "probe@5"},
 		{"ab/probed", "probe@"},
 		{"ab/probed", ""},
+		{"ab/e@1/answer", "1@5@40"},
+		{"ab/e@1/answer", "1@5@40@none"},
+		{"ab/e@1", "1@5@40@"},
+		{"ab/outlived", "outlived@5@40"},
+		{"ab/outlived", "0@5"},
+		{"ab/refuted", "0@5@40"},
 	} {
 		f.Add(row[0], row[1])
 	}
@@ -56,6 +62,29 @@
 	require.Error(t, err, "an older build takes the row for a strike")
 }
 
+// TestRowsHoldProgress decodes the rows of strikes and of progress here, and that of progress as builds do that don't know it.
+func TestRowsHoldProgress(t *testing.T) {
+	at := time.UnixMilli(1796400000123)
+	for _, s := range []quarantiner.Strike{
+		{Part: "ab", Position: 1, Endpoint: "e@1", At: at},
+		{Part: "ab", Position: 1, Endpoint: "e@1", Events: 40, At: at},
+		{Part: "ab", Position: 1, Endpoint: "e@1", HadAnswer: true, Events: 40, Delay: quarantiner.DelaysNone, At: at},
+		{Part: "ab", Position: 1, Endpoint: "e@1", HadAnswer: true, Delay: quarantiner.DelaysLater, At: at},
+	} {
+		r, err := decodeRow(storer.Entry{Table: Table, Key: strikeKey(s), Value: strikeValueOf(s)})
+		require.NoError(t, err)
+		assert.Equal(t, row{Strike: s}, r)
+	}
+	refutation := quarantiner.Refutation{Part: "ab", At: at, Events: 40}
+	e := storer.Entry{Table: Table, Key: outlivedKey("ab"), Value: outlivedValueOf(refutation)}
+	r, err := decodeRow(e)
+	require.NoError(t, err)
+	assert.Equal(t, row{Strike: quarantiner.Strike{Part: "ab", Endpoint: outlivedName, At: at, Events: 40}, isOutlived: true}, r)
+	position, _, _ := strings.Cut(string(e.Value), "@")
+	_, err = strconv.ParseUint(position, 10, 8)
+	require.Error(t, err, "an older build takes the row for a strike")
+}
+
 // TestProbeRowsInAnyOrderGiveOneVerdict applies the rows of strikes, a refutation and probes in two orders, some twice.
 func TestProbeRowsInAnyOrderGiveOneVerdict(t *testing.T) {
 	log := logrus.New()
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -37,7 +37,7 @@
 		limit = maxPendingRequests
 	}
 	if len(i.puts) < limit && i.rows[key] == nil {
-		i.puts[key] = put{value: valueOf(s.Position, s.At), due: now}
+		i.puts[key] = put{value: strikeValueOf(s), due: now}
 		i.notify()
 	}
 }
@@ -48,10 +48,24 @@
 	if !i.quarantiner.IsQuarantined(r.Part) {
 		due = now.Add(rand.N(maxRefutationDelay))
 	}
-	i.puts[refutationKey(r.Part)] = put{value: valueOf(0, r.At), due: due}
+	if r.Events > 0 {
+		i.puts[outlivedKey(r.Part)] = put{value: outlivedValueOf(r), due: due}
+	} else {
+		i.puts[refutationKey(r.Part)] = put{value: valueOf(0, r.At), due: due}
+	}
 	i.notify()
 }
 
+// applyOutlived takes over the row of a request that went on; the lock is held.
+func (i *Isolator) applyOutlived(now time.Time, e storer.Entry, r row) {
+	i.rows[e.Key] = e.Value
+	i.quarantiner.RefuteUpTo(now, quarantiner.Refutation{Part: r.Part, At: r.At, Events: r.Events})
+	pending, err := decodeRow(storer.Entry{Key: e.Key, Value: i.puts[e.Key].value})
+	if err == nil && !pending.At.After(r.At) && pending.Events <= r.Events {
+		delete(i.puts, e.Key)
+	}
+}
+
 // putProbe has the beginning of a probe written; the lock is held.
 func (i *Isolator) putProbe(now time.Time, part string) {
 	i.puts[probeKey(part)] = put{value: probeValueOf(now), due: now}
@@ -102,7 +116,7 @@
 func (i *Isolator) dropRow(key string) {
 	delete(i.rows, key)
 	r, err := decodeRow(storer.Entry{Key: key, IsRemoved: true})
-	if _, isPending := i.puts[key]; err == nil && !r.isRefutation && !r.isProbe && !isPending {
+	if _, isPending := i.puts[key]; err == nil && r.isStrike() && !isPending {
 		i.quarantiner.Drop(r.Part, r.Endpoint)
 	}
 }
@@ -121,6 +135,8 @@
 			i.rows[e.Key] = e.Value
 		case r.isProbe:
 			i.applyProbe(now, e, r)
+		case r.isOutlived:
+			i.applyOutlived(now, e, r)
 		case r.isRefutation:
 			i.rows[e.Key] = e.Value
 			i.quarantiner.Refute(now, r.Part, r.At)
@@ -154,7 +170,7 @@
 
 func isStrikeAfter(key string, value []byte, part string, at time.Time) bool {
 	r, err := decodeRow(storer.Entry{Key: key, Value: value})
-	return err == nil && r.Part == part && !r.isRefutation && !r.isProbe && r.At.After(at)
+	return err == nil && r.Part == part && r.isStrike() && r.At.After(at)
 }
 
 // Rows returns the known rows of the table and those that wait for the store.
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -170,6 +170,7 @@
 		if err := r.appendEvent(t, run, e); err != nil {
 			return err
 		}
+		r.recordProgress(t, run, e)
 	}
 }
 
@@ -182,13 +183,6 @@
 	r.isolator.Completed(t.parts)
 }
 
-// recordBreak records that the run broke off at its endpoint, unless this VM ended it.
-func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
-	if ctx.Err() == nil {
-		r.isolator.BrokeOff(run.endpoint, t.parts, hadAnswer)
-	}
-}
-
 // outgoing returns the request for the item; if events are present, it asks the endpoint to resume after the last one.
 func (r *Runner) outgoing(t *task, run *itemRun) dialer.Request {
 	h := t.item.Header.Clone()
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/scheduler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
@@ -38,6 +39,15 @@
 	ItemRun(outcome string)
 }
 
+// Isolator keeps items that crash endpoints from further endpoints; its methods must not block.
+type Isolator interface {
+	relayer.Isolator
+	// RunBrokeOff records that a run broke off at the endpoint; strike says what is known of its answer.
+	RunBrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike)
+	// Outlived records that a request with the parts has made progress since it had that many events of its answer.
+	Outlived(parts []string, events int)
+}
+
 // Runner runs the items of the batch jobs that this VM holds.
 type Runner struct {
 	headers  relayer.Headers
@@ -45,7 +55,7 @@
 	registry func() *registrar.Registry
 	balancer *balancer.Balancer
 	pool     *dialer.Pool
-	isolator relayer.Isolator
+	isolator Isolator
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	// onlySoftware returns the software version that alone may have begun outputs of the service lately, if there is one.
@@ -116,12 +126,15 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
+	// isProbe says that the run probes a quarantined part, isResumed that it goes on with an output that has begun.
+	isProbe, isResumed bool
+	progress           progress
 }
 
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, onlySoftware func(service string) option.Option[registrar.Software],
+	i Isolator, onlySoftware func(service string) option.Option[registrar.Software],
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
 	return &Runner{
@@ -363,7 +376,7 @@
 		served := reg.SoftwareOf(service)
 		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
 			if verdict.Part != "" {
-				r.isolator.BeginProbe(verdict.Part)
+				t.run.isProbe = r.isolator.BeginProbe(verdict.Part)
 			}
 			continue
 		}
@@ -430,7 +443,7 @@
 		t.discardOutput()
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
-	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now}
+	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now, isResumed: t.lastEvent >= 0}
 	go r.runItem(runCtx, t, t.run, route)
 	return true
 }
