Quarantine: strikes and progress give one verdict in any order

Reports of one end by several VMs were merged to the latest time and the largest number of events, so progress past one of them refuted or kept both, depending on which row came first. Each report is kept now unless another one is both later and further.

TestRowsInAnyOrderGiveOneVerdict draws events and progress as well.

--- a/pkg/core/quarantiner/quarantiner.go
+++ b/pkg/core/quarantiner/quarantiner.go
@@ -366,21 +366,38 @@
 	return p
 }
 
-// seen is the strike against one part at one endpoint. VMs see the end of an endpoint each at a time of its own; the latest times
-// are kept, so that strikes and refutations have one result in any order.
+// front holds the points that no other one is both later and further than: these are refuted first.
+type front []point
+
+// with returns the front with a further point, and whether that changes it.
+func (f front) with(p point) (front, bool) {
+	isCovered := func(a, b point) bool { return !a.at.After(b.at) && a.events <= b.events }
+	if slices.ContainsFunc(f, func(other point) bool { return isCovered(p, other) }) {
+		return f, false
+	}
+	f = slices.DeleteFunc(slices.Clone(f), func(other point) bool { return isCovered(other, p) })
+	return append(f, p), true
+}
+
+// at returns the latest time.
+func (f front) at() time.Time {
+	return slices.MaxFunc(f, func(a, b point) int { return a.at.Compare(b.at) }).at
+}
+
+// seen is the strike against one part at one endpoint. VMs see the end of an endpoint each at a time of its own; what no
+// refutation drops before the others is kept, so that strikes and refutations have one result in any order.
 type seen struct {
-	// unanswered is when the last request broke off whose answer had not begun, answered the last one whose answer had, with the
-	// largest number of events; the time is zero if none.
-	unanswered, answered point
+	// unanswered holds where requests broke off whose answer had not begun, answered those whose answer had.
+	unanswered, answered front
 	// delaysNext and delaysLater are when the last requests with these delays broke off; zero if none.
 	delaysNext, delaysLater time.Time
 }
 
 func (s seen) weight() int {
 	switch {
-	case !s.unanswered.at.IsZero():
+	case len(s.unanswered) > 0:
 		return fullWeight
-	case !s.answered.at.IsZero():
+	case len(s.answered) > 0:
 		return answerWeight
 	default:
 		return 0
@@ -389,26 +406,26 @@
 
 func (s seen) at() time.Time {
 	if s.weight() == fullWeight {
-		return s.unanswered.at
+		return s.unanswered.at()
 	}
-	return s.answered.at
+	return s.answered.at()
 }
 
-// with returns the strike with a further report of it.
-func (s seen) with(report Strike) seen {
-	p := report.point()
+// with returns the strike with a further report of it, and whether that changes it.
+func (s seen) with(report Strike) (seen, bool) {
+	hasChanged, isLater := false, false
 	if report.HadAnswer {
-		s.answered = s.answered.with(p)
+		s.answered, hasChanged = s.answered.with(report.point())
 	} else {
-		s.unanswered = s.unanswered.with(p)
+		s.unanswered, hasChanged = s.unanswered.with(report.point())
 	}
 	switch {
 	case report.Delay == DelaysNext && report.At.After(s.delaysNext):
-		s.delaysNext = report.At
+		s.delaysNext, isLater = report.At, true
 	case report.Delay == DelaysLater && report.At.After(s.delaysLater):
-		s.delaysLater = report.At
+		s.delaysLater, isLater = report.At, true
 	}
-	return s
+	return s, hasChanged || isLater
 }
 
 // point returns when and where the request broke off.
@@ -445,7 +462,7 @@
 func (r *record) lastStrike(now time.Time) time.Time {
 	last := now
 	for _, s := range r.strikes {
-		for _, p := range []point{s.unanswered, s.answered} {
+		for _, p := range append(slices.Clone(s.unanswered), s.answered...) {
 			if p.at.After(last) {
 				last = p.at
 			}
@@ -457,8 +474,8 @@
 // hasStrikeUpTo reports whether there is a strike of a request that had no more events.
 func (r *record) hasStrikeUpTo(events int) bool {
 	for _, s := range r.strikes {
-		for _, p := range []point{s.unanswered, s.answered} {
-			if !p.at.IsZero() && p.events <= events {
+		for _, p := range append(slices.Clone(s.unanswered), s.answered...) {
+			if p.events <= events {
 				return true
 			}
 		}
@@ -474,12 +491,8 @@
 // drop drops what is refuted of the strikes.
 func (r *record) drop() {
 	for e, s := range r.strikes {
-		if r.isRefuted(s.unanswered) {
-			s.unanswered = point{}
-		}
-		if r.isRefuted(s.answered) {
-			s.answered = point{}
-		}
+		s.unanswered = slices.DeleteFunc(slices.Clone(s.unanswered), r.isRefuted)
+		s.answered = slices.DeleteFunc(slices.Clone(s.answered), r.isRefuted)
 		if !s.delaysNext.After(r.refutedAt) {
 			s.delaysNext = time.Time{}
 		}
@@ -501,12 +514,12 @@
 		return false
 	}
 	old := r.strikes[s.Endpoint]
-	merged := old.with(s)
+	merged, hasChanged := old.with(s)
 	r.strikes[s.Endpoint] = merged
 	if merged.weight() > old.weight() {
 		r.lastAt = now
 	}
-	return merged != old
+	return hasChanged
 }
 
 // weight returns the weight of the strikes that no other part explains; explained holds the heaviest strike of those by endpoint.
--- a/pkg/core/quarantiner/quarantiner_test.go
+++ b/pkg/core/quarantiner/quarantiner_test.go
@@ -176,6 +176,8 @@
 		type event struct {
 			strike    Strike
 			refutedAt time.Time
+			// isOutlived says that the refutation is of strikes up to the strike's events.
+			isOutlived bool
 		}
 		var events []event
 		for range rapid.IntRange(1, 12).Draw(t, "events") {
@@ -184,10 +186,13 @@
 			e := event{strike: Strike{
 				Part: part, Position: rapid.IntRange(0, 1).Draw(t, "position"),
 				Endpoint:  fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "endpoint")),
-				HadAnswer: rapid.Bool().Draw(t, "answering"), At: at,
+				HadAnswer: rapid.Bool().Draw(t, "answering"), Events: rapid.IntRange(0, 3).Draw(t, "events"), At: at,
 			}}
-			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
 				e.refutedAt = at
+			case 1:
+				e.refutedAt, e.isOutlived = at, true
 			}
 			events = append(events, e)
 		}
@@ -195,9 +200,12 @@
 			q := New()
 			now := scripter.Epoch.Add(5 * time.Second)
 			for _, e := range list {
-				if e.refutedAt.IsZero() {
+				switch {
+				case e.refutedAt.IsZero():
 					q.Add(now, e.strike)
-				} else {
+				case e.isOutlived:
+					q.RefuteUpTo(now, Refutation{Part: e.strike.Part, At: e.refutedAt, Events: e.strike.Events})
+				default:
 					q.Refute(now, e.strike.Part, e.refutedAt)
 				}
 			}
