--- a/pkg/itemrunner/progress.go
+++ b/pkg/itemrunner/progress.go
@@ -10,8 +10,8 @@
 
 // progress is how far a run has come, for the isolator. Only the goroutine of the run uses it.
 type progress struct {
-	// since is when the run's first event came.
-	since time.Time
+	// first and last are when the run's first and last events came.
+	first, last time.Time
 	// reportedAt is when the progress was last reported, and events the number of the item's events then.
 	reportedAt time.Time
 	events     int
@@ -22,9 +22,10 @@
 func (r *Runner) recordProgress(t *task, run *itemRun, e relayer.Event) {
 	now := time.Now()
 	p := &run.progress
+	p.last = now
 	switch {
-	case p.since.IsZero():
-		p.since = now
+	case p.first.IsZero():
+		p.first = now
 	case now.Sub(p.reportedAt) < quarantiner.SoundTime:
 		return
 	default:
@@ -38,7 +39,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	hasProgress := hadAnswer && time.Since(run.progress.since) >= quarantiner.SoundTime
+	hasProgress := run.progress.last.Sub(run.progress.first) >= quarantiner.SoundTime
 	r.mu.Lock()
 	strike := quarantiner.Strike{HadAnswer: hadAnswer, Events: int(t.lastEvent + 1)}
 	switch {
