--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -196,13 +196,7 @@
 		if err := r.appendEvent(t, run, e); err != nil {
 			return err
 		}
-	}
-}
-
-// recordBreak records that the run broke off at its endpoint, unless this VM ended it.
-func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
-	if ctx.Err() == nil {
-		r.isolator.BrokeOff(run.endpoint, t.parts, hadAnswer)
+		r.recordProgress(t, run, e)
 	}
 }
 
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/scheduler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
@@ -45,6 +46,15 @@
 	Panicked(work string)
 }
 
+// Isolator keeps items that crash endpoints from further endpoints; its methods must not block.
+type Isolator interface {
+	relayer.Isolator
+	// RunBrokeOff records that a run broke off at the endpoint; strike says what is known of its answer.
+	RunBrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike)
+	// Outlived records that a request with the parts has made progress since it had that many events of its answer.
+	Outlived(parts []string, events int)
+}
+
 // Runner runs the items of the batch jobs that this VM holds.
 type Runner struct {
 	headers   relayer.Headers
@@ -52,7 +62,7 @@
 	registry  func() *registrar.Registry
 	balancer  *balancer.Balancer
 	pool      *dialer.Pool
-	isolator  relayer.Isolator
+	isolator  Isolator
 	confirmer relayer.Confirmer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
@@ -151,8 +161,9 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
-	// isResumed says that the endpoint was asked for the rest of an output.
-	isResumed bool
+	// isProbe says that the run probes a quarantined part, isResumed that the endpoint was asked for the rest of an output.
+	isProbe, isResumed bool
+	progress           progress
 	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
 	// length nor chunks. Both are for the log.
 	firstEvent  int64
@@ -162,7 +173,7 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, c relayer.Confirmer,
+	i Isolator, c relayer.Confirmer,
 	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool),
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
@@ -440,7 +451,7 @@
 		served := reg.SoftwareOf(service)
 		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
 			if verdict.Part != "" {
-				r.isolator.BeginProbe(verdict.Part)
+				t.run.isProbe = r.isolator.BeginProbe(verdict.Part)
 			}
 			continue
 		}
