--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -60,8 +60,8 @@
 	return "endpoint " + e.Want + " has ended: " + e.Got + " answers at its address"
 }
 
-// Confirm returns nil once the endpoint has answered a question that was sent after the call began, or has kept its connection open
-// for openTime: a question may wait for a slot.
+// Confirm returns nil once the endpoint has answered a question that was sent after the call began, or has kept its connection
+// open for openTime: a question may wait for a slot.
 //
 // A connection that breaks is no sign that the endpoint has ended: endpoints reset those beyond their limit. A refused one is.
 func (c *Confirmer) Confirm(ctx context.Context, e registrar.Endpoint) error {
--- a/pkg/core/continuer/sequence.go
+++ b/pkg/core/continuer/sequence.go
@@ -17,8 +17,8 @@
 	return "gap in the event stream: event " + strconv.FormatInt(e.Event, 10) + " follows event " + strconv.FormatInt(e.After, 10)
 }
 
-// Sequence checks that the events of an output follow each other, over all answers that bring them. Within an answer ids increase.
-// What two answers bring is joined only where the second one starts with the event after the last one of the first.
+// Sequence checks that the events of an output follow each other, over all answers that bring them. Within an answer ids
+// increase. What two answers bring is joined only where the second one starts with the event after the last one of the first.
 type Sequence struct {
 	last int64
 	// isJoin says that the next event is the first of an answer that continues another one.
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -162,19 +162,19 @@
 	if err := r.checkResponse(x, t, run); err != nil {
 		return err
 	}
+	return r.readOutput(ctx, x, t, run, stall)
+}
+
+// readOutput reads the events of an answer into the item's output; it returns nil once the output is complete. It resets stall at
+// each event.
+func (r *Runner) readOutput(ctx context.Context, x *dialer.Exchange, t *task, run *itemRun, stall *time.Timer) error {
 	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint))
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && !hasFirstEvent && x.EndsAtClose() {
-			err = io.ErrUnexpectedEOF
-			if run.isResumed {
-				err = errNoRest
-			}
+		if errors.Is(err, io.EOF) && !hasFirstEvent {
+			err = errorOfEmpty(x, run)
 		}
 		if errors.Is(err, io.EOF) {
-			if !hasFirstEvent && !run.isResumed {
-				return errNoEvent
-			}
 			r.isolator.Completed(t.parts)
 			return nil
 		}
@@ -200,6 +200,20 @@
 	}
 }
 
+// errorOfEmpty returns the error of an answer that ended without an event: io.EOF if it is the rest of a complete output.
+func errorOfEmpty(x *dialer.Exchange, run *itemRun) error {
+	switch {
+	case run.isResumed && x.EndsAtClose():
+		return errNoRest
+	case run.isResumed:
+		return io.EOF
+	case x.EndsAtClose():
+		return io.ErrUnexpectedEOF
+	default:
+		return errNoEvent
+	}
+}
+
 // outgoing returns the request for the item; if events are present, it asks the endpoint to resume after the last one.
 func (r *Runner) outgoing(t *task, run *itemRun) dialer.Request {
 	h := t.item.Header.Clone()
