A VM whose feed hangs asks the store before it answers that a job is unknown

The cause: the feed counts as lost after two failed calls, and a call that hangs fails after seconds. Until then a VM without a route and without a job of the host took its cached jobs for all.

Now they count as all for a second after an answer of the store, which is the time in which callers expect a job at all VMs. After that, a request with the form of a call that no route has is looked up in the store, ten times a second at most over all such requests; the others get 503. Where a route has the path, nothing changes.

TestJobOnAHostUnknownToItsVMIsFound failed before ("Should not be: 404", 1.001 s after the job was accepted).

--- a/pkg/core/jobrecorder/owner.go
+++ b/pkg/core/jobrecorder/owner.go
@@ -9,6 +9,8 @@
 	OwnedByJob Owner = iota + 1
 	// OwnedByRoute is a request of the route that has its host and path, if there is one.
 	OwnedByRoute
+	// OwnerInStore is a call if the store has its job, and a request without a route if not.
+	OwnerInStore
 	// OwnerUnknown may be a call about a job that this VM doesn't know of.
 	OwnerUnknown
 )
@@ -19,10 +21,11 @@
 	IsJobCached bool
 	// HasBatchRoute says that the host has a route for batch jobs, HasJobs that it has cached jobs.
 	HasBatchRoute, HasJobs bool
-	// HasOwnRoute says that a route has the host, and as its prefix all of the path but the job's id.
-	HasOwnRoute bool
-	// IsSynced says that the jobs were read from the store once, IsCurrent that the cache has the present ones.
-	IsSynced, IsCurrent bool
+	// HasRoute says that a route has the host and path, HasOwnRoute that its prefix is all of the path but the job's id.
+	HasRoute, HasOwnRoute bool
+	// IsSynced says that the jobs were read from the store once, IsFollowing that the store answers, and IsCurrent that it did so
+	// within the time in which callers expect a job to be known at all VMs.
+	IsSynced, IsFollowing, IsCurrent bool
 }
 
 // Owner returns what the request is. A job is its caller's until it expires, whatever routes the configuration has by then.
@@ -36,9 +39,11 @@
 		return OwnedByRoute
 	case f.HasJobs:
 		return OwnedByJob
-	case !f.IsCurrent:
+	case !f.IsFollowing:
 		return OwnerUnknown
-	default:
+	case f.HasRoute, f.IsCurrent:
 		return OwnedByRoute
+	default:
+		return OwnerInStore
 	}
 }
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -53,6 +53,8 @@
 	// routeCounts counts the cached jobs by the route that accepted them; routes lists these routes.
 	routeCounts map[jobRoute]int
 	routes      atomic.Pointer[[]jobRoute]
+	// askedAt is the Unix time in nanoseconds of the last read that mayAsk allowed.
+	askedAt atomic.Int64
 	// admissions holds the admission row of each route by its key.
 	admissions map[string]admission
 	// nextChange is closed at the next change of a row, and then replaced.
--- a/pkg/jobmanager/owner.go
+++ b/pkg/jobmanager/owner.go
@@ -49,8 +49,12 @@
 	if !ok {
 		return m.handlerOfRepeat(r)
 	}
-	switch m.callFacts(r, call.jobID(), cfg).Owner() {
-	case jobrecorder.OwnedByJob:
+	owner := m.callFacts(r, call.jobID(), cfg).Owner()
+	if owner == jobrecorder.OwnerInStore && !m.mayAsk(time.Now()) {
+		owner = jobrecorder.OwnerUnknown
+	}
+	switch owner {
+	case jobrecorder.OwnedByJob, jobrecorder.OwnerInStore:
 		return func(w http.ResponseWriter, r *http.Request) { m.serveCall(w, r, call, err) }
 	case jobrecorder.OwnerUnknown:
 		return func(w http.ResponseWriter, _ *http.Request) { m.failCall(w, call.jobID(), false, errNotCurrent) }
@@ -59,19 +63,33 @@
 	}
 }
 
+const (
+	// currentFor is how long after an answer of the store the cached jobs count as all: callers expect a job to be known at all
+	// VMs by then.
+	currentFor = time.Second
+	// askInterval is the least time between two reads of jobs for requests that may be none about a job.
+	askInterval = 100 * time.Millisecond
+)
+
+// mayAsk reports whether the store may be read for a request that is likely none about a job.
+func (m *Manager) mayAsk(now time.Time) bool {
+	last := m.askedAt.Load()
+	return now.UnixNano()-last >= int64(askInterval) && m.askedAt.CompareAndSwap(last, now.UnixNano())
+}
+
 // errNotCurrent reports that this VM doesn't know all jobs.
 var errNotCurrent = errors.New("the jobs in the store are not known at present")
 
 func (m *Manager) callFacts(r *http.Request, id string, cfg *registrar.Config) jobrecorder.CallFacts {
 	host := strings.ToLower(r.Host)
 	job, isCached, _ := m.lookUp(id)
+	_, hasRoute := cfg.Match(r.Host, r.URL.Path)
 	_, hasOwnRoute := cfg.Route(host, r.URL.Path[:strings.LastIndexByte(r.URL.Path, '/')+1])
 	return jobrecorder.CallFacts{
 		IsJobCached: isCached && job.Host == host, HasBatchRoute: len(cfg.BatchRoutes(r.Host)) > 0,
-		HasJobs:     m.hasJobsOf(host, func(string) bool { return true }),
-		HasOwnRoute: hasOwnRoute,
-		IsSynced:    m.feed.Version() > 0,
-		IsCurrent:   !m.feed.IsLost(),
+		HasJobs:  m.hasJobsOf(host, func(string) bool { return true }),
+		HasRoute: hasRoute, HasOwnRoute: hasOwnRoute,
+		IsSynced: m.feed.Version() > 0, IsFollowing: !m.feed.IsLost(), IsCurrent: m.feed.Age(time.Now()) < currentFor,
 	}
 }
 
