--- a/pkg/assembler/gateway_continued_test.go
+++ b/pkg/assembler/gateway_continued_test.go
@@ -77,6 +77,12 @@
 	return b.String()
 }
 
+// unframed returns an answer of status 200 that has neither a length nor chunks.
+func unframed(events ...string) string {
+	head := "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	return head + strings.Join(events, "")
+}
+
 func sized(status, kind, body string) string {
 	length := len(strings.ReplaceAll(body, "ID", newID("c")))
 	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, signedHead, kind, length, body)
@@ -103,7 +109,7 @@
 			true,
 		},
 		{"a gap", []string{first, chunked(true, eventAt(3))}, false},
-		{"a gap later", []string{first, chunked(true, eventAt(2), eventAt(4))}, false},
+		{"an event that comes again", []string{first, chunked(true, eventAt(2), eventAt(2))}, false},
 		{"events that were there", []string{first, chunked(true, eventAt(1), eventAt(2), eventAt(3))}, false},
 		{"another run from its start", []string{first, chunked(true, eventAt(0), eventAt(1), eventAt(2), eventAt(3))}, false},
 		{"data without an id", []string{first, chunked(true, "data: x\n\n", eventAt(2), eventAt(3))}, false},
@@ -162,6 +168,13 @@
 		{"no content", []string{part, "HTTP/1.1 204 No Content\r\n" + signedHead + "\r\n", rest}},
 		{"a text with status 200", []string{part, sized("200 OK", "text/event-stream", "out of memory\n\n"), rest}},
 		{"a head in the text", []string{part, chunked(true, "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\n\r\n"), rest}},
+		{
+			"no rest and no marked end",
+			[]string{chunked(false, eventAt(0), eventAt(1), eventAt(2), eventAt(3)), unframed(), unframed(), whole},
+		},
+		{"an empty text", []string{part, sized("200 OK", "text/plain", ""), rest}},
+		{"nothing at first", []string{sized("200 OK", "text/event-stream", ""), whole}},
+		{"a comment only", []string{chunked(true, ": wait\n\n"), whole}},
 		{"parts without ids", []string{chunked(false, "data: a\n\n", "data: b\n\n"), whole}},
 		{"parts without ids, then with", []string{chunked(false, "data: a\n\n", eventAt(0)), whole}},
 	}
@@ -204,3 +217,29 @@
 		})
 	}
 }
+
+// TestBrokenStreamOfHTTP10CallerIsNotWhole guards against a part of a stream that looks whole to a caller whose answers have no
+// chunks.
+func TestBrokenStreamOfHTTP10CallerIsNotWhole(t *testing.T) {
+	t.Parallel()
+	for name, isWhole := range map[string]bool{"broken": false, "whole": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := newScriptedFleet(t, chunked(isWhole, eventAt(0), eventAt(1)))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.vms[0].base, "http://"))
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			id := newID("h")
+			_, err = fmt.Fprintf(conn, "POST /draft/1 HTTP/1.0\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Token-Count: 450,250\r\n"+
+				"X-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody", testHost, id)
+			require.NoError(t, err)
+			answer, err := io.ReadAll(conn)
+			if !isWhole {
+				assert.Error(t, err, "the answer ended as if it were complete: %q", answer)
+				return
+			}
+			require.NoError(t, err)
+			assert.True(t, strings.HasSuffix(string(answer), standin.CompleteStream(id, 2)), "%q", answer)
+		})
+	}
+}
--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,11 +14,17 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
 
 const (
 	// timeout bounds a question; it is shorter than the pause after which callers give a stream up.
 	timeout = time.Second
+	// firstPause is the time until the question is repeated the first time; it doubles with each further time.
+	firstPause = 50 * time.Millisecond
+	// openTime is how long a connection must stay open to be a sign of life in place of an answer: the kernel closes those of a
+	// process that ends.
+	openTime = 200 * time.Millisecond
 	// maxBodyBytes is the number of bytes that are read of an answer.
 	maxBodyBytes = 64 << 10
 )
@@ -51,26 +60,46 @@
 	return "endpoint " + e.Want + " has ended: " + e.Got + " answers at its address"
 }
 
-// Confirm returns nil once the endpoint has answered a question that was sent after the call began.
+// Confirm returns nil once the endpoint has answered a question that was sent after the call began, or has kept its connection open
+// for openTime: a question may wait for a slot.
+//
+// A connection that breaks is no sign that the endpoint has ended: endpoints reset those beyond their limit. A refused one is.
 func (c *Confirmer) Confirm(ctx context.Context, e registrar.Endpoint) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return errors.Wrapf(c.ask(ctx, e), "endpoint %s gave no sign of life after the end of its answer", e.ID)
+	err := c.ask(ctx, e)
+	for pause := firstPause; err != nil && !hasEnded(err) && sleeper.Sleep(ctx, pause); pause *= 2 {
+		if again := c.ask(ctx, e); again == nil || ctx.Err() == nil {
+			err = again
+		}
+	}
+	return errors.Wrapf(err, "endpoint %s gave no sign of life after the end of its answer", e.ID)
+}
+
+// hasEnded reports whether the error of a question says that the endpoint has ended.
+func hasEnded(err error) bool {
+	other := (*InstanceError)(nil)
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &other)
 }
 
 func (c *Confirmer) ask(ctx context.Context, e registrar.Endpoint) error {
 	path := c.pathFor(e)
-	if path == "" {
-		return c.pool.Reach(ctx, e.ID, e.Address)
-	}
 	// A process that ends may close its port first, and answer on open connections until they are closed.
 	conn, err := c.pool.Open(ctx, e.ID, e.Address)
 	if err != nil {
 		return err
 	}
-	x, err := c.pool.Do(ctx, conn, dialer.Request{
+	if path == "" {
+		return awaitOpen(conn)
+	}
+	answerCtx, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
+	x, err := c.pool.Do(answerCtx, conn, dialer.Request{
 		Method: http.MethodGet, Target: path, Host: e.Address.String(), Header: http.Header{},
 	})
+	if err != nil && answerCtx.Err() != nil && ctx.Err() == nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -89,6 +118,18 @@
 	return nil
 }
 
+// awaitOpen returns nil once the connection was open for openTime.
+func awaitOpen(conn net.Conn) error {
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(openTime)); err != nil {
+		return err
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Errorf("connection not open for %s: %v", openTime, err)
+	}
+	return nil
+}
+
 // pathFor returns the path of the question, if the endpoint has one: for an engine one that needs no slot.
 func (c *Confirmer) pathFor(e registrar.Endpoint) string {
 	service := c.registry().Config.Services[e.Service]
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -18,6 +18,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 )
 
@@ -39,6 +40,13 @@
 	errStalled   = errors.New("endpoint sent no event within the stall timeout")
 )
 
+// errNoEvent says that an answer is complete and brought nothing, though each item has at least one event.
+var errNoEvent = errors.New("the answer has no event")
+
+// errNoRest says that an endpoint which was asked for the rest of an output sent nothing, and marked no end: the output may be
+// whole or not, and asking again won't tell.
+var errNoRest = errors.New("the rest of the output has no event and no marked end")
+
 // AnswerError says that an endpoint's response carries no result; Detail is the start of its body, or what is wrong with it.
 type AnswerError struct {
 	Endpoint string
@@ -53,7 +61,7 @@
 // runItem runs the item at an endpoint and records how the run ended.
 func (r *Runner) runItem(ctx context.Context, t *task, run *itemRun, route registrar.Route) {
 	spanCtx, span := otel.Tracer("worker").Start(ctx, "item run "+run.endpoint.ID)
-	err := r.exchange(spanCtx, t, run)
+	err := recoverer.Call(func() error { return r.exchange(spanCtx, t, run) })
 	span.End()
 	// The cause must be read before cancel, which sets a cause itself.
 	cause := context.Cause(ctx)
@@ -65,6 +73,7 @@
 		t.run, t.idleSince = nil, time.Now()
 		t.runTime += time.Since(run.started)
 	}
+	r.reportPanic("item run", t.job.id, err)
 	outcome := r.recordEnd(t, run, route, err, cause, isCurrent)
 	r.metrics.ItemRun(outcome)
 	fields := logrus.Fields{
@@ -94,6 +103,15 @@
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "stopped"
 	}
+	if panicked := (*recoverer.PanicError)(nil); errors.As(err, &panicked) {
+		t.discardOutput()
+		t.notBefore = time.Now().Add(panicPause)
+		r.balancer.End(run.ticket, placer.EndedLocally)
+		return "panicked"
+	}
+	if errors.Is(err, errNoRest) {
+		t.discardOutput()
+	}
 	how, outcome := placer.EndedFailed, "broken"
 	t.notBefore = time.Now().Add(retryPause)
 	if answer := (*AnswerError)(nil); errors.As(err, &answer) {
@@ -149,8 +167,14 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasFirstEvent && x.EndsAtClose() {
 			err = io.ErrUnexpectedEOF
+			if run.isResumed {
+				err = errNoRest
+			}
 		}
 		if errors.Is(err, io.EOF) {
+			if !hasFirstEvent && !run.isResumed {
+				return errNoEvent
+			}
 			r.isolator.Completed(t.parts)
 			return nil
 		}
@@ -172,13 +196,7 @@
 		if err := r.appendEvent(t, run, e); err != nil {
 			return err
 		}
-	}
-}
-
-// recordBreak records that the run broke off at its endpoint, unless this VM ended it.
-func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
-	if ctx.Err() == nil {
-		r.isolator.BrokeOff(run.endpoint, t.parts, hadAnswer)
+		r.recordProgress(t, run, e)
 	}
 }
 
@@ -188,8 +206,12 @@
 	h[r.headers.RequestID] = []string{t.item.ID}
 	h[r.headers.ExpectInstance] = []string{run.endpoint.ID}
 	r.mu.Lock()
+	if t.run == run {
+		t.sequence.Begin()
+	}
 	if last := t.sequence.Last(); last != continuer.NoEvent {
 		h[r.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
+		run.isResumed = true
 	}
 	r.mu.Unlock()
 	return dialer.Request{
@@ -205,12 +227,18 @@
 		if !r.headers.IsSigned(res, t.item.ID) {
 			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
 		}
+		if kind := relayer.MediaTypeOf(res.Header); kind != "" && kind != eventStream {
+			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "type " + kind + " is no stream of events"}
+		}
 		return nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(x, maxErrorBody))
 	return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: string(text[:min(len(text), maxDetail)])}
 }
 
+// eventStream is the media type of an item's answer.
+const eventStream = "text/event-stream"
+
 // maxDetail is the maximum number of bytes of an error response that are put into an error.
 const maxDetail = 100
 
@@ -227,6 +255,9 @@
 	if len(t.output)+len(e.Data) > maxOutputBytes {
 		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
 	}
+	if last := t.sequence.Last(); e.ID != continuer.NoEvent && last != continuer.NoEvent && e.ID != last+1 {
+		return &continuer.GapError{After: last, Event: e.ID}
+	}
 	if err := t.sequence.Add(e.ID); err != nil {
 		return err
 	}
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -2,22 +2,26 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/scheduler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
@@ -29,13 +33,26 @@
 	minStepInterval = 4 * time.Millisecond
 	// retryPause is the pause before the next run of an item whose last run failed.
 	retryPause = 200 * time.Millisecond
+	// panicPause is the pause before work that panicked is tried again.
+	panicPause = 5 * time.Second
 	// loadRetryPause is the pause before the items of a job are read again after a failed read.
 	loadRetryPause = 300 * time.Millisecond
 )
 
-// Metrics counts the runs of items by outcome; its methods must not block.
+// Metrics counts the runs of items by outcome, and panics; its methods must not block.
 type Metrics interface {
 	ItemRun(outcome string)
+	// Panicked counts a panic in a part of the work that ended alone.
+	Panicked(work string)
+}
+
+// Isolator keeps items that crash endpoints from further endpoints; its methods must not block.
+type Isolator interface {
+	relayer.Isolator
+	// RunBrokeOff records that a run broke off at the endpoint; strike says what is known of its answer.
+	RunBrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike)
+	// Outlived records that a request with the parts has made progress since it had that many events of its answer.
+	Outlived(parts []string, events int)
 }
 
 // Runner runs the items of the batch jobs that this VM holds.
@@ -45,7 +62,7 @@
 	registry  func() *registrar.Registry
 	balancer  *balancer.Balancer
 	pool      *dialer.Pool
-	isolator  relayer.Isolator
+	isolator  Isolator
 	confirmer relayer.Confirmer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
@@ -67,16 +84,17 @@
 
 // jobState is a job that this VM runs.
 type jobState struct {
-	id        string
-	submitted time.Time
-	due       time.Time
+	id  string
+	due time.Time
 	// host is the Host header of the items' requests; with pathPrefix it identifies the route that accepted the job.
 	host       string
 	pathPrefix string
 	items      []jobmanager.Item
 	tasks      map[int]*task
-	// saved holds the saved output of each item that had a checkpoint when the job was loaded.
+	// saved holds the saved output of each item that had a checkpoint when the job was last loaded. loaded holds the items that
+	// were this VM's to run since before then: the output of any other may have been saved since.
 	saved     map[int]jobmanager.Checkpoint
+	loaded    map[int]bool
 	isLoading bool
 	retryLoad time.Time
 }
@@ -143,6 +161,9 @@
 	ticket   *placer.Ticket
 	cancel   context.CancelCauseFunc
 	started  time.Time
+	// isProbe says that the run probes a quarantined part, isResumed that the endpoint was asked for the rest of an output.
+	isProbe, isResumed bool
+	progress           progress
 	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
 	// length nor chunks. Both are for the log.
 	firstEvent  int64
@@ -152,7 +173,7 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, c relayer.Confirmer,
+	i Isolator, c relayer.Confirmer,
 	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool),
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
@@ -243,30 +264,45 @@
 	}
 }
 
-// syncJobs adds the jobs that this VM holds and their unfinished items, and starts to load new jobs; the lock is held.
+// syncJobs adds the jobs that this VM holds and their unfinished items, and starts to load what is new; the lock is held.
 func (r *Runner) syncJobs(ctx context.Context, now time.Time) {
+	runnable := map[string][]int{}
 	for _, h := range r.manager.Held() {
+		runnable[h.Job.ID] = h.Items
 		j, ok := r.jobs[h.Job.ID]
 		if !ok {
 			j = &jobState{
-				id: h.Job.ID, submitted: time.UnixMilli(h.Job.Submitted), due: h.Job.DueTime(), host: h.Job.Host,
-				pathPrefix: h.Job.PathPrefix, tasks: map[int]*task{},
+				id: h.Job.ID, due: h.Job.DueTime(), host: h.Job.Host, pathPrefix: h.Job.PathPrefix,
+				tasks: map[int]*task{},
 			}
 			r.jobs[h.Job.ID] = j
 		}
-		if j.items == nil {
-			if !j.isLoading && now.After(j.retryLoad) {
-				j.isLoading = true
-				go r.runLoad(ctx, j)
-			}
+		missing := r.addTasks(j, h.Items)
+		if (j.items == nil || len(missing) > 0) && !j.isLoading && now.After(j.retryLoad) {
+			j.isLoading = true
+			go r.runLoad(ctx, j, missing)
+		}
+	}
+	for id, j := range r.jobs {
+		maps.DeleteFunc(j.loaded, func(i int, _ bool) bool { return !slices.Contains(runnable[id], i) })
+	}
+}
+
+// addTasks adds the tasks of those items that are loaded, and returns the items that have to be loaded first; the lock is held.
+func (r *Runner) addTasks(j *jobState, items []int) []int {
+	var missing []int
+	for _, i := range items {
+		if _, ok := j.tasks[i]; ok || (j.items != nil && i >= len(j.items)) {
 			continue
 		}
-		for _, i := range h.Items {
-			if _, ok := j.tasks[i]; !ok && i < len(j.items) {
-				j.tasks[i] = r.newTask(j, i)
-			}
+		if !j.loaded[i] {
+			missing = append(missing, i)
+			continue
 		}
+		j.tasks[i] = r.newTask(j, i)
+		delete(j.loaded, i)
 	}
+	return missing
 }
 
 // newTask returns the task of an item, which continues after the item's saved output.
@@ -282,22 +318,44 @@
 	return t
 }
 
-// runLoad reads the items of a job and the checkpoints of their outputs.
-func (r *Runner) runLoad(ctx context.Context, j *jobState) {
-	items, err := r.manager.Items(ctx, j.id, true)
+// runLoad reads the job's items, and the checkpoints of the outputs of those that are missing here.
+func (r *Runner) runLoad(ctx context.Context, j *jobState, missing []int) {
+	var items []jobmanager.Item
 	var saved map[int]jobmanager.Checkpoint
-	if err == nil {
-		saved, err = r.manager.Checkpoints(ctx, j.id)
-	}
+	err := recoverer.Call(func() (err error) {
+		if items, err = r.manager.Items(ctx, j.id, true); err == nil {
+			saved, err = r.manager.Checkpoints(ctx, j.id)
+		}
+		return err
+	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j.isLoading = false
 	if err != nil {
-		j.retryLoad = time.Now().Add(loadRetryPause)
+		pause := loadRetryPause
+		if r.reportPanic("load", j.id, err) {
+			pause = panicPause
+		}
+		j.retryLoad = time.Now().Add(pause)
 		r.log.WithError(err).WithField("job", j.id).Warn("items of the job not read; retrying")
 		return
 	}
-	j.items, j.saved = items, saved
+	j.items, j.saved, j.loaded = items, saved, map[int]bool{}
+	for _, i := range missing {
+		j.loaded[i] = true
+	}
+}
+
+// reportPanic logs and counts err if it is a panic in the work on a job, and reports whether it is.
+func (r *Runner) reportPanic(work, job string, err error) bool {
+	panicked := (*recoverer.PanicError)(nil)
+	if !errors.As(err, &panicked) {
+		return false
+	}
+	r.metrics.Panicked(work)
+	r.log.WithError(err).WithFields(logrus.Fields{"work": work, "job": job, "stack": string(panicked.Stack)}).
+		Error("panic in the work on a batch job; the rest goes on")
+	return true
 }
 
 // stopUnneededRuns ends the runs of items that already have a result, or whose job has ended or moved to another VM; the lock
@@ -393,7 +451,7 @@
 		served := reg.SoftwareOf(service)
 		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
 			if verdict.Part != "" {
-				r.isolator.BeginProbe(verdict.Part)
+				t.run.isProbe = r.isolator.BeginProbe(verdict.Part)
 			}
 			continue
 		}
@@ -545,7 +603,7 @@
 
 // abandonIfOverdue abandons an item with a quarantined part once its job is as old as the route allows; until then it waits.
 func (r *Runner) abandonIfOverdue(t *task, route registrar.Route, part string, now time.Time) {
-	if route.AbandonAfter <= 0 || now.Sub(t.job.submitted) < route.AbandonAfter {
+	if route.AbandonAfter <= 0 || r.manager.KnownFor(t.job.id, now) < route.AbandonAfter {
 		return
 	}
 	r.log.WithFields(logrus.Fields{
--- a/pkg/jobmanager/commit.go
+++ b/pkg/jobmanager/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
@@ -29,7 +30,7 @@
 	rec.finished = append(rec.finished, finishedItem{item: item, result: r})
 	if !rec.isCommitting {
 		rec.isCommitting = true
-		go m.runCommit(ctx, job)
+		go m.runCommit(ctx, job, rec)
 	}
 }
 
@@ -44,31 +45,56 @@
 	return slices.ContainsFunc(rec.finished, func(f finishedItem) bool { return f.item == item })
 }
 
-// runCommit writes the results of the job's finished items until none is left or ctx ends.
-func (m *Manager) runCommit(ctx context.Context, job string) {
+// runCommit writes the results of the record's finished items until none is left, the job is deleted or ctx ends.
+func (m *Manager) runCommit(ctx context.Context, job string, rec *record) {
 	for {
-		batch := m.nextBatch(job)
+		batch := m.nextBatch(job, rec)
 		if len(batch) == 0 {
 			return
 		}
-		err := m.commit(ctx, job, batch)
+		err := m.putLargeOutputs(ctx, job, batch)
 		if err == nil {
-			m.markWritten(job, batch)
+			err = m.commit(ctx, job, batch)
+		}
+		if err == nil {
+			m.markWritten(job, rec, batch)
 			continue
 		}
 		m.log.WithError(err).WithFields(logrus.Fields{"job": job, "items": len(batch)}).Warn("could not write results; retrying")
+		m.postpone(rec, len(batch))
 		if !sleeper.Sleep(ctx, retryPause) {
 			return
 		}
 	}
 }
 
+// putLargeOutputs writes the outputs that don't fit into a transaction as objects; an existing one is from an earlier attempt or
+// from another VM.
+func (m *Manager) putLargeOutputs(ctx context.Context, job string, batch []finishedItem) error {
+	for _, f := range batch {
+		if !isLarge(f.result.Output, m.cfg.RowBytes) {
+			continue
+		}
+		err := m.store.PutBlob(ctx, outputObject(job, f.item), f.result.Output)
+		if exists := (*storer.ExistsError)(nil); err != nil && !errors.As(err, &exists) {
+			return err
+		}
+	}
+	return nil
+}
+
+// postpone moves the first n finished items behind the others, so that results that can't be written keep no others back.
+func (m *Manager) postpone(rec *record, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rec.finished = slices.Concat(rec.finished[n:], rec.finished[:n])
+}
+
 // nextBatch returns the finished items that fit into the next transaction, at least one if there are any.
-func (m *Manager) nextBatch(job string) []finishedItem {
+func (m *Manager) nextBatch(job string, rec *record) []finishedItem {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rec, ok := m.jobs[job]
-	if !ok {
+	if m.jobs[job] != rec {
 		return nil
 	}
 	var batch []finishedItem
@@ -80,6 +106,9 @@
 			break
 		}
 		batch = append(batch, f)
+		if isLarge(f.result.Output, m.cfg.RowBytes) {
+			break
+		}
 	}
 	if len(batch) == 0 {
 		rec.isCommitting = false
@@ -101,7 +130,7 @@
 		next, added := j.Append(items)
 		c := storer.Change{}
 		for n, item := range added {
-			rows, err := encodeResult(id, len(j.Finished)+n, byItem[item], m.cfg.RowBytes)
+			rows, err := m.resultRows(id, len(j.Finished)+n, item, byItem[item])
 			if err != nil {
 				encodeErr = err
 				return c, j, false
@@ -109,6 +138,8 @@
 			c.Puts = append(c.Puts, rows...)
 			c.Deletes = append(c.Deletes, m.checkpointRows(id, item)...)
 		}
+		// Checkpoints that are left over are deleted with the job.
+		c.Deletes = c.Deletes[:min(len(c.Deletes), max(commitRows-len(c.Puts), 0))]
 		return c, next, len(added) > 0
 	})
 	if err == nil {
@@ -117,19 +148,25 @@
 	return err
 }
 
-// markWritten removes the batch from the front of the finished items and logs each result.
-func (m *Manager) markWritten(job string, batch []finishedItem) {
+// resultRows returns the rows of the item's result at the position.
+func (m *Manager) resultRows(job string, position, item int, r Result) ([]storer.Entry, error) {
+	if isLarge(r.Output, m.cfg.RowBytes) {
+		return encodeLargeResult(job, position, r, outputObject(job, item))
+	}
+	return encodeResult(job, position, r, m.cfg.RowBytes)
+}
+
+// markWritten removes the batch from the front of the record's finished items and logs each result.
+func (m *Manager) markWritten(job string, rec *record, batch []finishedItem) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rec, ok := m.jobs[job]; ok {
-		rec.finished = rec.finished[len(batch):]
-		for _, f := range batch {
-			delete(rec.checkpoints, f.item)
-			m.log.WithFields(logrus.Fields{
-				"job": job, "item": f.result.ID, "state": f.result.State, "bytes": len(f.result.Output),
-				"done": len(rec.job.Finished), "total": rec.job.Total(),
-			}).Info("result listed")
-		}
+	rec.finished = rec.finished[len(batch):]
+	for _, f := range batch {
+		delete(rec.checkpoints, f.item)
+		m.log.WithFields(logrus.Fields{
+			"job": job, "item": f.result.ID, "state": f.result.State, "bytes": len(f.result.Output),
+			"done": len(rec.job.Finished), "total": rec.job.Total(),
+		}).Info("result listed")
 	}
 	m.notifyWaiters()
 }
