forwarder: the close of a plain service's connection is the end of its answer only if it lives on

What callers of the product's own interface could see: a part of an answer without a length or chunks, as whole, if the service was killed in the middle of it.

Evidence: TestUnframedAnswerOfAKilledServiceIsNotWhole/killed failed with no error and "half an ".

There is no health check to ask here, so a new connection that stays open for 200 ms is the sign of life. After: the test passes.

--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"syscall"
 	"time"
@@ -118,6 +119,17 @@
 	return nil
 }
 
+// AwaitOpen opens a connection to the address and returns nil once it was open for some tenths of a second: the sign of life of
+// an endpoint that can't be asked about itself.
+func AwaitOpen(ctx context.Context, addr netip.AddrPort) error {
+	d := net.Dialer{Timeout: dialer.ConnectTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Wrap(err, "the answer ended with its connection, and its endpoint takes no other")
+	}
+	return awaitOpen(conn)
+}
+
 // awaitOpen returns nil once the connection was open for openTime.
 func awaitOpen(conn net.Conn) error {
 	defer func() { _ = conn.Close() }()
--- a/pkg/forwarder/service.go
+++ b/pkg/forwarder/service.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/confirmer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/allocator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
@@ -79,6 +80,9 @@
 	if err == nil && len(body) > MaxServiceAnswerBytes {
 		err = errors.Errorf("answer is longer than %d bytes", MaxServiceAnswerBytes)
 	}
+	if err == nil && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		err = confirmer.AwaitOpen(ctx, t.Endpoint.Address)
+	}
 	if err != nil {
 		return outcome.Unknown{Reason: err.Error()}, errors.Wrap(err, "read service's answer")
 	}
