Calls about jobs end with an answer at the end of a stop

Cause: the drain counted 4 s for a call, and nothing held the call to them: each read of the store is tried twice, for 1.5 s a row and 4 s an object. EndUnanswered ended online requests only.

Fix: a call has 4 s, and ends when the VM answers what is unanswered; an incomplete body is refused with 503 then.

Evidence: TestPlannedStopAnswersCallsAboutJobs failed before in all its cases ("the call sent after 700ms ends without a complete answer"); passes now.

--- a/pkg/jobmanager/submit.go
+++ b/pkg/jobmanager/submit.go
@@ -56,7 +56,7 @@
 	id := m.codec.JobID(r)
 	body, err := relayer.ReadBody(w, r, cfg.Limits.BodyBytes)
 	if err != nil {
-		m.refuseJob(w, id, relayer.BodyStatus(err), err)
+		m.refuseBody(w, r, id, err)
 		return
 	}
 	items, err := m.codec.Items(body)
@@ -72,6 +72,16 @@
 	m.answerSubmit(w, job, status, err, start)
 }
 
+// refuseBody answers a job whose body could not be read for err; nothing of it was stored.
+func (m *Manager) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
+	if errors.Is(context.Cause(r.Context()), relayer.ErrStopping) {
+		m.log.WithField("job", id).Info("job refused: its body was incomplete at the end of this VM's stop")
+		relayer.WriteRefusal(w, http.StatusServiceUnavailable, 0, relayer.ErrStopping.Error())
+		return
+	}
+	m.refuseJob(w, id, relayer.BodyStatus(err), err)
+}
+
 // refuseJob answers a job that is invalid; nothing of it was stored.
 func (m *Manager) refuseJob(w http.ResponseWriter, id string, status int, err error) {
 	m.log.WithError(err).WithFields(logrus.Fields{"job": id, "status": status}).Info("job refused")
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -68,6 +68,9 @@
 	// isClosed says that all further requests are refused.
 	isClosed atomic.Bool
 	inFlight atomic.Int64
+	// ending ends when the VM answers what is still unanswered; end ends it.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a listener that is not started.
@@ -75,8 +78,9 @@
 	cfg Config, registry func() *registrar.Registry, rl *relayer.Relayer, jobs Jobs, metrics http.Handler,
 	log logrus.FieldLogger,
 ) *Listener {
+	ending, end := context.WithCancel(context.Background())
 	return &Listener{
-		cfg: cfg, registry: registry, relayer: rl, jobs: jobs, metrics: metrics, log: log,
+		cfg: cfg, registry: registry, relayer: rl, jobs: jobs, metrics: metrics, log: log, ending: ending, end: end,
 		conns: openConns{idleSince: map[net.Conn]time.Time{}, ended: map[net.Conn]bool{}}, stopIdle: func() {},
 	}
 }
@@ -146,7 +150,10 @@
 func (l *Listener) Close() { l.isClosed.Store(true) }
 
 // EndUnanswered ends the requests that have no answer yet with an answer of this VM; Close must come before it.
-func (l *Listener) EndUnanswered() { l.relayer.EndUnanswered() }
+func (l *Listener) EndUnanswered() {
+	l.relayer.EndUnanswered()
+	l.end()
+}
 
 // InFlight returns the number of callers' requests in flight.
 func (l *Listener) InFlight() int64 { return l.inFlight.Load() }
@@ -223,7 +230,7 @@
 		return
 	}
 	if serveJob != nil {
-		serveJob(w, r)
+		l.serveJobCall(w, r, serveJob)
 		return
 	}
 	if !ok {
@@ -235,12 +242,27 @@
 		return
 	}
 	if isSubmission {
-		l.jobs.Submit(w, r, route)
+		l.serveJobCall(w, r, func(w http.ResponseWriter, r *http.Request) { l.jobs.Submit(w, r, route) })
 		return
 	}
 	l.relayer.Serve(w, r, route)
 }
 
+// serveJobCall serves a call about a job within maxJobCall, and at the latest when the VM answers what is unanswered at the end of
+// its stop. The call's context and the read of its body end then, with relayer.ErrStopping as the context's cause.
+func (l *Listener) serveJobCall(w http.ResponseWriter, r *http.Request, serve http.HandlerFunc) {
+	ctx, cancel := context.WithTimeout(r.Context(), maxJobCall)
+	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	outlastEnd := context.AfterFunc(l.ending, func() {
+		end(relayer.ErrStopping)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	defer outlastEnd()
+	serve(w, r.WithContext(ctx))
+}
+
 // requestCount is the key of a connection's context for the number of its requests.
 type requestCount struct{}
 
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -42,7 +42,7 @@
 // forwardLargeBody forwards an answer whose body is too large to be buffered.
 func (q *request) forwardLargeBody(x *dialer.Exchange, body io.Reader, s placer.Send) (bool, placer.Ending) {
 	if !q.beginAnswer() {
-		q.endUnanswered(errStopping)
+		q.endUnanswered(ErrStopping)
 		return true, placer.EndedLocally
 	}
 	q.writeHead(x.Response, x.Response.ContentLength)
@@ -127,7 +127,7 @@
 			}
 		}
 		if !q.beginAnswer() {
-			q.endUnanswered(errStopping)
+			q.endUnanswered(ErrStopping)
 			return true, placer.EndedLocally
 		}
 		if !q.hasAnswer {
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -111,8 +111,8 @@
 // A request whose answer has begun goes on.
 func (l *Relayer) EndUnanswered() { l.end() }
 
-// errStopping is the cancellation cause of a request that is unanswered at the end of the VM's stop.
-var errStopping = errors.New("this VM stops")
+// ErrStopping is the cancellation cause of a request, or a call about a job, that is unanswered at the end of the VM's stop.
+var ErrStopping = errors.New("this VM stops")
 
 // errTimeout is the cancellation cause of a request whose deadline has passed.
 var errTimeout = errors.New("time is over")
@@ -125,7 +125,7 @@
 	defer span.End()
 	r = r.WithContext(spanCtx)
 	body, err := l.readBody(w, r)
-	if errors.Is(err, errStopping) {
+	if errors.Is(err, ErrStopping) {
 		l.RefuseLeaving(w, r)
 		return
 	}
@@ -152,7 +152,7 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	q.ctx = ctx
-	q.outlastEnd = context.AfterFunc(l.ending, func() { end(errStopping) })
+	q.outlastEnd = context.AfterFunc(l.ending, func() { end(ErrStopping) })
 	defer q.outlastEnd()
 	if q.findBeginning() {
 		q.run()
@@ -178,14 +178,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// readBody reads a request's body; the error is errStopping if the VM answers what is unanswered meanwhile.
+// readBody reads a request's body; the error is ErrStopping if the VM answers what is unanswered meanwhile.
 func (l *Relayer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	outlastEnd := context.AfterFunc(l.ending, func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	})
 	body, err := ReadBody(w, r, l.registry().Config.Limits.BodyBytes)
 	if !outlastEnd() {
-		return nil, errStopping
+		return nil, ErrStopping
 	}
 	return body, err
 }
@@ -236,9 +236,9 @@
 func (l *Relayer) RefuseLeaving(w http.ResponseWriter, r *http.Request) {
 	l.log.WithFields(logrus.Fields{
 		"request": r.Header.Get(l.headers.RequestID), "path": r.URL.Path, "status": http.StatusServiceUnavailable,
-		"cause": errStopping.Error(),
+		"cause": ErrStopping.Error(),
 	}).Info("request not admitted")
-	WriteRefusal(w, http.StatusServiceUnavailable, 0, errStopping.Error())
+	WriteRefusal(w, http.StatusServiceUnavailable, 0, ErrStopping.Error())
 }
 
 // LogWhileLeaving logs a request that arrived after the VM began to leave; n is the number of requests on its connection so far.
@@ -602,7 +602,7 @@
 }
 
 // isStopping reports whether EndUnanswered has ended the request.
-func (q *request) isStopping() bool { return errors.Is(context.Cause(q.ctx), errStopping) }
+func (q *request) isStopping() bool { return errors.Is(context.Cause(q.ctx), ErrStopping) }
 
 // beginAnswer reports whether an answer that is not complete may be begun. If so, EndUnanswered doesn't end the request.
 func (q *request) beginAnswer() bool { return q.hasAnswer || q.outlastEnd() }
@@ -615,7 +615,7 @@
 		q.decision = "caller left"
 	case q.hasAnswer:
 		q.decision, q.mustAbort = "cut", true
-	case q.isStopping() || errors.Is(err, errStopping):
+	case q.isStopping() || errors.Is(err, ErrStopping):
 		q.endStopping()
 	case errors.Is(context.Cause(q.ctx), errTimeout) || errors.Is(err, errTimeout):
 		q.fail(http.StatusGatewayTimeout, "timeout", "no answer in time")
@@ -632,7 +632,7 @@
 		q.fail(http.StatusGatewayTimeout, "stopping", "this VM stops; the request may have run")
 		return
 	}
-	q.refuse(placer.Refuse{Reason: errStopping.Error()})
+	q.refuse(placer.Refuse{Reason: ErrStopping.Error()})
 }
 
 // fail answers with an error, and with decision as the outcome for the log and the metrics.
