A stopping VM doesn't send on what it could not answer any more

What callers saw: a request that may not be repeated, accepted early in a planned stop and refused by an endpoint late in it, was sent to another endpoint just before the VM's end and answered with 504 "may have run".

Cause: the drain was asked at the request's arrival only, not again before a later first run (class: work is accepted that can't be completed before the process's own end).

Fix: the drain is asked before a request is sent for the first time; what it refuses has not run, so the caller can go to another VM.

Evidence: TestRequestRefusedLateInAStopIsNotSentOn failed before in both cases (504, and a run at an endpoint); passes now.

--- a/pkg/assembler/gateway_stop_jobs_test.go
+++ b/pkg/assembler/gateway_stop_jobs_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +89,46 @@
 		})
 	}
 }
+
+// TestRequestRefusedLateInAStopIsNotSentOn has an endpoint refuse a request that may not be repeated shortly before a stopping VM
+// ends. It guards against passing on what the VM can't answer any more.
+func TestRequestRefusedLateInAStopIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/book/1", "/draft/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 0)
+			f.grace = 3 * time.Second
+			for _, r := range f.routes {
+				r["timeoutMs"] = 30000
+			}
+			f.configure()
+			f.addVM()
+			id := newID("late")
+			var sent atomic.Int64
+			var begun time.Time
+			for _, e := range f.endpoints {
+				e.Step, e.Work = 2*time.Second, 2*time.Second
+				e.SetFault(func(_ int, r *http.Request) standin.EndpointFault {
+					if r.Header.Get("X-Request-Id") != id || sent.Add(1) > 1 {
+						return standin.NoEndpointFault
+					}
+					time.Sleep(time.Until(begun.Add(2400 * time.Millisecond)))
+					return standin.Shed
+				})
+			}
+			begun = time.Now()
+			got := make(chan answer, 1)
+			go func() {
+				got <- f.call(context.Background(), f.vms[0], http.MethodPost, path, id, "prompt",
+					withHeader("X-Token-Count", "450,250"), withHeader("X-Deadline-Ms", "20000"))
+			}()
+			require.Eventually(t, func() bool { return sent.Load() == 1 }, maxWait, time.Millisecond)
+			require.NoError(t, f.vms[0].app.Stop(context.Background()))
+			a := <-got
+			assert.NoError(t, a.err)
+			assert.Equal(t, http.StatusServiceUnavailable, a.status, "the caller can't tell that the request has not run: %s", a.body)
+			assert.Empty(t, f.runsOf(id), "the request was passed on to an endpoint by a VM that ends")
+		})
+	}
+}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -471,6 +471,13 @@
 		q.endUnanswered(errTimeout)
 		return true
 	}
+	if d := q.drain.Load(); d != nil && q.runs == 0 && !d.Accepts(time.Now(), q.deadline) {
+		// Nobody could tell the caller how far the endpoint got when the VM ends. Not sent, the request can go to another VM.
+		_ = conn.Close()
+		ending = placer.EndedLocally
+		q.refuse(placer.Refuse{Reason: ErrStopping.Error()})
+		return true
+	}
 	q.runs++
 	ctx, cancel := q.withAttemptTimeout()
 	defer cancel()
