The end of a job whose write got no answer is unknown, not refused

What callers saw: DELETE of a job was answered with 503, which promises that it has not run and never will, after writes whose answers were lost and which had taken effect.

Cause: failCall answers 503 to any error of the store.

Fix: 504 once a write may have been done, as for submissions.

Evidence: TestEndOfAJobWithoutAnAnswerIsUnknown failed before (503); passes now.

--- a/pkg/assembler/gateway_stop_jobs_test.go
+++ b/pkg/assembler/gateway_stop_jobs_test.go
@@ -132,3 +132,26 @@
 		})
 	}
 }
+
+// TestEndOfAJobWithoutAnAnswerIsUnknown loses the store's answers to the end of a job, which takes effect. It guards against an
+// answer by which the call has not run.
+func TestEndOfAJobWithoutAnAnswerIsUnknown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.slowDown(time.Minute)
+	job := newID("job")
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, newItems(2)).status)
+	f.store.SetFault(func(r *http.Request) standin.StoreFault {
+		switch r.URL.Path {
+		case "/rows-tx":
+			return standin.LoseAnswer
+		case "/rows-feed", "/rows-get":
+			return standin.Silent
+		default:
+			return standin.NoFault
+		}
+	})
+	f.server.CloseClientConnections()
+	a := f.call(t.Context(), f.vms[0], http.MethodDelete, "/lots/"+job, newID("e"), "")
+	assert.Equal(t, http.StatusGatewayTimeout, a.status, a.body)
+}
--- a/pkg/jobmanager/calls.go
+++ b/pkg/jobmanager/calls.go
@@ -183,6 +183,7 @@
 			return
 		}
 	}
+	isIndeterminate := false
 	for {
 		err := m.writeTransition(ctx, c.Job, func(j jobrecorder.Job) (storer.Change, jobrecorder.Job, bool) {
 			return storer.Change{}, j.End(), !j.IsEnded
@@ -190,10 +191,18 @@
 		if err == nil {
 			break
 		}
-		if !sleeper.Sleep(ctx, retryPause) {
-			m.failCall(w, c.Job, true, err)
+		unavailable := (*storer.UnavailableError)(nil)
+		isIndeterminate = isIndeterminate || errors.As(err, &unavailable) && unavailable.MayHaveRun
+		if sleeper.Sleep(ctx, retryPause) {
+			continue
+		}
+		if isIndeterminate {
+			m.log.WithError(err).WithField("job", c.Job).Warn("no answer to the write of a job's end; answering 504")
+			relayer.WriteError(w, http.StatusGatewayTimeout, "nobody knows yet whether the job was ended: send it again")
 			return
 		}
+		m.failCall(w, c.Job, true, err)
+		return
 	}
 	m.log.WithField("job", c.Job).Info("job ended by its caller")
 	writeBody(w, "application/json", []byte("{}"))
