A failure without an endpoint's signature is no verdict on an item

Cause: only answers of 200 to items were checked for the signature; a 422 or 500 counted whoever had written it. Online requests check all answers.

Fix: of an unsigned failure the run counts as broken, and the item goes on.

Evidence: TestUnsignedFailureIsNoVerdictOnAnItem failed before for both statuses (expected "succeeded", actual "abandoned"); passes now.

--- a/pkg/assembler/gateway_extra_answer_test.go
+++ b/pkg/assembler/gateway_extra_answer_test.go
@@ -85,6 +85,45 @@
 	assert.EqualValues(t, 2, runs.Load())
 }
 
+// TestUnsignedFailureIsNoVerdictOnAnItem has the engine answer the first runs of an item with a failure that bears no signature.
+// It guards against an item that is abandoned by bytes that no endpoint answered it with.
+func TestUnsignedFailureIsNoVerdictOnAnItem(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"422 Unprocessable Entity", "500 Internal Server Error"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1)
+			f.batchRoute()["maxAttempts"] = 2
+			f.awaitConfig()
+			runs := atomic.Int64{}
+			f.replaceEndpoints(1, func(c net.Conn, br *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					id := r.Header.Get("X-Request-Id")
+					switch {
+					case r.Method == http.MethodGet:
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 25\r\n\r\n{\"running\":0,\"waiting\":0}")
+					case runs.Add(1) <= 3:
+						_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nX-Request-Id: "+id+"\r\nContent-Length: 6\r\n\r\nfailed")
+					default:
+						body := standin.CompleteStream(id, 3)
+						_, _ = io.WriteString(c, head(id, "Content-Length: "+strconv.Itoa(len(body))+"\r\n")+body)
+					}
+				}
+			}, "llm")
+			job, items := newID("job"), newItems(1)
+			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+			result := f.await(f.vms[0], job, 1).Results[0]
+			assert.Equal(t, "succeeded", result.State)
+			assert.Equal(t, standin.CompleteOutput(items[0].ID, 3), result.Output)
+		})
+	}
+}
+
 // TestExtraRefusalWithoutAnIDRunsNoRequestTwice has two endpoints write a refusal that names no request before each answer but
 // the first of a connection, to requests that they run.
 func TestExtraRefusalWithoutAnIDRunsNoRequestTwice(t *testing.T) {
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,6 +52,8 @@
 type AnswerError struct {
 	Endpoint string
 	Status   int
+	// IsSigned says that the endpoint answered this item; of an answer that isn't, the status says nothing about it.
+	IsSigned bool
 	Detail   string
 }
 
@@ -115,16 +118,16 @@
 	how, outcome := placer.EndedFailed, "broken"
 	t.notBefore = time.Now().Add(retryPause)
 	if answer := (*AnswerError)(nil); errors.As(err, &answer) {
-		switch answer.Status {
-		case http.StatusUnprocessableEntity:
+		switch {
+		case answer.IsSigned && answer.Status == http.StatusUnprocessableEntity:
 			how, outcome = placer.EndedComplete, "impossible"
 			r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
-		case http.StatusInternalServerError:
+		case answer.IsSigned && answer.Status == http.StatusInternalServerError:
 			how, outcome = placer.EndedComplete, "failed"
 			if r.manager.Fail(r.ctx, t.job.id, t.index) >= route.MaxAttempts {
 				r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
 			}
-		case http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		case slices.Contains(refusals, answer.Status):
 			how, outcome = placer.EndedFull, "refused"
 		}
 	}
@@ -132,6 +135,9 @@
 	return outcome
 }
 
+// refusals are the statuses by which an endpoint says that it has no room, or is another one.
+var refusals = []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests}
+
 // exchange sends the item and reads its events; it returns nil once the output is complete.
 func (r *Runner) exchange(ctx context.Context, t *task, run *itemRun) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -237,8 +243,9 @@
 // checkResponse returns an *AnswerError unless the response has status 200 and is signed for the item.
 func (r *Runner) checkResponse(x *dialer.Exchange, t *task, run *itemRun) error {
 	res := x.Response
+	isSigned := r.headers.IsSigned(res, t.item.ID)
 	if res.StatusCode == http.StatusOK {
-		if !r.headers.IsSigned(res, t.item.ID) {
+		if !isSigned {
 			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
 		}
 		if kind := relayer.MediaTypeOf(res.Header); kind != "" && kind != eventStream {
@@ -247,7 +254,9 @@
 		return nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(x, maxErrorBody))
-	return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: string(text[:min(len(text), maxDetail)])}
+	return &AnswerError{
+		Endpoint: run.endpoint.ID, Status: res.StatusCode, IsSigned: isSigned, Detail: string(text[:min(len(text), maxDetail)]),
+	}
 }
 
 // eventStream is the media type of an item's answer.
