An item that crashes engines has a part of its own

Cause: an item had only the parts that it shares; online requests have one that stands for the whole request.

Fix: items have that part too. Progress of the item itself refutes it, so a sound item under which engines crash in turn isn't held back for longer.

--- a/pkg/assembler/gateway_repeated_test.go
+++ b/pkg/assembler/gateway_repeated_test.go
@@ -107,3 +107,33 @@
 		})
 	}
 }
+
+// TestItemThatCrashesEnginesIsContainedBesideSoundItems submits a job whose items have all parts of their prompts in common; one of
+// them crashes each engine that begins it. It guards against the progress of the sound ones speaking for that one.
+func TestItemThatCrashesEnginesIsContainedBesideSoundItems(t *testing.T) {
+	t.Parallel()
+	f := newFragileFleet(t, 3, 6, "llm")
+	f.mu.Lock()
+	for _, e := range f.endpoints {
+		e.Events, e.Step = 60, 50*time.Millisecond
+	}
+	f.mu.Unlock()
+	items := newItems(36)
+	for n := range items {
+		items[n].Headers["X-Prompt-Prefix"] = callerPart + ":200,f0:150"
+	}
+	items[3].Body = []byte("crash")
+	job := newID("job")
+	require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, items).status)
+	results := f.await(f.vms[0], job, len(items)-1).Results
+	for _, r := range results {
+		assert.NotEqual(t, items[3].ID, r.ID)
+		assert.Equal(t, "succeeded", r.State)
+	}
+	time.Sleep(2 * timeToReact)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("crashes %d, late %d", f.crashes, f.late)
+	require.GreaterOrEqual(t, f.crashes, 3)
+	assert.LessOrEqual(t, f.late, 3, "an item that crashes engines still reaches them")
+}
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -109,7 +110,7 @@
 	job   *jobState
 	index int
 	item  jobmanager.Item
-	// parts holds the ids of the shared parts of the item's prompt.
+	// parts holds the ids of the shared parts of the item's prompt, and the part that stands for the item's whole request.
 	parts []string
 
 	*itemOutput
@@ -307,9 +308,12 @@
 
 // newTask returns the task of an item, which continues after the item's saved output.
 func (r *Runner) newTask(j *jobState, i int) *task {
+	item := j.items[i]
 	t := &task{
-		job: j, index: i, item: j.items[i], parts: r.headers.PartsOf(j.items[i].Header), itemOutput: newItemOutput(),
-		idleSince: time.Now(),
+		job: j, index: i, item: item, itemOutput: newItemOutput(), idleSince: time.Now(),
+		parts: slices.Concat(
+			r.headers.PartsOf(item.Header), []string{quarantiner.RequestPart(http.MethodPost, j.host, item.Path, item.Body)},
+		),
 	}
 	if c, ok := j.saved[i]; ok {
 		t.itemOutput = continued(c)
