--- a/pkg/assembler/gateway_extra_answer_test.go
+++ b/pkg/assembler/gateway_extra_answer_test.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -154,3 +157,99 @@
 	assert.Zero(t, statuses[http.StatusServiceUnavailable], "a request that ran is answered as not run")
 	assert.Positive(t, statuses[http.StatusOK])
 }
+
+// TestLateCopyOfAnyAnswerIsNoAnswerToTheNextRequest has the endpoint write each answer once more, late and in several forms. It guards
+// against a copy that counts as the answer to the next request on its connection, or has that request sent once more.
+func TestLateCopyOfAnyAnswerIsNoAnswerToTheNextRequest(t *testing.T) {
+	t.Parallel()
+	const notExecuted = "X-Not-Executed: 1\r\n"
+	statuses := []struct{ line, header string }{
+		{"200 OK", ""}, {"204 No Content", ""}, {"400 Bad Request", notExecuted}, {"404 Not Found", ""}, {"421 Misdirected Request", notExecuted},
+		{"422 Unprocessable Entity", ""}, {"429 Too Many Requests", notExecuted}, {"500 Internal Server Error", ""},
+		{"503 Service Unavailable", notExecuted}, {"504 Gateway Timeout", ""},
+	}
+	// Each form writes the copy before or after the next request is read, and reads that request.
+	forms := []struct {
+		name  string
+		write func(c net.Conn, copied string, read func() string) string
+	}{
+		{"while the connection is idle", func(c net.Conn, copied string, read func() string) string {
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(c, copied)
+			return read()
+		}},
+		{"half while the connection is idle", func(c net.Conn, copied string, read func() string) string {
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(c, copied[:len(copied)/2])
+			id := read()
+			_, _ = io.WriteString(c, copied[len(copied)/2:])
+			return id
+		}},
+		{"after the next request", func(c net.Conn, copied string, read func() string) string {
+			id := read()
+			_, _ = io.WriteString(c, copied)
+			return id
+		}},
+		{"in pieces after the next request", func(c net.Conn, copied string, read func() string) string {
+			id := read()
+			for _, piece := range []string{copied[:7], copied[7 : len(copied)/2], copied[len(copied)/2:]} {
+				_, _ = io.WriteString(c, piece)
+				time.Sleep(10 * time.Millisecond)
+			}
+			return id
+		}},
+	}
+	for _, form := range forms {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1)
+			line, header := atomic.Pointer[string]{}, atomic.Pointer[string]{}
+			mu, runs := sync.Mutex{}, map[string]int{}
+			f.replaceEndpoints(1, func(c net.Conn, br *bufio.Reader) {
+				isOpen := true
+				read := func() string {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						isOpen = false
+						return ""
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					return r.Header.Get("X-Request-Id")
+				}
+				for id := read(); isOpen; {
+					mu.Lock()
+					runs[id]++
+					mu.Unlock()
+					if !strings.HasPrefix(id, "first") {
+						_, _ = io.WriteString(c, head(id, "Content-Length: "+strconv.Itoa(len(id))+"\r\n")+id)
+						id = read()
+						continue
+					}
+					first := "HTTP/1.1 " + *line.Load() + "\r\nX-Request-Id: " + id + "\r\nX-Response-Stamp: s\r\n" + *header.Load()
+					if !strings.HasPrefix(*line.Load(), "204") {
+						first += "Content-Length: 5\r\n\r\nfirst"
+					} else {
+						first += "\r\n"
+					}
+					_, _ = io.WriteString(c, first)
+					id = form.write(c, first, read)
+				}
+			}, "app")
+			for _, path := range []string{"/book/1", "/status/1"} {
+				for _, s := range statuses {
+					line.Store(&s.line)
+					header.Store(&s.header)
+					f.call(t.Context(), f.vms[0], http.MethodPost, path, newID("first"), "body", withHeader("X-Deadline-Ms", "2000"))
+					time.Sleep(100 * time.Millisecond)
+					id := newID("next")
+					a := f.call(t.Context(), f.vms[0], http.MethodPost, path, id, "body", withHeader("X-Deadline-Ms", "2000"))
+					assert.Equal(t, http.StatusOK, a.status, "%s after a copy of %s", path, s.line)
+					assert.Equal(t, id, a.body, "%s after a copy of %s", path, s.line)
+					mu.Lock()
+					assert.Equal(t, 1, runs[id], "%s after a copy of %s", path, s.line)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+}
