Streams that make progress refute the ends of endpoints, as items do

What callers saw: six engines crashed in turn under online streams whose prompts share a part.

Only runs of items reported progress.

Fix: the progress of a request is a type of the core, used by items and streams. The strike of a stream holds its number of events, and a stream that made progress doesn't put off probes.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -181,14 +181,9 @@
 	i.hasStrikes.Store(i.quarantiner.HasStrikes())
 }
 
-// BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun. If the
-// endpoint has ended, the parts get a strike.
-func (i *Isolator) BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool) {
-	i.RunBrokeOff(e, parts, quarantiner.Strike{HadAnswer: hadAnswer})
-}
-
-// RunBrokeOff is BrokeOff for a request of whose answer more is known: its strikes are like the one given.
-func (i *Isolator) RunBrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike) {
+// BrokeOff records that a request with the parts broke off at the endpoint; strike says what is known of its answer. If the endpoint
+// has ended, each of the parts gets such a strike.
+func (i *Isolator) BrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
@@ -89,7 +90,7 @@
 	_, addr := newStore(t)
 	i := newOneWith(t, addr, 1, false, resettingDialer{})
 	for n := range 3 {
-		i.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+		i.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, quarantiner.Strike{})
 	}
 	time.Sleep(500 * time.Millisecond)
 	assert.Empty(t, i.Check([]string{"ca"}).Part)
@@ -103,7 +104,7 @@
 	time.Sleep(200 * time.Millisecond)
 	s.SetDelay(300 * time.Millisecond)
 	for n := range 3 {
-		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, quarantiner.Strike{})
 	}
 	time.Sleep(100 * time.Millisecond)
 	p := a.Check([]string{"ca"}).Part
@@ -131,7 +132,7 @@
 		return standin.NoFault
 	})
 	for n := range 3 {
-		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, quarantiner.Strike{})
 	}
 	time.Sleep(100 * time.Millisecond)
 	a.Completed([]string{"ca"})
@@ -154,7 +155,7 @@
 	older := time.Now()
 	time.Sleep(10 * time.Millisecond)
 	for n := range 3 {
-		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, false)
+		a.BrokeOff(registrar.Endpoint{ID: fmt.Sprint("i-", n)}, []string{"ca"}, quarantiner.Strike{})
 	}
 	require.Eventually(t, func() bool { return a.Check([]string{"ca"}).Part == "ca" }, time.Second, time.Millisecond)
 	a.Completed([]string{"ca"})
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -47,15 +47,6 @@
 	Panicked(work string)
 }
 
-// Isolator keeps items that crash endpoints from further endpoints; its methods must not block.
-type Isolator interface {
-	relayer.Isolator
-	// RunBrokeOff records that a run broke off at the endpoint; strike says what is known of its answer.
-	RunBrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike)
-	// Outlived records that a request with the parts has made progress since it had that many events of its answer.
-	Outlived(parts []string, events int)
-}
-
 // Runner runs the items of the batch jobs that this VM holds.
 type Runner struct {
 	headers   relayer.Headers
@@ -63,7 +54,7 @@
 	registry  func() *registrar.Registry
 	balancer  *balancer.Balancer
 	pool      *dialer.Pool
-	isolator  Isolator
+	isolator  relayer.Isolator
 	confirmer relayer.Confirmer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
@@ -164,7 +155,7 @@
 	started  time.Time
 	// isProbe says that the run probes a quarantined part, isResumed that the endpoint was asked for the rest of an output.
 	isProbe, isResumed bool
-	progress           progress
+	progress           quarantiner.Progress
 	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
 	// length nor chunks. Both are for the log.
 	firstEvent  int64
@@ -174,7 +165,7 @@
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i Isolator, c relayer.Confirmer,
+	i relayer.Isolator, c relayer.Confirmer,
 	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool),
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -125,6 +125,9 @@
 			if err := q.sequence.Add(e.ID); err != nil {
 				return q.endBrokenStream(err, s)
 			}
+			if outlived := q.progress.Event(time.Now(), int(q.sequence.Last()+1)); outlived > 0 {
+				q.isolator.Outlived(q.parts, outlived)
+			}
 		}
 		if !q.beginAnswer() {
 			q.endUnanswered(ErrStopping)
--- a/pkg/relayer/end_test.go
+++ b/pkg/relayer/end_test.go
@@ -39,7 +39,9 @@
 
 func (hookedIsolator) Completed([]string) {}
 
-func (hookedIsolator) BrokeOff(registrar.Endpoint, []string, bool) {}
+func (hookedIsolator) BrokeOff(registrar.Endpoint, []string, quarantiner.Strike) {}
+
+func (hookedIsolator) Outlived([]string, int) {}
 
 // allWhole takes all answers for whole.
 type allWhole struct{}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -51,8 +51,10 @@
 	BeginProbe(part string) bool
 	// Completed records that a request with the parts was completed.
 	Completed(parts []string)
-	// BrokeOff records that a request with the parts broke off at the endpoint; hadAnswer says that its answer had begun.
-	BrokeOff(e registrar.Endpoint, parts []string, hadAnswer bool)
+	// BrokeOff records that a request with the parts broke off at the endpoint; strike says what is known of its answer.
+	BrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike)
+	// Outlived records that a request with the parts has made progress since it had that many events of its answer.
+	Outlived(parts []string, events int)
 }
 
 // Confirmer tells whole answers from parts.
@@ -307,6 +309,8 @@
 	attemptTimer *time.Timer
 	// attemptCtx ends with the attempt, or when this VM or the caller ends it.
 	attemptCtx context.Context
+	// progress is how far the attempt has come.
+	progress quarantiner.Progress
 
 	// The fields below are logged when the request ends.
 
@@ -449,7 +453,7 @@
 	ending := placer.EndedFailed
 	defer func() { q.balancer.End(ticket, ending) }()
 	q.tried[s.Endpoint.ID] = true
-	q.endsAtClose, q.firstEvent = false, continuer.NoEvent
+	q.endsAtClose, q.firstEvent, q.progress = false, continuer.NoEvent, quarantiner.Progress{}
 	conn, err := q.pool.Get(q.ctx, s.Endpoint.ID, s.Endpoint.Address, q.id)
 	if err != nil {
 		q.cause = err
@@ -507,9 +511,17 @@
 
 // recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
 func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
-	if q.attemptCtx.Err() == nil {
-		q.isolator.BrokeOff(e, q.parts, hadAnswer)
+	if q.attemptCtx.Err() != nil {
+		return
+	}
+	strike := quarantiner.Strike{HadAnswer: hadAnswer}
+	if q.route.Kind == registrar.KindStream && hadAnswer {
+		strike.Events = int(q.sequence.Last() + 1)
+	}
+	if q.progress.IsSound() && q.probed == "" {
+		strike.Delay = quarantiner.DelaysNone
 	}
+	q.isolator.BrokeOff(e, q.parts, strike)
 }
 
 // attemptTimeoutFactor times the route's objective is the maximum wait for a stream's first event, or for a body up to
