--- a/pkg/assembler/gateway_crash_turn_test.go
+++ b/pkg/assembler/gateway_crash_turn_test.go
@@ -101,8 +101,8 @@
 	assert.Zero(t, left, "items lie while all engines are idle")
 }
 
-// TestSoundStreamsAreServedAfterEnginesCrashedInTurn ends engines in turn under streams that share a part of their prompts and last
-// longer than an engine lives. It guards against a part that sound requests share being refused once all is calm.
+// TestSoundStreamsAreServedAfterEnginesCrashedInTurn ends engines in turn under streams that share a part of their prompts and
+// last longer than an engine lives. It guards against a part that sound requests share being refused once all is calm.
 func TestSoundStreamsAreServedAfterEnginesCrashedInTurn(t *testing.T) {
 	t.Parallel()
 	for _, path := range []string{"/draft/1", "/note/1"} {
--- a/pkg/assembler/gateway_extra_answer_test.go
+++ b/pkg/assembler/gateway_extra_answer_test.go
@@ -158,15 +158,22 @@
 	assert.Positive(t, statuses[http.StatusOK])
 }
 
-// TestLateCopyOfAnyAnswerIsNoAnswerToTheNextRequest has the endpoint write each answer once more, late and in several forms. It guards
-// against a copy that counts as the answer to the next request on its connection, or has that request sent once more.
+// TestLateCopyOfAnyAnswerIsNoAnswerToTheNextRequest has the endpoint write each answer once more, late and in several forms. It
+// guards against a copy that counts as the answer to the next request on its connection, or has that request sent once more.
 func TestLateCopyOfAnyAnswerIsNoAnswerToTheNextRequest(t *testing.T) {
 	t.Parallel()
 	const notExecuted = "X-Not-Executed: 1\r\n"
 	statuses := []struct{ line, header string }{
-		{"200 OK", ""}, {"204 No Content", ""}, {"400 Bad Request", notExecuted}, {"404 Not Found", ""}, {"421 Misdirected Request", notExecuted},
-		{"422 Unprocessable Entity", ""}, {"429 Too Many Requests", notExecuted}, {"500 Internal Server Error", ""},
-		{"503 Service Unavailable", notExecuted}, {"504 Gateway Timeout", ""},
+		{"200 OK", ""},
+		{"204 No Content", ""},
+		{"400 Bad Request", notExecuted},
+		{"404 Not Found", ""},
+		{"421 Misdirected Request", notExecuted},
+		{"422 Unprocessable Entity", ""},
+		{"429 Too Many Requests", notExecuted},
+		{"500 Internal Server Error", ""},
+		{"503 Service Unavailable", notExecuted},
+		{"504 Gateway Timeout", ""},
 	}
 	// Each form writes the copy before or after the next request is read, and reads that request.
 	forms := []struct {
--- a/pkg/assembler/gateway_repeated_test.go
+++ b/pkg/assembler/gateway_repeated_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// TestItemThatCrashesEnginesIsContainedBesideSoundItems submits a job whose items have all parts of their prompts in common; one of
-// them crashes each engine that begins it. It guards against the progress of the sound ones speaking for that one.
+// TestItemThatCrashesEnginesIsContainedBesideSoundItems submits a job whose items have all parts of their prompts in common; one
+// of them crashes each engine that begins it. It guards against the progress of the sound ones speaking for that one.
 func TestItemThatCrashesEnginesIsContainedBesideSoundItems(t *testing.T) {
 	t.Parallel()
 	f := newFragileFleet(t, 3, 6, "llm")
--- a/pkg/core/quarantiner/progress.go
+++ b/pkg/core/quarantiner/progress.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Progress is how far a request has come at an endpoint. One that goes on past the events at which others ended with their endpoints
-// speaks for its parts before it is complete. It is not safe for concurrent use.
+// Progress is how far a request has come at an endpoint. One that goes on past the events at which others ended with their
+// endpoints speaks for its parts before it is complete. It is not safe for concurrent use.
 type Progress struct {
 	// first and last are when the first and last events came.
 	first, last time.Time
@@ -12,8 +12,8 @@
 	events     int
 }
 
-// Event records an event after which the request has this number of events, those of earlier attempts too. After each SoundTime it
-// returns the number of events that the request had at the start of that time; else 0.
+// Event records an event after which the request has this number of events, those of earlier attempts too. After each SoundTime
+// it returns the number of events that the request had at the start of that time; else 0.
 func (p *Progress) Event(now time.Time, events int) (outlived int) {
 	p.last = now
 	switch {
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -181,8 +181,8 @@
 	i.hasStrikes.Store(i.quarantiner.HasStrikes())
 }
 
-// BrokeOff records that a request with the parts broke off at the endpoint; strike says what is known of its answer. If the endpoint
-// has ended, each of the parts gets such a strike.
+// BrokeOff records that a request with the parts broke off at the endpoint; strike says what is known of its answer. If the
+// endpoint has ended, each of the parts gets such a strike.
 func (i *Isolator) BrokeOff(e registrar.Endpoint, parts []string, strike quarantiner.Strike) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -248,8 +248,8 @@
 	l.relayer.Serve(w, r, route)
 }
 
-// serveJobCall serves a call about a job within maxJobCall, and at the latest when the VM answers what is unanswered at the end of
-// its stop. The call's context and the read of its body end then, with relayer.ErrStopping as the context's cause.
+// serveJobCall serves a call about a job within maxJobCall, and at the latest when the VM answers what is unanswered at the end
+// of its stop. The call's context and the read of its body end then, with relayer.ErrStopping as the context's cause.
 func (l *Listener) serveJobCall(w http.ResponseWriter, r *http.Request, serve http.HandlerFunc) {
 	ctx, cancel := context.WithTimeout(r.Context(), maxJobCall)
 	defer cancel()
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -462,25 +462,11 @@
 		}
 		return false
 	}
-	if !q.registry().IsUsable(s.Endpoint) {
-		// The endpoint began to drain, or left, while the connection was opened.
-		_ = conn.Close()
-		ending = placer.EndedLocally
-		return false
-	}
 	left := time.Until(q.deadline)
-	if left < minTimeLeft || q.ctx.Err() != nil {
-		_ = conn.Close()
-		ending = placer.EndedLocally
-		q.endUnanswered(errTimeout)
-		return true
-	}
-	if d := q.drain.Load(); d != nil && q.runs == 0 && !d.Accepts(time.Now(), q.deadline) {
-		// Nobody could tell the caller how far the endpoint got when the VM ends. Not sent, the request can go to another VM.
+	if maySend, isOver := q.checkSend(s.Endpoint, left); !maySend {
 		_ = conn.Close()
 		ending = placer.EndedLocally
-		q.refuse(placer.Refuse{Reason: ErrStopping.Error()})
-		return true
+		return isOver
 	}
 	q.runs++
 	ctx, cancel := q.withAttemptTimeout()
@@ -509,6 +495,25 @@
 	return isOver
 }
 
+// checkSend reports whether the request, which has the time left, may be sent to the endpoint to which a connection was opened.
+// If not, it reports whether the request is over.
+func (q *request) checkSend(e registrar.Endpoint, left time.Duration) (maySend, isOver bool) {
+	if !q.registry().IsUsable(e) {
+		// The endpoint began to drain, or left, while the connection was opened.
+		return false, false
+	}
+	if left < minTimeLeft || q.ctx.Err() != nil {
+		q.endUnanswered(errTimeout)
+		return false, true
+	}
+	if d := q.drain.Load(); d != nil && q.runs == 0 && !d.Accepts(time.Now(), q.deadline) {
+		// Nobody could tell the caller how far the endpoint got when the VM ends. Not sent, the request can go to another VM.
+		q.refuse(placer.Refuse{Reason: ErrStopping.Error()})
+		return false, true
+	}
+	return true, false
+}
+
 // recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
 func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
 	if q.attemptCtx.Err() != nil {
