Soak: calls about jobs while a VM stops without the store; unsigned verdicts

A VM to which the store is silent gets SIGTERM, a SIGHUP and a second SIGTERM at drawn moments, while 16 reads, ends and submissions with slow bodies come on connections that were opened before: each must be answered unless it crossed the close. An endpoint answers half of its requests with 422 and no signature: no item may be abandoned for that.

--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -30,6 +30,11 @@
 	if random.IntN(2) == 0 {
 		s.replaceEndpoints(inj)
 	}
+	random = rand.New(rand.NewPCG(seed, 5))
+	inj = &injection{at: injectionWindow, duration: grace, n: random.IntN(1 << 20)}
+	if random.IntN(2) == 0 {
+		s.callWhileStopping(inj)
+	}
 }
 
 // replaceEndpoints silences all connections to the store, and later, when all VMs are in touch again, replaces endpoints whose
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -61,6 +61,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	for _, apply := range []func(*injection){
 		s.limitEndpoint, s.repeatCrashingRequest, s.mixSoftware, s.repeatAnswers, s.killUnframed, s.nestRoute, s.removeRoute,
+		s.sendUnsignedVerdicts,
 	} {
 		inj := &injection{
 			at: time.Duration(random.Int64N(int64(injectionWindow / 2))), duration: faultDurationSpan, n: random.IntN(1 << 20),
@@ -155,6 +156,21 @@
 	e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoEndpointFault })
 }
 
+// sendUnsignedVerdicts makes an endpoint answer half of its requests by bytes that say they can never be done and are not signed.
+func (s *soak) sendUnsignedVerdicts(inj *injection) {
+	e := s.fleet.addEndpoint(note.service, func(e *standin.Endpoint) {
+		e.SetFault(func(n int, _ *http.Request) standin.EndpointFault {
+			if n%2 == 0 {
+				return standin.UnsignedVerdict
+			}
+			return standin.NoEndpointFault
+		})
+	})
+	s.recordInjection(inj, "unsigned verdicts from "+e.ID)
+	time.Sleep(inj.duration)
+	e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoEndpointFault })
+}
+
 // killUnframed kills an endpoint whose streams have neither a length nor chunks.
 func (s *soak) killUnframed(inj *injection) {
 	e := s.fleet.addEndpoint(note.service, func(e *standin.Endpoint) { e.IsUnframed, e.Step = true, slowStep })
