--- a/pkg/relayer/end_test.go
+++ b/pkg/relayer/end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -25,9 +26,10 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
 )
 
-// hookedIsolator calls onCheck before a request is placed.
+// hookedIsolator calls onCheck before a request is placed, and onOutlived, if it is set, with the events that a stream outlived.
 type hookedIsolator struct {
-	onCheck func()
+	onCheck    func()
+	onOutlived func(events int)
 }
 
 func (i hookedIsolator) Check([]string) quarantiner.Verdict {
@@ -41,7 +43,11 @@
 
 func (hookedIsolator) BrokeOff(registrar.Endpoint, []string, quarantiner.Strike) {}
 
-func (hookedIsolator) Outlived([]string, int) {}
+func (i hookedIsolator) Outlived(_ []string, events int) {
+	if i.onOutlived != nil {
+		i.onOutlived(events)
+	}
+}
 
 // allWhole takes all answers for whole.
 type allWhole struct{}
@@ -95,9 +101,9 @@
 func TestUnsentRequestIsRefusedAtTheEndOfAStop(t *testing.T) {
 	var requests atomic.Int64
 	i := &hookedIsolator{onCheck: func() {}}
-	l, route := newTestRelayer(t, i, func(w http.ResponseWriter, _ *http.Request) {
+	l, route := newTestRelayer(t, i, func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
-		w.Header().Set("X-Id", "r1")
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		w.Header().Set("X-Signed", "yes")
 	})
 	w := httptest.NewRecorder()
@@ -109,12 +115,35 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	w = httptest.NewRecorder()
-	l.Serve(w, newTestRequest(t), route)
+	// A connection carries each id once, so only another one goes to the kept connection.
+	next := newTestRequest(t)
+	next.Header.Set("X-Id", "r2")
+	l.Serve(w, next, route)
 	assert.Equal(t, http.StatusServiceUnavailable, w.Code, w.Body)
 	assert.NotEmpty(t, w.Header().Get("Retry-After"))
 	assert.EqualValues(t, 1, requests.Load())
 }
 
+// TestStreamThatGoesOnSpeaksForItsParts has an endpoint send events for over a second. It guards against streams of which only
+// the completion refutes the ends of endpoints under others.
+func TestStreamThatGoesOnSpeaksForItsParts(t *testing.T) {
+	var outlived []int
+	i := hookedIsolator{onCheck: func() {}, onOutlived: func(events int) { outlived = append(outlived, events) }}
+	l, route := newTestRelayer(t, i, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Id", "r1")
+		w.Header().Set("X-Signed", "yes")
+		for n := range 6 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: a\n\n", n)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(quarantiner.SoundTime/2 + 20*time.Millisecond)
+		}
+	})
+	w := httptest.NewRecorder()
+	l.Serve(w, newTestRequest(t), route)
+	require.Equal(t, http.StatusOK, w.Code)
+	assert.Equal(t, []int{1, 3}, outlived, "the numbers of events that the stream outlived")
+}
+
 // TestBegunStreamOutlastsTheEndOfUnansweredRequests ends the unanswered requests between two events of a stream.
 func TestBegunStreamOutlastsTheEndOfUnansweredRequests(t *testing.T) {
 	sendLast := make(chan struct{})
