A job whose body is incomplete at the end of a stop is refused with 503, however long it has come

What callers saw: a submission whose body had come for over 4 s was answered with 400 at the end of a stop, after which callers don't send it again.

Cause: the call's context had ended by its own limit, so its cause was not the stop. Now the deadline of the read tells it.

Evidence: TestPlannedStopAnswersCallsAboutJobs has a case for it, which failed before ('[]int{503} does not contain 400').

--- a/pkg/assembler/gateway_stop_jobs_test.go
+++ b/pkg/assembler/gateway_stop_jobs_test.go
@@ -30,19 +30,24 @@
 	cases := []struct {
 		name, method, path, body string
 		isPartial                bool
+		grace                    time.Duration
 		statuses                 []int
 	}{
-		{"a submission", http.MethodPost, "/batch/1", string(submission), false, []int{503, 504}},
-		{"a submission whose body comes slowly", http.MethodPost, "/batch/1", string(submission), true, []int{503}},
-		{"a read", http.MethodGet, "/lots/" + job + "?after=0", "", false, []int{503}},
-		{"a body", http.MethodGet, "/items/unknown?id=i", "", false, []int{503}},
-		{"an end", http.MethodDelete, "/lots/" + job, "", false, []int{503, 504}},
+		{"a submission", http.MethodPost, "/batch/1", string(submission), false, 3 * time.Second, []int{503, 504}},
+		{"a submission whose body comes slowly", http.MethodPost, "/batch/1", string(submission), true, 3 * time.Second, []int{503}},
+		{
+			"a body that comes for longer than a call may take", http.MethodPost, "/batch/1", string(submission), true, 6 * time.Second,
+			[]int{503},
+		},
+		{"a read", http.MethodGet, "/lots/" + job + "?after=0", "", false, 3 * time.Second, []int{503}},
+		{"a body", http.MethodGet, "/items/unknown?id=i", "", false, 3 * time.Second, []int{503}},
+		{"an end", http.MethodDelete, "/lots/" + job, "", false, 3 * time.Second, []int{503, 504}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, 0)
-			f.grace = 3 * time.Second
+			f.grace = c.grace
 			f.addVM()
 			f.endpoint("i-llm-1").Step, f.endpoint("i-llm-2").Step = time.Minute, time.Minute
 			require.Equal(t, http.StatusAccepted, f.submit(f.vms[0], job, newItems(2)).status)
--- a/pkg/jobmanager/owner.go
+++ b/pkg/jobmanager/owner.go
@@ -106,7 +106,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
 		if _, err := relayer.ReadBody(w, r, m.registry().Config.Limits.BodyBytes); err != nil {
-			m.refuseBody(w, r, job.ID, err)
+			m.refuseBody(w, job.ID, err)
 			return
 		}
 		m.answerSubmit(w, job, http.StatusAccepted, nil, start)
--- a/pkg/jobmanager/submit.go
+++ b/pkg/jobmanager/submit.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,7 +57,7 @@
 	id := m.codec.JobID(r)
 	body, err := relayer.ReadBody(w, r, cfg.Limits.BodyBytes)
 	if err != nil {
-		m.refuseBody(w, r, id, err)
+		m.refuseBody(w, id, err)
 		return
 	}
 	items, err := m.codec.Items(body)
@@ -73,8 +74,9 @@
 }
 
 // refuseBody answers a job whose body could not be read for err; nothing of it was stored.
-func (m *Manager) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
-	if errors.Is(context.Cause(r.Context()), relayer.ErrStopping) {
+func (m *Manager) refuseBody(w http.ResponseWriter, id string, err error) {
+	// Only the end of this VM's stop sets a deadline for a body.
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		m.log.WithField("job", id).Info("job refused: its body was incomplete at the end of this VM's stop")
 		relayer.WriteRefusal(w, http.StatusServiceUnavailable, 0, relayer.ErrStopping.Error())
 		return
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -249,7 +249,7 @@
 }
 
 // serveJobCall serves a call about a job within maxJobCall, and at the latest when the VM answers what is unanswered at the end
-// of its stop. The call's context and the read of its body end then, with relayer.ErrStopping as the context's cause.
+// of its stop. The call's context ends then, and at the end of the stop the read of its body, by a deadline.
 func (l *Listener) serveJobCall(w http.ResponseWriter, r *http.Request, serve http.HandlerFunc) {
 	ctx, cancel := context.WithTimeout(r.Context(), maxJobCall)
 	defer cancel()
