Publish a registry only when something in it differs

Cause: each update of the endpoints' table, each reply of a peer and each configuration built a registry of all endpoints and defined all groups of endpoints anew, also for rows whose changes no decision reads. At 3,003 endpoints this costs a small VM much of its processor.

Change: the watcher publishes only if an endpoint (other than the version of its row), the configuration, a passed endpoint or a gap is new. A registry with only another configuration shares the endpoints' index, which the balancer and the resumer then skip. The balancer defines only the groups whose endpoints differ. Lists of endpoints are allocated at their size.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -46,8 +46,10 @@
 	groups     map[string][]*group
 	byGroup    map[assigner.GroupKey]*group
 	byEndpoint map[placer.Key]*group
-	nextID     uint64
-	sequence   uint64
+	// registry is the one whose endpoints are in use.
+	registry *registrar.Registry
+	nextID   uint64
+	sequence uint64
 	// asks holds the questions to other VMs that wait for a reply, by number.
 	asks map[uint64]*ask
 	// waiting holds the due times of the batch items that wait at this VM, the soonest first, by service.
@@ -241,6 +243,11 @@
 func (b *Balancer) Configure(r *registrar.Registry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer notify(b.slotsChanged)
+	if r.HasEndpointsOf(b.registry) {
+		return
+	}
+	b.registry = r
 	known := make(map[placer.Key]bool, len(r.Endpoints))
 	for id := range r.Endpoints {
 		known[placer.KeyOf(id)] = true
@@ -257,18 +264,19 @@
 				g.isDirty = true
 				notify(b.changed)
 			}
-			g.define(def)
-			if g.host != nil {
-				g.host.Handle(time.Now(), assigner.Configured{Endpoints: g.Endpoints})
+			if !ok || !slices.Equal(g.Endpoints, def.Endpoints) {
+				g.define(def)
+				if g.host != nil {
+					g.host.Handle(time.Now(), assigner.Configured{Endpoints: g.Endpoints})
+				}
 			}
 			b.groups[service] = append(b.groups[service], g)
 			b.byGroup[g.key] = g
-			for _, e := range g.Endpoints {
-				b.byEndpoint[placer.KeyOf(e.ID)] = g
+			for k := range g.endpoints {
+				b.byEndpoint[k] = g
 			}
 		}
 	}
-	notify(b.slotsChanged)
 }
 
 // notify signals the channel unless a signal is pending already.
--- a/pkg/core/assigner/group.go
+++ b/pkg/core/assigner/group.go
@@ -31,7 +31,15 @@
 // GroupsOf divides the endpoints of one service into groups; regions holds the region of each availability zone. VMs that know
 // the same endpoints form the same groups.
 func GroupsOf(service string, endpoints []registrar.Endpoint, regions map[string]string) []Group {
-	byRegion := map[string][]registrar.Endpoint{}
+	// Sizes are counted first: endpoints are large values, and growing lists of thousands would copy them several times.
+	counts := map[string]int{}
+	for _, e := range endpoints {
+		counts[regions[e.AvailabilityZone]]++
+	}
+	byRegion := make(map[string][]registrar.Endpoint, len(counts))
+	for region, n := range counts {
+		byRegion[region] = make([]registrar.Endpoint, 0, n)
+	}
 	for _, e := range endpoints {
 		region := regions[e.AvailabilityZone]
 		byRegion[region] = append(byRegion[region], e)
@@ -51,10 +59,17 @@
 	for n*maxGroupEndpoints < len(endpoints) {
 		n *= 2
 	}
-	lists := make([][]registrar.Endpoint, n)
-	for _, e := range endpoints {
-		i := int(xxhash.Sum64String(e.ID) % uint64(n))
-		lists[i] = append(lists[i], e)
+	lists, counts, places := make([][]registrar.Endpoint, n), make([]int, n), make([]int, len(endpoints))
+	for i, e := range endpoints {
+		places[i] = int(xxhash.Sum64String(e.ID) % uint64(n))
+		counts[places[i]]++
+	}
+	for i, e := range endpoints {
+		at := places[i]
+		if lists[at] == nil {
+			lists[at] = make([]registrar.Endpoint, 0, counts[at])
+		}
+		lists[at] = append(lists[at], e)
 	}
 	var groups []Group
 	for i, list := range lists {
--- a/pkg/core/registrar/endpoint.go
+++ b/pkg/core/registrar/endpoint.go
@@ -54,6 +54,12 @@
 	Passed []Endpoint
 	// HasGap says that other endpoints may have come and gone unseen before this registry.
 	HasGap bool
+	// index is shared by the snapshots that have the same endpoints.
+	index *endpointIndex
+}
+
+// endpointIndex holds what is derived from a snapshot's endpoints.
+type endpointIndex struct {
 	// byService holds the endpoints of each service that are not draining.
 	byService map[string][]Endpoint
 	// software holds the software versions of these endpoints in ascending order, by service.
@@ -62,27 +68,49 @@
 
 // NewRegistry returns a snapshot; cfg is nil while no configuration is known.
 func NewRegistry(cfg *Config, endpoints map[string]Endpoint) *Registry {
-	r := &Registry{Config: cfg, Endpoints: endpoints, byService: map[string][]Endpoint{}, software: map[string][]Software{}}
+	x := &endpointIndex{byService: map[string][]Endpoint{}, software: map[string][]Software{}}
+	counts := map[string]int{}
+	for _, e := range endpoints {
+		counts[e.Service]++
+	}
+	type version struct{ service, software string }
+	seen := map[version]bool{}
 	for _, e := range endpoints {
 		if e.IsDraining {
 			continue
 		}
-		r.byService[e.Service] = append(r.byService[e.Service], e)
-		list := r.software[e.Service]
-		if i, ok := slices.BinarySearch(list, e.Software()); !ok {
-			r.software[e.Service] = slices.Insert(list, i, e.Software())
+		if x.byService[e.Service] == nil {
+			x.byService[e.Service] = make([]Endpoint, 0, counts[e.Service])
+		}
+		x.byService[e.Service] = append(x.byService[e.Service], e)
+		if v := (version{e.Service, e.SoftwareVersion}); !seen[v] {
+			seen[v] = true
+			list := x.software[e.Service]
+			if i, ok := slices.BinarySearch(list, e.Software()); !ok {
+				x.software[e.Service] = slices.Insert(list, i, e.Software())
+			}
 		}
 	}
-	return r
+	return &Registry{Config: cfg, Endpoints: endpoints, index: x}
+}
+
+// WithConfig returns a snapshot of the same endpoints with another configuration.
+func (r *Registry) WithConfig(cfg *Config) *Registry {
+	return &Registry{Config: cfg, Endpoints: r.Endpoints, index: r.index}
+}
+
+// HasEndpointsOf reports whether the snapshot shares its endpoints with the other one, which may be nil.
+func (r *Registry) HasEndpointsOf(other *Registry) bool {
+	return other != nil && r.index == other.index
 }
 
 // SoftwareOf returns the software versions of the service's endpoints that are not draining, in ascending order; the caller
 // must not change the list.
-func (r *Registry) SoftwareOf(service string) []Software { return r.software[service] }
+func (r *Registry) SoftwareOf(service string) []Software { return r.index.software[service] }
 
 // IsMixed reports whether endpoints of several software versions of a service accept requests.
 func (r *Registry) IsMixed() bool {
-	for _, list := range r.software {
+	for _, list := range r.index.software {
 		if len(list) > 1 {
 			return true
 		}
@@ -92,11 +120,11 @@
 
 // EndpointsOf returns the service's endpoints that are not draining; the caller must not change the list.
 func (r *Registry) EndpointsOf(service string) []Endpoint {
-	return r.byService[service]
+	return r.index.byService[service]
 }
 
 // Services returns the names of the services that have endpoints which are not draining.
-func (r *Registry) Services() []string { return slices.Sorted(maps.Keys(r.byService)) }
+func (r *Registry) Services() []string { return slices.Sorted(maps.Keys(r.index.byService)) }
 
 // IsUsable reports whether requests may still be sent to this incarnation of the endpoint.
 func (r *Registry) IsUsable(e Endpoint) bool {
--- a/pkg/resumer/resumer.go
+++ b/pkg/resumer/resumer.go
@@ -60,8 +60,9 @@
 	mu      sync.Mutex
 	history *continuer.History
 	ledger  *continuer.Ledger
-	// software holds the software version of each known endpoint, by id.
+	// software holds the software version of each endpoint of observed, the last registry, by id.
 	software map[string]registrar.Software
+	observed *registrar.Registry
 	// isMixed says that several software versions of a service may have begun streams.
 	isMixed bool
 	lastAsk uint64
@@ -117,6 +118,10 @@
 // lock is held.
 func (r *Resumer) observeEndpoints(reg *registrar.Registry) []continuer.Beginning {
 	var doubtful []continuer.Beginning
+	if reg.HasEndpointsOf(r.observed) {
+		return nil
+	}
+	r.observed = reg
 	software := make(map[string]registrar.Software, len(reg.Endpoints))
 	for id, e := range reg.Endpoints {
 		software[id] = e.Software()
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -43,9 +43,10 @@
 	rows map[string]endpointRow
 	// leaving holds the endpoints that said in an answer that they leave.
 	leaving registrar.Leaving
-	// passed and hasGap are those of the next registry.
+	// passed and hasGap are those of the next registry; isChanged says that its endpoints differ from those of the current one.
 	passed       []registrar.Endpoint
 	hasGap       bool
+	isChanged    bool
 	configRow    storer.Entry
 	configSource registrar.ConfigRow
 	cfg          *registrar.Config
@@ -212,11 +213,10 @@
 		w.applyOldEndpoint(e)
 		return
 	}
-	if old.isUsable && !old.endpoint.IsDraining {
-		w.passed = append(w.passed, old.endpoint)
-	}
 	log := w.log.WithFields(logrus.Fields{"endpoint": e.Key, "row": e.Version})
 	if e.IsRemoved {
+		w.pass(old)
+		w.isChanged = w.isChanged || old.isUsable
 		row := endpointRow{entry: e}
 		if now.Before(keepUntil) && old.isUsable {
 			row.endpoint, row.isUsable, row.expires = old.endpoint, true, keepUntil
@@ -229,9 +229,15 @@
 	endpoint, err := w.decoder.Endpoint(e.Key, e.Value, e.Version)
 	if err != nil {
 		log.WithError(err).Warn("endpoint row can't be decoded; no requests are sent to this endpoint")
+		w.pass(old)
+		w.isChanged = w.isChanged || old.isUsable
 		w.rows[e.Key] = endpointRow{entry: e}
 		return
 	}
+	if !old.isUsable || !isSame(endpoint, old.endpoint) {
+		w.pass(old)
+		w.isChanged = true
+	}
 	if endpoint.IsDraining != old.endpoint.IsDraining || !old.isUsable || endpoint.StartedAtMs != old.endpoint.StartedAtMs {
 		log.WithFields(logrus.Fields{
 			"service": endpoint.Service, "address": endpoint.Address.String(), "isDraining": endpoint.IsDraining,
@@ -240,6 +246,19 @@
 	w.rows[e.Key] = endpointRow{entry: e, endpoint: endpoint, isUsable: true}
 }
 
+// isSame reports whether the endpoints differ in the versions of their rows at most.
+func isSame(a, b registrar.Endpoint) bool {
+	a.Version = b.Version
+	return a == b
+}
+
+// pass records that the row's endpoint was replaced or removed; the lock is held.
+func (w *Watcher) pass(old endpointRow) {
+	if old.isUsable && !old.endpoint.IsDraining {
+		w.passed = append(w.passed, old.endpoint)
+	}
+}
+
 // applyOldEndpoint records an endpoint that was replaced by a row which arrived sooner, from a peer; the lock is held.
 func (w *Watcher) applyOldEndpoint(e storer.Entry) {
 	if e.IsRemoved || e.Version == w.rows[e.Key].entry.Version {
@@ -259,6 +278,7 @@
 		return false
 	}
 	w.log.WithField("endpoint", key).Info("endpoint said that it leaves; no further requests are sent to it")
+	w.isChanged = true
 	w.publish()
 	return true
 }
@@ -289,23 +309,34 @@
 		if !row.expires.IsZero() && !now.Before(row.expires) {
 			row.isUsable, row.expires = false, time.Time{}
 			w.rows[id] = row
+			w.isChanged = true
 		}
 	}
 	w.scheduleExpiry(now)
 	w.publish()
 }
 
-// publish builds a new registry from the usable rows and passes it to onChange; the lock is held.
+// publish passes a new registry to onChange if it differs from the current one; the lock is held.
+//
+// A registry of thousands of endpoints is costly to build and to take over, and most updates of a row change nothing in it, for
+// instance while an endpoint's start proceeds.
 func (w *Watcher) publish() {
-	endpoints := make(map[string]registrar.Endpoint, len(w.rows))
-	for id, row := range w.rows {
-		if row.isUsable {
-			endpoints[id] = w.leaving.Apply(row.endpoint)
+	current := w.current.Load()
+	if !w.isChanged && len(w.passed) == 0 && !w.hasGap && current.Config == w.cfg {
+		return
+	}
+	r := current.WithConfig(w.cfg)
+	if w.isChanged {
+		endpoints := make(map[string]registrar.Endpoint, len(w.rows))
+		for id, row := range w.rows {
+			if row.isUsable {
+				endpoints[id] = w.leaving.Apply(row.endpoint)
+			}
 		}
+		r = registrar.NewRegistry(w.cfg, endpoints)
 	}
-	r := registrar.NewRegistry(w.cfg, endpoints)
 	r.ConfigRow, r.Passed, r.HasGap = w.configSource, w.passed, w.hasGap
-	w.passed, w.hasGap = nil, false
+	w.passed, w.hasGap, w.isChanged = nil, false, false
 	w.current.Store(r)
 	w.onChange(r)
 }
