Fetch a late configuration alone, and only new rows in an outage

A VM that had lost the store fetched all rows twice a second.

Change: a new call, News, brings the configuration's row alone, or what is newer than the VM's own feed and earlier replies brought, compressed. The configuration is asked for in a goroutine of its own, from a near peer first if the announcer is far. A peer of an earlier build, which does not know the call, is asked for all rows as before.

--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -179,6 +179,14 @@
 	return m.Address, ok
 }
 
+// IsNear reports whether the VM is known to be in the region of this one.
+func (g *Gossiper) IsNear(vm string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.states[vm]
+	return ok && m.Region == g.cfg.Region
+}
+
 // applyTable applies an update of the table of VMs, and signals if this VM's row is missing.
 func (g *Gossiper) applyTable(u watcher.Update) {
 	now := time.Now()
--- a/pkg/peersyncer/service.go
+++ b/pkg/peersyncer/service.go
@@ -6,48 +6,71 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/emptypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
 const (
 	// serviceName is part of the protocol between VMs, also of different builds.
 	serviceName = "dogwoodledge.Informer"
-	rowsMethod  = "Rows"
+	// rowsMethod returns all rows, for builds that don't know newsMethod.
+	rowsMethod = "Rows"
+	newsMethod = "News"
 )
 
-// rowMessage is the wire format of a table row: an array of the fields in this order.
-type rowMessage struct {
-	_ struct{} `cbor:",toarray"`
-
-	Table, Key string
-	Value      []byte
-	Version    int64
-	IsRemoved  bool
-}
-
 // Server serves the rows of its sources to other VMs.
 type Server struct {
+	watcher *watcher.Watcher
+	// sources holds the watcher, too.
 	sources []Source
 }
 
-// serviceDesc returns the gRPC service description. The request is empty and the reply is opaque bytes, so that no generated
-// code is needed.
+// serviceDesc returns the gRPC service description. Requests are empty or opaque bytes and replies opaque bytes, so that no
+// generated code is needed.
 func serviceDesc() *grpc.ServiceDesc {
 	return &grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*any)(nil),
-		Methods: []grpc.MethodDesc{{
-			MethodName: rowsMethod,
-			Handler: func(srv any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-				if err := decode(&emptypb.Empty{}); err != nil {
-					return nil, err
-				}
-				return srv.(*Server).rows()
+		Methods: []grpc.MethodDesc{
+			{
+				MethodName: rowsMethod,
+				Handler: func(srv any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+					if err := decode(&emptypb.Empty{}); err != nil {
+						return nil, err
+					}
+					return srv.(*Server).rows()
+				},
 			},
-		}},
+			method(newsMethod, (*Server).news),
+		},
+	}
+}
+
+// method returns the description of a method whose request and reply are compressed messages.
+func method[Q, R any](name string, serve func(*Server, context.Context, Q) (R, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			raw := &wrapperspb.BytesValue{}
+			if err := decode(raw); err != nil {
+				return nil, err
+			}
+			var q Q
+			if err := decodeMessage(raw.GetValue(), &q); err != nil {
+				return nil, status.Error(codes.InvalidArgument, err.Error())
+			}
+			r, err := serve(srv.(*Server), ctx, q)
+			if err != nil {
+				return nil, err
+			}
+			b, err := encodeMessage(r)
+			return wrapperspb.Bytes(b), err
+		},
 	}
 }
 
@@ -56,26 +79,27 @@
 	for _, source := range s.sources {
 		entries = append(entries, source.Rows()...)
 	}
-	rows := make([]rowMessage, 0, len(entries))
-	for _, e := range entries {
-		rows = append(rows, rowMessage{
-			Table: e.Table, Key: e.Key, Value: e.Value, Version: e.Version, IsRemoved: e.IsRemoved,
-		})
-	}
-	b, err := cbor.Marshal(rows)
+	b, err := cbor.Marshal(messagesOf(entries))
 	return wrapperspb.Bytes(b), errors.Wrap(err, "encode rows")
 }
 
-func decodeRows(b []byte) ([]storer.Entry, error) {
-	var rows []rowMessage
-	if err := cbor.Unmarshal(b, &rows); err != nil {
-		return nil, errors.Wrap(err, "decode rows")
+// news returns the rows that are newer than those of the VM that asks.
+func (s *Server) news(_ context.Context, q newsRequest) (newsReply, error) {
+	var entries []storer.Entry
+	if e := s.watcher.ConfigEntry(); e.Version > q.ConfigAfter {
+		entries = append(entries, e)
 	}
-	entries := make([]storer.Entry, 0, len(rows))
-	for _, r := range rows {
-		entries = append(entries, storer.Entry{
-			Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version, IsRemoved: r.IsRemoved,
-		})
+	reply := newsReply{}
+	if q.HasRows {
+		c := s.watcher.EndpointsAfter(q.EndpointsAfter)
+		entries = append(entries, c.Entries...)
+		reply.EndpointsVersion = c.Version
+		for _, source := range s.sources {
+			if source != Source(s.watcher) {
+				entries = append(entries, source.Rows()...)
+			}
+		}
 	}
-	return entries, nil
+	reply.Rows = messagesOf(entries)
+	return reply, nil
 }
--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/emptypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
@@ -33,6 +36,8 @@
 	AnyPeer() (netip.AddrPort, bool)
 	// AddressOf returns the address of the VM; false if it is unknown.
 	AddressOf(vm string) (netip.AddrPort, bool)
+	// IsNear reports whether the VM is known to be in the same region.
+	IsNear(vm string) bool
 }
 
 // Source holds rows of the store's tables that peers may need while they can't reach it.
@@ -60,6 +65,16 @@
 	peers   Peers
 	log     logrus.FieldLogger
 	server  *grpc.Server
+	// heardVersion is the version up to which peers sent the changes of the endpoints.
+	heardVersion atomic.Int64
+
+	// Counters can be read from any goroutine.
+	Counters Counters
+}
+
+// Counters count the replies of peers in bytes as received, and the rows in them.
+type Counters struct {
+	BytesFetched, RowsFetched atomic.Int64
 }
 
 // New returns a syncer that listens on the address once started; it passes on the rows of the watcher and of the other sources.
@@ -77,9 +92,10 @@
 		return errors.Wrapf(err, "listen for peers on %s", s.address)
 	}
 	s.server = grpc.NewServer()
-	s.server.RegisterService(serviceDesc(), &Server{sources: s.sources})
+	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher, sources: s.sources})
 	go s.runServer(socket)
 	go s.runFetch(ctx)
+	go s.runFetchConfig(ctx)
 	context.AfterFunc(ctx, s.server.Stop)
 	return nil
 }
@@ -104,50 +120,79 @@
 	}
 }
 
-func (s *Syncer) runFetch(ctx context.Context) {
-	tick := time.NewTicker(fetchInterval)
-	defer tick.Stop()
+// runFetchConfig fetches newer configurations, beside the fetches of other rows: a configuration never waits for them.
+func (s *Syncer) runFetchConfig(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case n := <-s.newer:
 			s.fetchNewer(ctx, n)
-		case <-tick.C:
-			if s.watcher.IsLost() {
-				s.fetchFromAnyPeer(ctx)
-			}
 		}
 	}
 }
 
+func (s *Syncer) runFetch(ctx context.Context) {
+	sleeper.Every(ctx, fetchInterval, func(time.Time) {
+		if s.watcher.IsLost() {
+			s.fetchFromAnyPeer(ctx)
+			return
+		}
+		// The own feed brings all later changes again.
+		s.heardVersion.Store(0)
+	})
+}
+
 func (s *Syncer) fetchNewer(ctx context.Context, n newerConfig) {
 	if !sleeper.Sleep(ctx, watchLead) {
 		return
 	}
 	known := s.watcher.Current().ConfigRow.Version
-	peer, ok := s.peers.AddressOf(n.vm)
-	if n.row <= known || !ok {
+	if n.row <= known {
 		return
 	}
 	log := s.log.WithFields(logrus.Fields{"peer": n.vm, "row": n.row, "knownRow": known})
-	log.Warn("peer has a newer configuration, and the store's feed has not brought it; fetching it from the peer")
-	if err := s.fetch(ctx, peer); err != nil {
-		log.WithError(err).Info("peer did not send its rows")
+	log.Warn("peer has a newer configuration, and the store's feed has not brought it; fetching it from a peer")
+	for _, peer := range s.configPeers(n.vm) {
+		if err := s.fetch(ctx, peer, newsRequest{ConfigAfter: known}); err != nil {
+			log.WithError(err).WithField("address", peer.String()).Info("peer did not send its configuration")
+		}
+		if s.watcher.Current().ConfigRow.Version > known {
+			return
+		}
 	}
 }
 
+// configPeers returns the peers to ask for the configuration that the VM announced: if it is far, a near one first, which most
+// often has it by then.
+func (s *Syncer) configPeers(vm string) []netip.AddrPort {
+	var peers []netip.AddrPort
+	announcer, isKnown := s.peers.AddressOf(vm)
+	if near, ok := s.peers.AnyPeer(); ok && near != announcer && !s.peers.IsNear(vm) {
+		peers = append(peers, near)
+	}
+	if isKnown {
+		peers = append(peers, announcer)
+	}
+	return peers
+}
+
 func (s *Syncer) fetchFromAnyPeer(ctx context.Context) {
 	peer, ok := s.peers.AnyPeer()
 	if !ok {
 		return
 	}
-	if err := s.fetch(ctx, peer); err != nil {
+	q := newsRequest{
+		ConfigAfter: s.watcher.Current().ConfigRow.Version, HasRows: true,
+		EndpointsAfter: max(s.heardVersion.Load(), s.watcher.EndpointsVersion()),
+	}
+	if err := s.fetch(ctx, peer, q); err != nil {
 		s.log.WithError(err).WithField("peer", peer.String()).Info("peer did not send its rows; asking a peer again in 500 ms")
 	}
 }
 
-func (s *Syncer) fetch(ctx context.Context, peer netip.AddrPort) error {
+// fetch asks the peer for news and applies them. A peer of a build without this call sends all rows.
+func (s *Syncer) fetch(ctx context.Context, peer netip.AddrPort, q newsRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	conn, err := grpc.NewClient(peer.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -155,16 +200,52 @@
 		return errors.Wrap(err, "create gRPC client")
 	}
 	defer func() { _ = conn.Close() }()
+	reply := newsReply{}
+	err = s.invoke(ctx, conn, newsMethod, q, &reply)
+	if status.Code(err) == codes.Unimplemented {
+		return s.fetchAll(ctx, conn)
+	}
+	if err != nil {
+		return err
+	}
+	s.apply(entriesOf(reply.Rows))
+	if q.HasRows {
+		s.heardVersion.Store(max(s.heardVersion.Load(), reply.EndpointsVersion))
+	}
+	return nil
+}
+
+func (s *Syncer) fetchAll(ctx context.Context, conn *grpc.ClientConn) error {
 	reply := &wrapperspb.BytesValue{}
 	if err := conn.Invoke(ctx, "/"+serviceName+"/"+rowsMethod, &emptypb.Empty{}, reply); err != nil {
 		return err
 	}
+	s.Counters.BytesFetched.Add(int64(len(reply.GetValue())))
 	entries, err := decodeRows(reply.GetValue())
 	if err != nil {
 		return err
 	}
+	s.apply(entries)
+	return nil
+}
+
+// invoke calls a method whose request and reply are compressed messages.
+func (s *Syncer) invoke(ctx context.Context, conn *grpc.ClientConn, method string, request, reply any) error {
+	b, err := encodeMessage(request)
+	if err != nil {
+		return err
+	}
+	answer := &wrapperspb.BytesValue{}
+	if err := conn.Invoke(ctx, "/"+serviceName+"/"+method, wrapperspb.Bytes(b), answer); err != nil {
+		return err
+	}
+	s.Counters.BytesFetched.Add(int64(len(answer.GetValue())))
+	return decodeMessage(answer.GetValue(), reply)
+}
+
+func (s *Syncer) apply(entries []storer.Entry) {
+	s.Counters.RowsFetched.Add(int64(len(entries)))
 	for _, source := range s.sources {
 		source.ApplyPeerRows(entries)
 	}
-	return nil
 }
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -44,12 +44,14 @@
 	// leaving holds the endpoints that said in an answer that they leave.
 	leaving registrar.Leaving
 	// passed and hasGap are those of the next registry; isChanged says that its endpoints differ from those of the current one.
-	passed       []registrar.Endpoint
-	hasGap       bool
-	isChanged    bool
-	configRow    storer.Entry
-	configSource registrar.ConfigRow
-	cfg          *registrar.Config
+	passed    []registrar.Endpoint
+	hasGap    bool
+	isChanged bool
+	// endpointsVersion is the store's version up to which rows holds all changes.
+	endpointsVersion int64
+	configRow        storer.Entry
+	configSource     registrar.ConfigRow
+	cfg              *registrar.Config
 	// expiry runs expire when the first of the rows expires.
 	expiry *time.Timer
 }
@@ -96,6 +98,42 @@
 // IsLost reports whether the last calls to the store failed for either table.
 func (w *Watcher) IsLost() bool { return w.config.IsLost() || w.endpoints.IsLost() }
 
+// ConfigEntry returns the row of the active configuration; its version is 0 while there is none.
+func (w *Watcher) ConfigEntry() storer.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.configRow
+}
+
+// EndpointsVersion returns the store's version up to which the feed has brought all changes of the endpoints.
+func (w *Watcher) EndpointsVersion() int64 { return w.endpoints.Version() }
+
+// EndpointChanges holds rows of endpoints for another VM.
+type EndpointChanges struct {
+	Entries []storer.Entry
+	// Version is the version up to which the changes are complete.
+	Version int64
+}
+
+// EndpointsAfter returns the rows of endpoints, including removed ones, whose versions are later. Those of endpoints that are
+// kept around an outage are left out, and the changes are complete only up to the first of these.
+func (w *Watcher) EndpointsAfter(after int64) EndpointChanges {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := EndpointChanges{Version: w.endpointsVersion}
+	for id, row := range w.rows {
+		switch {
+		case !row.expires.IsZero():
+			c.Version = min(c.Version, row.entry.Version-1)
+		case row.entry.Version > after:
+			e := row.entry
+			e.Table, e.Key = w.decoder.EndpointTable, id
+			c.Entries = append(c.Entries, e)
+		}
+	}
+	return c
+}
+
 // Rows returns the newest known rows of both tables, including removed ones, but for those of endpoints that are kept around an
 // outage: a peer keeps what it knows of these.
 func (w *Watcher) Rows() []storer.Entry {
@@ -185,6 +223,9 @@
 		keepUntil = u.StoreBackAt.Add(outageGrace)
 	}
 	w.hasGap = w.hasGap || u.IsFull
+	if u.Version > w.endpointsVersion || u.IsFull {
+		w.endpointsVersion = u.Version
+	}
 	listed := map[string]bool{}
 	for _, e := range u.Entries {
 		listed[e.Key] = true
