Accounts: keys, strict revocation, jobs and waiting tokens of accounts

Cause: the platform's configuration can list accounts with keys; the daemon relayed every request and passed keys on to endpoints.

Change: - platform decodes accounts and public routes, one by one, so that an odd account keeps no other back. - core/authenticator decides by the key's digest; admitter carries the decision, checks it again before each send, logs and counts. - Endpoints get the account's name instead of the caller's headers, in each attempt, resumed stream and batch item. Items are cleaned before they are stored, and again before they are sent. - The configuration's feed knows as of when its rows are proven by the store (CLOCK_BOOTTIME and the store's clock). With strictRevoke, a VM whose knowledge is too old refuses all keys with 503. - Jobs belong to accounts (404 for calls, 409 for submissions). The account is also kept in a row that earlier builds don't rewrite. - Waiting tokens count by account and route.

The drawn test showed that the bound computed from whole milliseconds of the store's clock was up to 1 ms too late, and that drift was counted from the reading of an answer; both are corrected.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -15,8 +15,11 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/admitter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/clocker"
 	"github.com/dogwoodledge/dogwoodledge/pkg/confirmer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/drainer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -81,6 +84,7 @@
 	Prober     *prober.Prober
 	Pool       *dialer.Pool
 	Isolator   *isolator.Isolator
+	Admitter   *admitter.Admitter
 	Resumer    *resumer.Resumer
 	JobManager *jobmanager.Manager
 	ItemRunner *itemrunner.Runner
@@ -105,7 +109,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newRelayer,
+			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newAdmitter,
+			newRelayer,
 			newJobManager, newItemRunner, newListener,
 		),
 		fx.Invoke(runGateway),
@@ -215,11 +220,25 @@
 	return resumer.New(s.VM.ID, g, t, rank, log)
 }
 
+// revocation returns the policy for revoked keys.
+func revocation(s platform.Settings) authenticator.Policy {
+	return authenticator.Policy{IsStrict: s.IsRevocationStrict, RevokeAfter: s.RevokeAfter}
+}
+
+func newAdmitter(s platform.Settings, w *watcher.Watcher, m *tracer.Meter, log logrus.FieldLogger) *admitter.Admitter {
+	h := platform.Headers()
+	a := admitter.New(
+		admitter.Headers{RequestID: h.RequestID, Credentials: h.Credentials}, revocation(s), w.Current, w.ConfigAsOf, clocker.Now,
+		admitter.Unlimited{}, m, log)
+	w.SetMaxConfigWatch(a.MaxWatch)
+	return a
+}
+
 func newRelayer(
 	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator,
-	c *confirmer.Confirmer, rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
+	c *confirmer.Confirmer, rs *resumer.Resumer, a *admitter.Admitter, m *tracer.Meter, log logrus.FieldLogger,
 ) *relayer.Relayer {
-	return relayer.New(platform.Headers(), w.Current, b, p, i, c, rs, leavingNotifier(w, g), m, log)
+	return relayer.New(platform.Headers(), w.Current, b, p, i, c, rs, a, leavingNotifier(w, g), m, log)
 }
 
 func newJobManager(
@@ -405,6 +424,7 @@
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g.active.Store(&s)
+	g.Admitter.SetPolicy(revocation(s))
 	g.Log.Info("settings reloaded; changed addresses take effect at the next start")
 }
 
--- a/pkg/core/jobrecorder/job.go
+++ b/pkg/core/jobrecorder/job.go
@@ -30,6 +30,9 @@
 	PathPrefix string `json:"routePrefix"`
 	// ConfigVersion is the version of the configuration that was active when the job was accepted.
 	ConfigVersion int64 `json:"config"`
+	// Account is the name of the account that submitted the job; empty if it has none. Earlier builds drop it when they write the
+	// record, so it is also kept in a row of its own.
+	Account string `json:"account,omitempty"`
 	// Tokens holds the token count of each item.
 	Tokens []int64 `json:"tokens"`
 	// ItemRows is the number of rows that hold the items; 0 means that they are in an object.
--- a/pkg/core/registrar/config.go
+++ b/pkg/core/registrar/config.go
@@ -51,8 +51,11 @@
 	DueAfter time.Duration
 	// AbandonAfter is the age of a batch job from which its items may be abandoned.
 	AbandonAfter time.Duration
-	// WaitingTokens bounds the tokens of accepted, unfinished batch items; 0 means no bound.
+	// WaitingTokens bounds the tokens of accepted, unfinished batch items, of each account if the configuration has accounts; 0
+	// means no bound.
 	WaitingTokens int64
+	// IsPublic says that the route's requests need no key.
+	IsPublic bool
 }
 
 // IsIdempotent reports whether a request of the route may run again after an attempt with an unknown outcome.
@@ -116,11 +119,15 @@
 	Limits   Limits
 	// RouteErrors says why routes are unsupported.
 	RouteErrors []error
+	// Accounts holds the accounts that can be used, and AccountErrors says what can't be used of others; see AddAccount.
+	Accounts      []Account
+	AccountErrors []error
 
-	byHost map[string][]Route
+	byHost   map[string][]Route
+	accounts accounts
 }
 
-// Index builds the look-up table by host and returns the configuration.
+// Index builds the look-up tables and returns the configuration.
 func (c *Config) Index() *Config {
 	c.byHost = map[string][]Route{}
 	for _, r := range c.Routes {
@@ -129,6 +136,7 @@
 	for _, routes := range c.byHost {
 		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
+	c.rankAccounts()
 	return c
 }
 
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -223,9 +223,13 @@
 // outgoing returns the request for the item; if events are present, it asks the endpoint to resume after the last one.
 func (r *Runner) outgoing(t *task, run *itemRun) dialer.Request {
 	h := t.item.Header.Clone()
+	hasAccounts := r.registry().Config.HasAccounts()
 	h[r.headers.RequestID] = []string{t.item.ID}
 	h[r.headers.ExpectInstance] = []string{run.endpoint.ID}
 	r.mu.Lock()
+	if hasAccounts || t.job.account != "" {
+		r.headers.SetAccount(h, t.job.account)
+	}
 	if t.run == run {
 		t.sequence.Begin()
 	}
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -81,8 +81,10 @@
 	// host is the Host header of the items' requests; with pathPrefix it identifies the route that accepted the job.
 	host       string
 	pathPrefix string
-	items      []jobmanager.Item
-	tasks      map[int]*task
+	// account is the name of the account that submitted the job; empty if it has none. It is set before the items are.
+	account string
+	items   []jobmanager.Item
+	tasks   map[int]*task
 	// saved holds the saved output of each item that had a checkpoint when the job was last loaded. loaded holds the items that
 	// were this VM's to run since before then: the output of any other may have been saved since.
 	saved     map[int]jobmanager.Checkpoint
@@ -317,10 +319,14 @@
 func (r *Runner) runLoad(ctx context.Context, j *jobState, missing []int) {
 	var items []jobmanager.Item
 	var saved map[int]jobmanager.Checkpoint
+	account := ""
 	err := recoverer.Call(func() (err error) {
 		if items, err = r.manager.Items(ctx, j.id, true); err == nil {
 			saved, err = r.manager.Checkpoints(ctx, j.id)
 		}
+		if err == nil {
+			account, err = r.manager.AccountOf(ctx, j.id)
+		}
 		return err
 	})
 	r.mu.Lock()
@@ -335,7 +341,7 @@
 		r.log.WithError(err).WithField("job", j.id).Warn("items of the job not read; retrying")
 		return
 	}
-	j.items, j.saved, j.loaded = items, saved, map[int]bool{}
+	j.items, j.saved, j.loaded, j.account = items, saved, map[int]bool{}, account
 	for _, i := range missing {
 		j.loaded[i] = true
 	}
--- a/pkg/jobmanager/calls.go
+++ b/pkg/jobmanager/calls.go
@@ -31,6 +31,10 @@
 		relayer.WriteError(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if isKnown, err := m.isKnownTo(r.Context(), call.jobID()); err != nil || !isKnown {
+		m.failCall(w, call.jobID(), isKnown, err)
+		return
+	}
 	switch c := call.(type) {
 	case ReadCall:
 		m.serveRead(w, r, c)
--- a/pkg/jobmanager/linear_test.go
+++ b/pkg/jobmanager/linear_test.go
@@ -273,6 +273,10 @@
 	return items, nil
 }
 
+func (testCodec) WithoutCredentials(body []byte, _ []jobmanager.Item) ([]byte, error) {
+	return body, nil
+}
+
 func (testCodec) Results(_, _ int, results []jobmanager.Result) ([]byte, error) {
 	texts := []string{}
 	for _, r := range results {
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,7 +54,7 @@
 	routes      atomic.Pointer[[]jobRoute]
 	// askedAt is the Unix time in nanoseconds of the last read that mayAsk allowed.
 	askedAt atomic.Int64
-	// admissions holds the admission row of each route by its key.
+	// admissions holds the admission rows of routes, and of accounts on routes, by their keys.
 	admissions map[string]admission
 	// nextChange is closed at the next change of a row, and then replaced.
 	nextChange chan struct{}
@@ -79,6 +78,8 @@
 	isCommitting bool
 	// checkpoints holds the keys of each item's checkpoint rows.
 	checkpoints map[int][]string
+	// hasNoAccount says that the store has no row with an account of the job.
+	hasNoAccount bool
 	// failures holds the total number of failed runs of each item of which this VM had one.
 	failures         map[int]int
 	isSavingFailures bool
@@ -157,38 +158,16 @@
 		m.jobs[e.Key] = old
 		m.countRoute(j, 1)
 	}
+	if j.Account == "" {
+		// An earlier build that wrote the row dropped the account.
+		j.Account = old.job.Account
+	}
 	old.job, old.version = j, e.Version
 	if j.IsComplete() || (j.IsOver() && j.Holder != m.self()) {
 		m.payloads.drop(e.Key)
 	}
 }
 
-// admission is the admission row of a route. Every acceptance of a job on the route updates it by compare-and-swap, so that
-// concurrent acceptances on several VMs can't exceed the route's quota.
-type admission struct {
-	version int64
-	// accepted is the sum of the tokens of all jobs that the route accepted, less those of deleted jobs.
-	accepted int64
-}
-
-// admissionRow is the stored value of an admission.
-type admissionRow struct {
-	Accepted int64 `json:"accepted"`
-}
-
-// applyAdmission updates the cached admission row unless that has this version or a newer one; the caller holds the lock.
-func (m *Manager) applyAdmission(e storer.Entry) {
-	if e.Version <= m.admissions[e.Key].version {
-		return
-	}
-	row := admissionRow{}
-	if err := json.Unmarshal(e.Value, &row); err != nil {
-		m.log.WithError(err).WithField("row", e.Key).Error("could not decode the admission row of a route; ignoring it")
-		return
-	}
-	m.admissions[e.Key] = admission{version: e.Version, accepted: row.Accepted}
-}
-
 // notifyWaiters wakes the calls that wait for a change, and the item runner; the caller holds the lock.
 func (m *Manager) notifyWaiters() {
 	close(m.nextChange)
--- a/pkg/jobmanager/owner.go
+++ b/pkg/jobmanager/owner.go
@@ -109,6 +109,7 @@
 			m.refuseBody(w, job.ID, err)
 			return
 		}
-		m.answerSubmit(w, job, http.StatusAccepted, nil, start)
+		status, err := m.statusOfRepeat(r.Context(), job.ID)
+		m.answerSubmit(w, job, status, err, start)
 	}
 }
--- a/pkg/jobmanager/rows.go
+++ b/pkg/jobmanager/rows.go
@@ -57,6 +57,25 @@
 	return admissionPrefix + strconv.FormatUint(xxhash.Sum64String(host+"\x00"+prefix), 16)
 }
 
+// accountKeyOf returns the key of the admission row of an account on a route.
+func accountKeyOf(host, prefix, account string) string {
+	return admissionPrefix + strconv.FormatUint(xxhash.Sum64String(host+"\x00"+prefix+"\x00"+account), 16)
+}
+
+// accountSuffix ends the key of the row with a job's account in the table of results. It sorts before the first result, so that
+// no build reads it with them, and each deletes it with the job.
+const accountSuffix = "/!account"
+
+// accountRow returns the row with the job's account; none if it has none.
+func accountRow(j jobrecorder.Job) []storer.Entry {
+	if j.Account == "" {
+		return nil
+	}
+	return []storer.Entry{{
+		Table: resultTable, Partition: partitionOf(j.ID), Key: j.ID + accountSuffix, Value: []byte(j.Account),
+	}}
+}
+
 func encodeJob(j jobrecorder.Job) (storer.Entry, error) {
 	value, err := json.Marshal(j)
 	return storer.Entry{Table: jobTable, Partition: partitionOf(j.ID), Key: j.ID, Value: value}, errors.Wrap(err, "encode job")
--- a/pkg/jobmanager/submit.go
+++ b/pkg/jobmanager/submit.go
@@ -1,8 +1,8 @@
 package jobmanager
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/admitter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
@@ -46,9 +47,9 @@
 	return fmt.Sprintf("batch job: %s is %q: %s", e.Field, e.Value, e.Remedy)
 }
 
-// Submit accepts a batch job on the route and answers 202, also when the job was accepted before. It answers 429 if the
-// route's quota is used up, 503 if the store can't be reached, 504 if the outcome of the write is unknown, and 400 or the
-// status of relayer.BodyStatus if the job is invalid.
+// Submit accepts a batch job on the route and answers 202, also when the job was accepted before. It answers 409 if the id is
+// that of another account's job, 429 if the quota of the route, or of the account on it, is used up, 503 if the store can't be
+// reached, 504 if the outcome of the write is unknown, and 400 or the status of relayer.BodyStatus if the job is invalid.
 func (m *Manager) Submit(w http.ResponseWriter, r *http.Request, route registrar.Route) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
@@ -69,6 +70,14 @@
 		return
 	}
 	job := newJob(id, items, route, cfg.Version, start)
+	if adm := admitter.FromContext(ctx); adm != nil && adm.IsGuarded() {
+		if body, err = m.codec.WithoutCredentials(body, items); err != nil {
+			m.refuseJob(w, id, http.StatusBadRequest, err)
+			return
+		}
+		account, _ := adm.Account()
+		job.Account = account.Name
+	}
 	status, err := m.accept(ctx, job, items, body, route)
 	m.answerSubmit(w, job, status, err, start)
 }
@@ -108,6 +117,10 @@
 		relayer.WriteRefusal(w, status, quotaRetryAfter, "too many tokens wait on this route")
 	case http.StatusServiceUnavailable:
 		relayer.WriteRefusal(w, status, m.retryAfter(), "the store can't be reached")
+	case http.StatusConflict:
+		relayer.WriteError(w, status, "another job has this id: choose another one")
+	case http.StatusUnauthorized:
+		relayer.WriteUnauthorized(w, "the key is not valid any more")
 	default:
 		relayer.WriteError(w, status, "nobody knows yet whether the job was taken in: send it again")
 	}
@@ -164,7 +177,7 @@
 	ctx context.Context, job jobrecorder.Job, items []Item, body []byte, route registrar.Route,
 ) (int, error) {
 	if _, ok, _ := m.lookUp(job.ID); ok {
-		return http.StatusAccepted, nil
+		return m.statusOfRepeat(ctx, job.ID)
 	}
 	if m.feed.IsLost() {
 		return http.StatusServiceUnavailable, errStoreLost
@@ -172,10 +185,13 @@
 	rows := encodeItems(job.ID, body, m.cfg.RowBytes)
 	job.ItemRows = len(rows)
 	if len(rows) == 0 {
-		if _, hasRoom := m.admissionFor(job, route); !hasRoom {
+		if known, hasRoom := m.roomFor(job, route); !hasRoom {
+			m.logNoRoom(ctx, job, route, known)
 			return http.StatusTooManyRequests, nil
 		}
-		if err := m.putItems(ctx, job.ID, body); err != nil {
+		if err := m.putItems(ctx, job, body); errors.Is(err, errOtherItems) {
+			return http.StatusConflict, err
+		} else if err != nil {
 			return http.StatusServiceUnavailable, err
 		}
 	}
@@ -183,7 +199,7 @@
 	for {
 		status, err := m.acceptOnce(ctx, job, rows, route)
 		switch {
-		case status == http.StatusAccepted:
+		case status == http.StatusAccepted && err == nil:
 			m.payloads.put(job.ID, items, false)
 			return status, nil
 		case err == nil:
@@ -211,16 +227,26 @@
 	}
 }
 
-// putItems writes the job's items as an object; an existing object is from an earlier attempt.
-func (m *Manager) putItems(ctx context.Context, id string, body []byte) error {
-	err := m.store.PutBlob(ctx, blobName(id), body)
-	exists := (*storer.ExistsError)(nil)
-	if errors.As(err, &exists) {
+// putItems writes the job's items as an object; an existing object is from an earlier attempt. If the job has an account, that
+// attempt may have been another account's, so the object's content must be the same.
+func (m *Manager) putItems(ctx context.Context, job jobrecorder.Job, body []byte) error {
+	err := m.store.PutBlob(ctx, blobName(job.ID), body)
+	if exists := (*storer.ExistsError)(nil); !errors.As(err, &exists) {
+		return err
+	}
+	if job.Account == "" {
 		return nil
 	}
+	stored, err := m.store.GetBlob(ctx, blobName(job.ID))
+	if err == nil && !bytes.Equal(stored, body) {
+		return errOtherItems
+	}
 	return err
 }
 
+// errOtherItems reports that other items were stored with the id of a submitted job.
+var errOtherItems = errors.New("other items were submitted with this id")
+
 // errStoreLost reports that the store did not answer this VM's last calls.
 var errStoreLost = errors.New("the store does not answer")
 
@@ -232,12 +258,16 @@
 	ctx context.Context, job jobrecorder.Job, items []storer.Entry, route registrar.Route,
 ) (int, error) {
 	if _, ok, _ := m.lookUp(job.ID); ok {
-		return http.StatusAccepted, nil
+		return m.statusOfRepeat(ctx, job.ID)
 	}
-	known, hasRoom := m.admissionFor(job, route)
+	known, hasRoom := m.roomFor(job, route)
 	if !hasRoom {
+		m.logNoRoom(ctx, job, route, known)
 		return http.StatusTooManyRequests, nil
 	}
+	if refusal := recheck(ctx, route); refusal != nil {
+		return refusal.Status(), nil
+	}
 	job.Holder = m.holderOf(job.ID)
 	row, err := encodeJob(job)
 	if err != nil {
@@ -245,17 +275,19 @@
 	}
 	absent := row
 	absent.Value = nil
-	updated, err := known.add(job, route)
+	counters, err := m.countersWith(known, job, route)
 	if err != nil {
 		return 0, err
 	}
-	expected := updated
-	expected.Value = nil
-	ver, err := m.store.Apply(ctx, storer.Change{
-		Expect:           []storer.Entry{absent, expected},
-		Puts:             append([]storer.Entry{row, updated}, items...),
-		IsCrossPartition: updated.Partition != row.Partition,
-	})
+	c := storer.Change{Expect: []storer.Entry{absent}, Puts: append([]storer.Entry{row}, items...)}
+	c.Puts = append(c.Puts, accountRow(job)...)
+	for _, counter := range counters {
+		expected := counter
+		expected.Value = nil
+		c.Expect, c.Puts = append(c.Expect, expected), append(c.Puts, counter)
+		c.IsCrossPartition = c.IsCrossPartition || counter.Partition != row.Partition
+	}
+	ver, err := m.store.Apply(ctx, c)
 	if stale := asStale(err); stale != nil {
 		m.applyUpdate(watcher.Update{Entries: stale.Current})
 		return 0, errConflict
@@ -263,39 +295,12 @@
 	if err != nil {
 		return 0, err
 	}
-	row.Version, updated.Version = ver, ver
-	m.applyUpdate(watcher.Update{Entries: []storer.Entry{row, updated}})
-	return http.StatusAccepted, nil
-}
-
-// add returns the admission row with the job's tokens added; Version is the one that the stored row must have.
-func (a admission) add(job jobrecorder.Job, route registrar.Route) (storer.Entry, error) {
-	key := admissionKey(route.Host, route.PathPrefix)
-	value, err := json.Marshal(admissionRow{Accepted: a.accepted + job.AllTokens()})
-	return storer.Entry{
-		Table: jobTable, Partition: partitionOf(key), Key: key, Version: a.version, Value: value,
-	}, errors.Wrap(err, "encode route's row")
-}
-
-// admissionFor returns the cached admission row of the route, and whether the route's quota has room for the job's tokens:
-// waiting tokens are all accepted ones, less those of items that are observed as finished.
-//
-// Both are read under one lock. The transaction expects the row's version, so it fails if other tokens were accepted since
-// they were counted.
-func (m *Manager) admissionFor(job jobrecorder.Job, route registrar.Route) (admission, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known := m.admissions[admissionKey(route.Host, route.PathPrefix)]
-	if route.WaitingTokens <= 0 {
-		return known, true
-	}
-	waiting := known.accepted + job.AllTokens()
-	for _, r := range m.jobs {
-		if r.job.Host == route.Host && r.job.PathPrefix == route.PathPrefix {
-			waiting -= r.job.AllTokens() - r.job.WaitingTokens()
-		}
+	written := append([]storer.Entry{row}, counters...)
+	for i := range written {
+		written[i].Version = ver
 	}
-	return known, waiting <= route.WaitingTokens
+	m.applyUpdate(watcher.Update{Entries: written})
+	return http.StatusAccepted, nil
 }
 
 // asStale returns the *storer.StaleError in err, or nil if there is none.
--- a/pkg/jobmanager/types.go
+++ b/pkg/jobmanager/types.go
@@ -58,6 +58,9 @@
 	JobID(r *http.Request) string
 	// Items decodes the body of a submitted job.
 	Items(body []byte) ([]Item, error)
+	// WithoutCredentials removes from the items the headers that name an account or hold its key. It returns the body of the job
+	// without them; if no item has one, that is body.
+	WithoutCredentials(body []byte, items []Item) ([]byte, error)
 	// Results encodes the answer to a ReadCall: total is the number of items, next the position after the last result.
 	Results(total, next int, results []Result) ([]byte, error)
 }
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -230,7 +230,7 @@
 		return
 	}
 	if serveJob != nil {
-		l.serveJobCall(w, r, serveJob)
+		l.serveJobCall(w, r, l.relayer.AdmitCall(serveJob))
 		return
 	}
 	if !ok {
@@ -242,7 +242,8 @@
 		return
 	}
 	if isSubmission {
-		l.serveJobCall(w, r, func(w http.ResponseWriter, r *http.Request) { l.jobs.Submit(w, r, route) })
+		submit := func(w http.ResponseWriter, r *http.Request) { l.jobs.Submit(w, r, route) }
+		l.serveJobCall(w, r, l.relayer.AdmitSubmission(route, submit))
 		return
 	}
 	l.relayer.Serve(w, r, route)
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -18,6 +18,19 @@
 	RateLimit func(http.Header) option.Option[float64]
 	// SharedParts returns the ids of the parts of a request's prompt that it may share with other requests.
 	SharedParts func(http.Header) []string
+	// Credentials is the header with the caller's key, which no endpoint gets. Account is the one in which endpoints get the name
+	// of the request's account.
+	Credentials, Account string
+}
+
+// SetAccount replaces the caller's credentials, and the account that the caller names, by the name of the request's account;
+// empty for none.
+func (h Headers) SetAccount(to http.Header, account string) {
+	to.Del(h.Credentials)
+	to.Del(h.Account)
+	if account != "" {
+		to.Set(h.Account, account)
+	}
 }
 
 // PartsOf returns the ids of the shared parts of a request's prompt, if the headers define any.
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/admitter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/drainer"
@@ -81,6 +82,7 @@
 	isolator  Isolator
 	confirmer Confirmer
 	resumer   Resumer
+	admitter  *admitter.Admitter
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
 	metrics   Metrics
@@ -95,13 +97,13 @@
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h Headers, registry func() *registrar.Registry, b *balancer.Balancer, pool *dialer.Pool, i Isolator, c Confirmer, rs Resumer,
-	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
+	a *admitter.Admitter, onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Relayer {
 	ending, end := context.WithCancel(context.Background())
 	return &Relayer{
 		ending: ending, end: end,
 		headers: h, registry: registry, balancer: b, pool: pool, isolator: i, confirmer: c, resumer: rs,
-		onLeaving: onLeaving, metrics: m, log: log,
+		admitter: a, onLeaving: onLeaving, metrics: m, log: log,
 	}
 }
 
@@ -123,6 +125,11 @@
 // if an answer has begun and can't be completed.
 func (l *Relayer) Serve(w http.ResponseWriter, r *http.Request, route registrar.Route) {
 	start := time.Now()
+	admission, refusal := l.admitter.Admit(r, route)
+	if refusal != nil {
+		writeAdmissionRefusal(w, refusal)
+		return
+	}
 	spanCtx, span := otel.Tracer("relayer").Start(r.Context(), "request "+route.Name)
 	defer span.End()
 	r = r.WithContext(spanCtx)
@@ -136,7 +143,7 @@
 		return
 	}
 	q := &request{
-		Relayer: l, w: w, r: r, route: route, body: body, start: start,
+		Relayer: l, w: w, r: r, admission: admission, route: route, body: body, start: start,
 		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, firstEvent: continuer.NoEvent,
 		parts: slices.Concat(
 			l.headers.PartsOf(r.Header), []string{quarantiner.RequestPart(r.Method, r.Host, r.RequestURI, body)},
@@ -156,7 +163,7 @@
 	q.ctx = ctx
 	q.outlastEnd = context.AfterFunc(l.ending, func() { end(ErrStopping) })
 	defer q.outlastEnd()
-	if q.findBeginning() {
+	if q.findBeginning() && q.isWithinRate() {
 		q.run()
 	}
 	q.logEnd()
@@ -223,56 +230,16 @@
 	return http.StatusBadRequest
 }
 
-// Refuse answers and logs a request that the active configuration doesn't admit and that has not run.
-func (l *Relayer) Refuse(w http.ResponseWriter, r *http.Request, status int, detail string) {
-	reg := l.registry()
-	l.log.WithFields(logrus.Fields{
-		"request": r.Header.Get(l.headers.RequestID), "host": r.Host, "path": r.URL.Path, "status": status, "cause": detail,
-		"config": reg.Config.Version, "configRow": reg.ConfigRow.Version, "configSource": reg.ConfigRow.Source,
-		"configAge": ms(time.Since(reg.ConfigRow.ActiveSince)),
-	}).Info("request not admitted")
-	WriteError(w, status, detail)
-}
-
-// RefuseLeaving refuses a request that this VM would not complete before it stops. The caller can retry on another VM at once.
-func (l *Relayer) RefuseLeaving(w http.ResponseWriter, r *http.Request) {
-	l.log.WithFields(logrus.Fields{
-		"request": r.Header.Get(l.headers.RequestID), "path": r.URL.Path, "status": http.StatusServiceUnavailable,
-		"cause": ErrStopping.Error(),
-	}).Info("request not admitted")
-	WriteRefusal(w, http.StatusServiceUnavailable, 0, ErrStopping.Error())
-}
-
-// LogWhileLeaving logs a request that arrived after the VM began to leave; n is the number of requests on its connection so far.
-func (l *Relayer) LogWhileLeaving(r *http.Request, leavingFor time.Duration, n int64) {
-	l.log.WithFields(logrus.Fields{
-		"request": r.Header.Get(l.headers.RequestID), "path": r.URL.Path, "leavingFor": ms(leavingFor), "onConnection": n,
-	}).Info("request received while leaving")
-}
-
-// WriteError answers with an error that comes from this VM and not from an endpoint.
-func WriteError(w http.ResponseWriter, status int, detail string) {
-	h := w.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(detail)+1))
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, detail+"\n")
-}
-
-// WriteRefusal refuses a request that has not run and will not run. The Retry-After header states after in seconds.
-func WriteRefusal(w http.ResponseWriter, status int, after time.Duration, detail string) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	WriteError(w, status, detail)
-}
-
 // request is one online request of a caller.
 type request struct {
 	*Relayer
-	w     http.ResponseWriter
-	r     *http.Request
-	ctx   context.Context
-	route registrar.Route
-	id    string
+	w   http.ResponseWriter
+	r   *http.Request
+	ctx context.Context
+	// admission says whose request it is.
+	admission *admitter.Admission
+	route     registrar.Route
+	id        string
 	// parts holds the ids of the shared parts of the prompt, and the part that stands for the whole request.
 	parts []string
 	// probed is the quarantined part that the request probes, if any.
@@ -394,58 +361,6 @@
 	}
 }
 
-// place picks an endpoint by the current configuration of the route that accepted the request, or refuses the request.
-func (q *request) place() (placer.Decision, *placer.Ticket) {
-	reg := q.registry()
-	route, ok := reg.Config.Route(q.route.Host, q.route.PathPrefix)
-	if !ok || route.Kind != q.route.Kind {
-		return placer.Refuse{Reason: "the route is gone"}, nil
-	}
-	q.route = route
-	v := q.isolator.Check(q.parts)
-	if v.Part != "" && !v.IsProbeDue && !q.isProbe(v.Part) {
-		return refuseQuarantined(v), nil
-	}
-	candidates := continuer.Candidates(q.begun, reg.EndpointsOf(route.ServiceFor(q.stream)))
-	if _, isBound := q.begun.Get(); isBound && len(candidates) == 0 {
-		return placer.Refuse{Reason: "no endpoint of the software version that began the stream accepts requests"}, nil
-	}
-	now := time.Now()
-	d, ticket := q.balancer.Place(q.ctx, placer.Request{
-		Route: route, Candidates: candidates, Tried: q.tried, Software: q.begun, Left: q.deadline.Sub(now),
-		Waited: now.Sub(q.start), Connected: dialer.Connected(q.pool, placer.KeyOf),
-	})
-	s, isSend := d.(placer.Send)
-	if !isSend {
-		return d, ticket
-	}
-	if v.Part != "" && !q.beginProbe(v.Part) {
-		q.balancer.End(ticket, placer.EndedLocally)
-		return refuseQuarantined(v), nil
-	}
-	q.endpoint, q.load, q.estimate, q.decision = s.Endpoint.ID, s.Load, s.Estimate, "send"
-	return d, ticket
-}
-
-func refuseQuarantined(v quarantiner.Verdict) placer.Refuse {
-	if quarantiner.IsRequest(v.Part) {
-		return placer.Refuse{Reason: "this request crashes endpoints", RetryAfter: v.Left}
-	}
-	return placer.Refuse{Reason: "part " + v.Part + " of the prompt crashes endpoints", RetryAfter: v.Left}
-}
-
-// isProbe reports whether the request was sent to probe the part, and no endpoint has run it yet.
-func (q *request) isProbe(part string) bool { return q.probed == part && q.runs == 0 }
-
-// beginProbe makes the request the next probe of the part; it returns false if another request was faster.
-func (q *request) beginProbe(part string) bool {
-	if !q.isProbe(part) && !q.isolator.BeginProbe(part) {
-		return false
-	}
-	q.probed = part
-	return true
-}
-
 // attempt sends the request to one endpoint and reports whether the request is over.
 func (q *request) attempt(s placer.Send, ticket *placer.Ticket) bool {
 	_, span := otel.Tracer("relayer").Start(q.ctx, "endpoint "+s.Endpoint.ID)
@@ -511,6 +426,10 @@
 		q.refuse(placer.Refuse{Reason: ErrStopping.Error()})
 		return false, true
 	}
+	if refusal := q.admission.Recheck(q.route); refusal != nil {
+		q.refuseAdmission(refusal)
+		return false, true
+	}
 	return true, false
 }
 
@@ -558,6 +477,7 @@
 // outgoing returns the request as it is sent to the endpoint, with the time left until its deadline.
 func (q *request) outgoing(e registrar.Endpoint, left time.Duration) dialer.Request {
 	h := ForwardHeader(q.r.Header)
+	q.setAccount(h)
 	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	h[q.headers.ExpectInstance] = []string{e.ID}
 	if last := q.sequence.Last(); last != continuer.NoEvent {
@@ -687,50 +607,3 @@
 
 // unknownRetryAfter is the Retry-After for a stream of which it is not known what began it: the VM that knows may be starting.
 const unknownRetryAfter = 300 * time.Millisecond
-
-// logAttempt logs an attempt after which the request is not over.
-func (q *request) logAttempt() {
-	fields := logrus.Fields{"request": q.id, "endpoint": q.endpoint, "runs": q.runs, "refusals": q.refusals}
-	q.addEventFields(fields)
-	if q.cause != nil {
-		fields["cause"] = q.cause.Error()
-	}
-	q.log.WithFields(fields).Info("attempt ended")
-}
-
-// addEventFields adds which events the last attempt brought, and how the end of its answer was marked.
-func (q *request) addEventFields(fields logrus.Fields) {
-	if q.events > 0 {
-		fields["firstEvent"], fields["lastEvent"] = q.firstEvent, q.sequence.Last()
-	}
-	if q.endsAtClose {
-		fields["endsAtClose"] = true
-	}
-}
-
-func (q *request) logEnd() {
-	took := time.Since(q.start)
-	q.metrics.RequestEnded(q.route.Name, q.decision, took)
-	fields := logrus.Fields{
-		"request": q.id, "route": q.route.Name, "config": q.registry().Config.Version, "endpoint": q.endpoint,
-		"decision": q.decision, "online": q.load.Online, "batch": q.load.Batch, "estimate": ms(q.estimate),
-		"first": ms(q.firstByte), "took": ms(took), "status": q.status, "runs": q.runs,
-	}
-	if q.events > 0 {
-		fields["events"] = q.events
-	}
-	q.addEventFields(fields)
-	if q.stream != q.id {
-		fields["resumes"] = q.stream
-	}
-	if software, ok := q.begun.Get(); ok {
-		fields["software"] = software
-	}
-	if q.cause != nil {
-		fields["cause"] = q.cause.Error()
-		fields["parts"], fields["method"], fields["path"] = q.parts, q.r.Method, q.r.URL.Path
-	}
-	q.log.WithFields(fields).Info("request ended")
-}
-
-func ms(d time.Duration) int64 { return d.Milliseconds() }
--- a/pkg/storer/table.go
+++ b/pkg/storer/table.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
 
 // Entry is one row of a partitioned table, at the version of the transaction that wrote it.
@@ -29,6 +31,8 @@
 	Entries []Entry
 	Version int64
 	HasMore bool
+	// Clock is the time of the store's steady clock when it answered; none if it did not say.
+	Clock option.Option[time.Duration]
 }
 
 // Change is a set of writes that takes effect together, or not at all when a row of Expect has another version.
--- a/pkg/tracer/meter.go
+++ b/pkg/tracer/meter.go
@@ -21,11 +21,12 @@
 	first  metric.Float64Histogram
 	items  metric.Int64Counter
 	panics metric.Int64Counter
+	admits metric.Int64Counter
 }
 
 // NewMeter returns a meter that records to the process's meter provider; the Tracer parameter makes sure that it is set up.
 func NewMeter(*Tracer) (*Meter, error) {
-	m, errs := otel.Meter("dogwoodledge"), [5]error{}
+	m, errs := otel.Meter("dogwoodledge"), [6]error{}
 	meter := &Meter{}
 	meter.ended, errs[0] = m.Int64Counter("requests_ended",
 		metric.WithDescription("online requests by route and outcome"))
@@ -39,6 +40,8 @@
 		metric.WithDescription("runs of batch items by how they ended"))
 	meter.panics, errs[4] = m.Int64Counter("panics",
 		metric.WithDescription("panics that ended one part of the work alone, by kind of work"))
+	meter.admits, errs[5] = m.Int64Counter("admissions",
+		metric.WithDescription("requests that need a key, by account and by whether, or why not, they were admitted"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "set up metrics")
@@ -74,6 +77,12 @@
 	m.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("work", work)))
 }
 
+// Admission counts a request that needs a key by account and outcome.
+func (m *Meter) Admission(account, outcome string) {
+	m.admits.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("account", account), attribute.String("outcome", outcome)))
+}
+
 // ItemRun counts a run of a batch item by outcome.
 func (m *Meter) ItemRun(outcome string) {
 	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/clocker"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 )
@@ -47,6 +49,9 @@
 	log        logrus.FieldLogger
 	// gap is the pause between two calls, for a table that changes often.
 	gap time.Duration
+	// now returns the time since boot; maxWatch bounds the wait of a watch, 0 if it doesn't.
+	now      func() time.Duration
+	maxWatch func() time.Duration
 
 	// historyLosses counts the watches in a row whose history was lost.
 	historyLosses int
@@ -57,6 +62,9 @@
 	isSynced bool
 	failures int
 	backAt   time.Time
+	// freshness is how new the rows are; asOf is its time, 0 if it has none.
+	freshness authenticator.Freshness
+	asOf      atomic.Int64
 
 	refreshes refreshes
 
@@ -72,9 +80,47 @@
 	return &Feed{
 		store: store, table: table, partitions: partitions, onUpdate: onUpdate,
 		log: log.WithField("table", table),
+		now: clocker.Now, maxWatch: func() time.Duration { return 0 },
 	}
 }
 
+// SetMaxWatch sets the function that bounds the wait of each watch, unless it returns 0; call it before Start.
+func (f *Feed) SetMaxWatch(limit func() time.Duration) { f.maxWatch = limit }
+
+// AsOf returns the time since boot as of which all changes of the table are received, as the store's answers to watches prove it;
+// false if none has.
+func (f *Feed) AsOf() (time.Duration, bool) {
+	asOf := f.asOf.Load()
+	return time.Duration(asOf), asOf != 0
+}
+
+// watch calls the store's watch. The function that it returns records how new the rows are; it is to be called with the lock held
+// once the page's rows are passed on.
+func (f *Feed) watch(ctx context.Context, version int64, wait time.Duration) (storer.Page, func(), error) {
+	sentAt := f.now()
+	page, err := f.store.Watch(ctx, f.table, version, wait)
+	receivedAt := f.now()
+	return page, func() {
+		if err == nil && !page.HasMore {
+			f.freshness.Observe(sentAt, receivedAt, page.Clock)
+			asOf, _ := f.freshness.AsOf()
+			f.asOf.Store(int64(asOf))
+		}
+	}, err
+}
+
+// watchWait returns the wait of the next watch; the lock is held.
+func (f *Feed) watchWait() time.Duration {
+	limit := f.maxWatch()
+	if f.failures > 0 || limit > 0 && f.freshness.IsProbeDue(f.now()) {
+		return probeTimeout
+	}
+	if limit > 0 {
+		return min(limit, watchTimeout)
+	}
+	return watchTimeout
+}
+
 // SetGap sets the pause between two calls, for a table whose changes need not be received at once; call it before Start.
 func (f *Feed) SetGap(gap time.Duration) { f.gap = gap }
 
@@ -118,16 +164,17 @@
 // step reads the whole table, or waits for its next changes once it has been read.
 func (f *Feed) step(ctx context.Context) error {
 	f.mu.Lock()
-	version, isSynced, wait := f.version, f.isSynced, watchTimeout
-	if f.failures > 0 {
-		wait = probeTimeout
+	version, isSynced := f.version, f.isSynced
+	wait := time.Duration(0)
+	if isSynced {
+		wait = f.watchWait()
 	}
 	f.mu.Unlock()
 	if !isSynced {
 		u, err := f.scan(ctx)
-		return f.handleResult(ctx, u, err)
+		return f.handleResult(ctx, u, func() {}, err)
 	}
-	page, err := f.store.Watch(ctx, f.table, version, wait)
+	page, observe, err := f.watch(ctx, version, wait)
 	lost := (*storer.HistoryLostError)(nil)
 	if errors.As(err, &lost) {
 		f.handleLostHistory(version)
@@ -140,7 +187,7 @@
 	if err == nil {
 		f.historyLosses = 0
 	}
-	return f.handleResult(ctx, Update{Entries: page.Entries, Version: page.Version}, err)
+	return f.handleResult(ctx, Update{Entries: page.Entries, Version: page.Version}, observe, err)
 }
 
 func (f *Feed) handleLostHistory(version int64) {
@@ -166,8 +213,8 @@
 	return u, nil
 }
 
-// handleResult passes on the update of a successful call, or records the failure and returns err.
-func (f *Feed) handleResult(ctx context.Context, u Update, err error) error {
+// handleResult passes on the update of a successful call and then calls observe, or records the failure and returns err.
+func (f *Feed) handleResult(ctx context.Context, u Update, observe func(), err error) error {
 	if err != nil && ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -182,6 +229,7 @@
 		return err
 	}
 	f.apply(u)
+	observe()
 	return nil
 }
 
--- a/pkg/watcher/refresh.go
+++ b/pkg/watcher/refresh.go
@@ -75,7 +75,7 @@
 	version, isSynced := f.version, f.isSynced
 	f.mu.Unlock()
 	for isSynced {
-		page, err := f.store.Watch(ctx, f.table, version, probeTimeout)
+		page, observe, err := f.watch(ctx, version, probeTimeout)
 		lost := (*storer.HistoryLostError)(nil)
 		if errors.As(err, &lost) {
 			f.handleLostHistory(version)
@@ -84,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		f.pass(Update{Entries: page.Entries, Version: page.Version})
+		f.pass(Update{Entries: page.Entries, Version: page.Version}, observe)
 		if version = page.Version; !page.HasMore {
 			return nil
 		}
@@ -93,13 +93,14 @@
 	if err != nil {
 		return err
 	}
-	f.pass(u)
+	f.pass(u, func() {})
 	return nil
 }
 
-// pass passes on an update that the feed's own calls may have overtaken.
-func (f *Feed) pass(u Update) {
+// pass passes on an update that the feed's own calls may have overtaken, and then calls observe.
+func (f *Feed) pass(u Update, observe func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(u)
+	observe()
 }
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -77,6 +77,14 @@
 // Current returns the newest registry.
 func (w *Watcher) Current() *registrar.Registry { return w.current.Load() }
 
+// SetMaxConfigWatch sets the function that bounds the wait of each watch of the configuration, unless it returns 0; call it
+// before Start.
+func (w *Watcher) SetMaxConfigWatch(limit func() time.Duration) { w.config.SetMaxWatch(limit) }
+
+// ConfigAsOf returns the time since boot as of which the store's configuration is known here; false if it never was. What a peer
+// passes on does not renew it.
+func (w *Watcher) ConfigAsOf() (time.Duration, bool) { return w.config.AsOf() }
+
 // Start follows both tables until ctx ends.
 func (w *Watcher) Start(ctx context.Context) {
 	w.config.Start(ctx)
@@ -171,9 +179,28 @@
 	for _, err := range cfg.RouteErrors {
 		w.log.WithError(err).WithField("version", cfg.Version).Error("route can't be used by this build; its requests are refused")
 	}
+	w.logAccounts(cfg)
 	w.publish()
 }
 
+// maxAccountLines bounds the log lines about the accounts of one version of the configuration.
+const maxAccountLines = 20
+
+// logAccounts logs what can't be used of the configuration's accounts.
+func (w *Watcher) logAccounts(cfg *registrar.Config) {
+	log := w.log.WithField("version", cfg.Version)
+	for n, err := range cfg.AccountErrors {
+		if n == maxAccountLines {
+			log.WithField("further", len(cfg.AccountErrors)-n).Warn("further accounts have faults")
+			break
+		}
+		log.WithError(err).Warn("account of the configuration has a fault; the others are not affected")
+	}
+	if cfg.HasAccounts() {
+		log.WithField("accounts", len(cfg.Accounts)).Info("requests need the keys of accounts, except on public routes")
+	}
+}
+
 // applyEndpointUpdate applies the rows of the update and, if it is a full one, removes the endpoints that it does not list.
 func (w *Watcher) applyEndpointUpdate(u Update) {
 	w.mu.Lock()
