listener: requests wait for the first configuration while VMs start

Cause: when all VMs start at once, callers connect to VMs that have not read the configuration yet. They got 503 within milliseconds and used up their only retry. Change: in the first 2 s after its start a VM lets a request wait for the configuration, the endpoints and the list of VMs, for 400 ms at most.

--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -68,6 +68,8 @@
 	// isClosed says that all further requests are refused.
 	isClosed atomic.Bool
 	inFlight atomic.Int64
+	// startedAt is when the ports were opened.
+	startedAt time.Time
 	// ending ends when the VM answers what is still unanswered; end ends it.
 	ending context.Context
 	end    context.CancelFunc
@@ -91,6 +93,7 @@
 		Handler: http.HandlerFunc(l.serveCaller), IdleTimeout: defaultIdleTimeout, ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: l.conns.track, ConnContext: withRequestCount,
 	}
+	l.startedAt = time.Now()
 	listen := net.ListenConfig{}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+l.cfg.ReadyPath, l.serveReady)
@@ -202,7 +205,7 @@
 		l.relayer.RefuseLeaving(w, r)
 		return
 	}
-	reg := l.registry()
+	reg := l.awaitRegistry(r.Context())
 	if !reg.IsReady() {
 		l.log.WithField("path", r.URL.Path).Info("request not admitted: no configuration is known yet")
 		relayer.WriteRefusal(w, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration is known yet")
