--- a/pkg/admitter/admission.go
+++ b/pkg/admitter/admission.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
@@ -79,7 +80,9 @@
 	}
 	isAllowed, retryAfter := true, time.Duration(0)
 	if account.Rate > 0 {
-		retryAfter, isAllowed = a.admitter.limiter.Allow(ctx, account.Name)
+		retryAfter, isAllowed = a.admitter.limiter.Allow(ctx, ratelimiter.Account{
+			Name: account.Name, Rate: account.Rate, Burst: account.Burst,
+		})
 	}
 	if isAllowed {
 		a.accepted()
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
@@ -22,14 +23,14 @@
 // Limiter bounds the rates of accounts over all VMs.
 type Limiter interface {
 	// Allow reports whether a further online request of the account may be sent now; if not, it returns when there will be room.
-	Allow(ctx context.Context, account string) (retryAfter time.Duration, ok bool)
+	Allow(ctx context.Context, a ratelimiter.Account) (retryAfter time.Duration, ok bool)
 }
 
 // Unlimited is a Limiter that allows every request.
 type Unlimited struct{}
 
 // Allow allows the request.
-func (Unlimited) Allow(context.Context, string) (time.Duration, bool) { return 0, true }
+func (Unlimited) Allow(context.Context, ratelimiter.Account) (time.Duration, bool) { return 0, true }
 
 // Metrics counts the requests of accounts by outcome; its methods must not block.
 type Metrics interface {
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 )
@@ -55,7 +56,7 @@
 
 func (v *vm) Admission(account, outcome string) { v.counts[account+" "+outcome]++ }
 
-func (v *vm) Allow(context.Context, string) (time.Duration, bool) {
+func (v *vm) Allow(context.Context, ratelimiter.Account) (time.Duration, bool) {
 	v.room--
 	return 700 * time.Millisecond, v.room >= 0
 }
