--- a/pkg/assembler/gateway_accounts_test.go
+++ b/pkg/assembler/gateway_accounts_test.go
@@ -315,7 +315,7 @@
 	assert.Equal(t, http.StatusTooManyRequests, f.submitAs(f.vms[1], "key-of-b", newID("job"), newItems(1)).status)
 }
 
-// TestRevokedKeyIsRefusedByAVMThatHearsNothing cuts a VM off from the store and its peers and revokes a key. The VM must serve the
+// TestRevokedKeyIsRefusedByAVMThatHearsNothing cuts a VM off from the store and its peers and revokes a key. The VM must
 // key for a while, since it can't know, and refuse all keys once the bound has passed; when it hears the store again, it serves.
 func TestRevokedKeyIsRefusedByAVMThatHearsNothing(t *testing.T) {
 	t.Parallel()
--- a/pkg/ratesharer/ratesharer.go
+++ b/pkg/ratesharer/ratesharer.go
@@ -305,7 +305,7 @@
 		text = "account is metered: its requests are admitted with a token only"
 	}
 	s.log.WithFields(logrus.Fields{
-		"account": c.Account.Name, "ratePerSecond": c.Account.Rate, "burst": c.Account.Burst, "admittedInWindow": c.Admitted,
+		"account": c.Account.Name, "rate": c.Account.Rate, "burst": c.Account.Burst, "admittedInWindow": c.Admitted,
 		"window": s.cfg.Window.String(),
 	}).Info(text)
 }
