--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/drainer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
@@ -32,6 +33,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/peersyncer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/prober"
+	"github.com/dogwoodledge/dogwoodledge/pkg/ratesharer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/resumer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
@@ -86,6 +88,7 @@
 	Isolator   *isolator.Isolator
 	Admitter   *admitter.Admitter
 	Resumer    *resumer.Resumer
+	RateSharer *ratesharer.Sharer
 	JobManager *jobmanager.Manager
 	ItemRunner *itemrunner.Runner
 	Listener   *listener.Listener
@@ -111,7 +114,7 @@
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
 			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newAdmitter,
 			newRelayer,
-			newJobManager, newItemRunner, newListener,
+			newJobManager, newItemRunner, newListener, newRateSharer,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -234,6 +237,12 @@
 	return a
 }
 
+func newRateSharer(s platform.Settings, g *gossiper.Gossiper, log logrus.FieldLogger) *ratesharer.Sharer {
+	return ratesharer.New(ratelimiter.Config{
+		VM: s.VM.ID, Incarnation: g.Incarnation(), Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack,
+	}, g, log)
+}
+
 func newRelayer(
 	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator,
 	c *confirmer.Confirmer, rs *resumer.Resumer, a *admitter.Admitter, m *tracer.Meter, log logrus.FieldLogger,
@@ -304,6 +313,7 @@
 	}
 	g.Isolator.Start(g.ctx)
 	g.Resumer.Start(g.ctx)
+	g.RateSharer.Start(g.ctx)
 	g.Prober.Start(g.ctx)
 	g.JobManager.Start(g.ctx)
 	g.ItemRunner.Start(g.ctx)
@@ -321,7 +331,7 @@
 
 // receivePayload passes a payload of another VM to the component that it is for.
 func (g *gateway) receivePayload(payload []byte) {
-	if !g.Resumer.Receive(payload) {
+	if !g.Resumer.Receive(payload) && !g.RateSharer.Receive(payload) {
 		g.Balancer.Receive(payload)
 	}
 }
@@ -329,6 +339,7 @@
 // exportCounters exports the counters of the messages between VMs and of the quarantine.
 func (g *gateway) exportCounters() error {
 	b, m, i, rs := &g.Balancer.Counters, &g.Gossiper.Counters, &g.Isolator.Counters, &g.Resumer.Counters
+	q := &g.RateSharer.Counters
 	for _, c := range []struct {
 		name, description string
 		counter           *atomic.Int64
@@ -348,6 +359,14 @@
 		{"resumed_known", "resumed streams of which it is known which software version began them", &rs.Known},
 		{"resumed_unknown", "resumed streams that were refused, since it can't be told which software version began them", &rs.Unknown},
 		{"resumer_malformed", "messages about the beginnings of streams that can't be decoded", &rs.Malformed},
+		{"rate_questions", "questions to the coordinators of accounts on other VMs", &q.Questions},
+		{"rate_answers", "answers of this VM as the coordinator of accounts", &q.Answers},
+		{"rate_notifications", "messages to other VMs that an account is metered", &q.Notifications},
+		{"rate_claims", "messages that this VM has become the coordinator of an account", &q.Claims},
+		{"rate_refused", "requests refused because of their account's rate", &q.Refused},
+		{"rate_alone", "requests refused because no coordinator of their account was reached", &q.Alone},
+		{"rate_metered", "how often this VM, as the coordinator, made an account metered", &q.Metered},
+		{"rate_malformed", "messages about the rates of accounts that can't be decoded", &q.Malformed},
 		{"quarantine_probes", "requests sent to probe a quarantined part", &i.Probes},
 	} {
 		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
--- a/pkg/core/ratelimiter/account.go
+++ b/pkg/core/ratelimiter/account.go
@@ -30,10 +30,12 @@
 	// arrivals of a small account aren't refused; the rest is left for the time in which VMs disagree.
 	capacitySlackShare = 0.5
 	// initialShare and initialSlackShare are the parts of what the overage allows and of the rest of the slack with which a
-	// coordinator that is new to an account begins. The spare has room for two changes of the coordinator in a window and for the
-	// requests that are admitted unseen. Small accounts need the higher part of the slack for their random arrivals.
-	initialShare      = 0.25
-	initialSlackShare = 0.4
+	// coordinator that is new to an account begins. The spare has room for a change of the coordinator in a window beside a flood
+	// that begins in it: until VMs know that the account is metered, a flood of 13 times the load admits 0.27 of the rate unseen.
+	// With 0.25 and 0.4, TestLoad exceeded the bound by 1 in 100 at 3 of 12 seeds. Small accounts need the higher part of the
+	// slack for their random arrivals.
+	initialShare      = 0.15
+	initialSlackShare = 0.3
 )
 
 // capacity returns the capacity of the account's bucket.
--- a/pkg/core/ratelimiter/ledger.go
+++ b/pkg/core/ratelimiter/ledger.go
@@ -9,7 +9,7 @@
 	// provisionalShare is the part of the rate at which a VM refills its bucket while another VM may still be the account's
 	// coordinator, and provisionalTime how long it does so: about the time until a lost VM is known as lost. With the level at the
 	// beginning this stays inside the spare also if the other VM goes on admitting the full rate.
-	provisionalShare = 0.25
+	provisionalShare = 0.1
 	provisionalTime  = 1700 * time.Millisecond
 	// laterShare is the part of the rate after provisionalTime.
 	laterShare = 0.02
@@ -29,6 +29,9 @@
 	maxClaims = 6
 	// yieldTime is how long a coordinator that yielded, or whose claim was contested, holds back.
 	yieldTime = 1500 * time.Millisecond
+	// demoteDelay is how long a coordinator goes on after a VM that is preferred has come: that one claims the account with its
+	// first answer, and answers nothing until it is connected.
+	demoteDelay = time.Second
 	// binTime is the length of the bins in which admissions are counted for the log.
 	binTime = 500 * time.Millisecond
 	// maxTaken bounds the admissions that one question may report.
@@ -46,6 +49,8 @@
 	// isFirst says that this VM ranks first among the live ones, since firstAt.
 	isFirst bool
 	firstAt time.Time
+	// demoteAt is when this VM stops being the coordinator, though the one that is preferred has not claimed the account.
+	demoteAt time.Time
 	// provisionalAt is when this VM began to admit without being the coordinator.
 	provisionalAt time.Time
 	yieldUntil    time.Time
@@ -130,12 +135,19 @@
 // setFirst records whether this VM ranks first.
 func (l *ledger) setFirst(now time.Time, isFirst bool) {
 	if isFirst == l.isFirst {
+		l.demoteAt = time.Time{}
 		return
 	}
 	if !isFirst && l.isFull(now) {
+		if l.demoteAt.IsZero() {
+			l.demoteAt = now.Add(demoteDelay)
+		}
+		if now.Before(l.demoteAt) {
+			return
+		}
 		l.becomeProvisional(now)
 	}
-	l.isFirst = isFirst
+	l.isFirst, l.demoteAt = isFirst, time.Time{}
 	if isFirst {
 		l.firstAt, l.claims, l.nextClaim = now, 0, now
 		clear(l.accepted)
@@ -156,8 +168,10 @@
 		return 0, false
 	}
 	level := l.level + l.kept
-	l.level, l.kept, l.keptUntil = 0, 0, time.Time{}
-	return level, true
+	// A little stays for the VMs that don't know the new coordinator yet.
+	l.level = max(min(level/2, l.cfg.initial(l.account)), 0)
+	l.kept, l.keptUntil = 0, time.Time{}
+	return level - l.level, true
 }
 
 // yield makes this VM hold back.
@@ -165,7 +179,7 @@
 	if l.isFull(now) {
 		l.becomeProvisional(now)
 	}
-	l.yieldUntil = now.Add(yieldTime)
+	l.yieldUntil, l.demoteAt = now.Add(yieldTime), time.Time{}
 	// Once it no longer holds back, this VM has to claim the account anew.
 	l.isFirst = false
 }
@@ -258,6 +272,11 @@
 	}
 	switch {
 	case l.level < low:
+		if now.Before(l.yieldUntil) {
+			// The coordinator that is preferred knows whether all VMs have to be told.
+			l.isMetered = true
+			return false, false
+		}
 		isChanged, isToNotify = !l.isMetered, !l.isNotified
 		l.isMetered, l.isNotified = true, true
 	case l.isMetered && !l.isNotified && l.isFull(now):
--- a/pkg/core/ratelimiter/sharer.go
+++ b/pkg/core/ratelimiter/sharer.go
@@ -22,7 +22,7 @@
 	silencesToAvoid = 2
 	avoidTime       = time.Second
 	// unseenShare is the part of the spare that the VMs together may admit before the coordinator knows, beyond one request each.
-	unseenShare = 0.25
+	unseenShare = 0.15
 	// aloneShare is the part of the rate that all VMs together may admit while none of them reaches a coordinator.
 	aloneShare = 0.1
 	// recentTime is the time over which a VM counts its own admissions.
--- a/pkg/ratesharer/message.go
+++ b/pkg/ratesharer/message.go
@@ -61,7 +61,8 @@
 type meteringMessage struct {
 	_ struct{} `cbor:",toarray"`
 
-	Account string
+	Account   string
+	IsMetered bool
 }
 
 type claimMessage struct {
--- a/pkg/ratesharer/ratesharer.go
+++ b/pkg/ratesharer/ratesharer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,10 +70,15 @@
 	// heard is the number of datagrams received until heardAt.
 	heard   int64
 	heardAt time.Time
+	// refreshedAt is when this was last checked.
+	refreshedAt time.Time
 	// membership was read at readAt, and peers were derived from it.
 	membership gossiper.Membership
 	readAt     time.Time
 	peers      map[string]ratelimiter.Peers
+	// steadySince is since when this VM is connected and the VMs that may coordinate accounts are the same; zero if it isn't
+	// connected.
+	steadySince time.Time
 
 	// changed signals that the time of the next wake may have changed.
 	changed chan struct{}
@@ -221,7 +227,7 @@
 	case answerMessage:
 		s.handle(now, m.answered())
 	case meteringMessage:
-		s.handle(now, ratelimiter.MeteringNotified{Account: m.Account})
+		s.handle(now, ratelimiter.MeteringNotified{Account: m.Account, IsMetered: m.IsMetered})
 	case claimMessage:
 		s.coordinate(now, ratelimiter.Claimed{VM: m.VM, Account: m.Account, Number: m.Number, Peers: s.peersOf(now, m.Account)})
 	case contestMessage:
@@ -267,10 +273,10 @@
 			s.Counters.Answers.Add(1)
 			s.send(out.To, answerType, newAnswer(s.cfg.VM, out.Answer))
 		case ratelimiter.NotifyMetering:
-			s.handle(now, ratelimiter.MeteringNotified{Account: out.Account})
+			s.handle(now, ratelimiter.MeteringNotified(out))
 			for _, vm := range s.membership.Others {
 				s.Counters.Notifications.Add(1)
-				s.send(vm, meteringType, meteringMessage{Account: out.Account})
+				s.send(vm, meteringType, meteringMessage{Account: out.Account, IsMetered: out.IsMetered})
 			}
 		case ratelimiter.Claim:
 			s.Counters.Claims.Add(1)
@@ -338,17 +344,34 @@
 // isConnected reports whether this VM hears others, and whether most of the VMs that may be running are live; the lock is held.
 func (s *Sharer) isConnected(now time.Time) bool {
 	s.refresh(now)
-	isHearing := len(s.membership.Others) == 0 || (s.heard > 0 && now.Sub(s.heardAt) <= silenceTime)
-	return s.membership.IsMajority && isHearing
+	isHearing := len(s.membership.Others) == 0 || now.Sub(s.heardAt) <= silenceTime
+	isConnected := s.membership.IsMajority && isHearing
+	switch {
+	case !isConnected:
+		s.steadySince = time.Time{}
+	case s.steadySince.IsZero():
+		s.steadySince = now
+	}
+	return isConnected
 }
 
 // refresh reads what is known of the other VMs; the lock is held.
 func (s *Sharer) refresh(now time.Time) {
-	if heard := s.network.Heard(); heard != s.heard {
-		s.heard, s.heardAt = heard, now
+	heard := s.network.Heard()
+	switch {
+	case now.Sub(s.refreshedAt) > silenceTime:
+		// This process was suspended, or has just started. What it heard may be older than the suspension.
+		s.steadySince = time.Time{}
+	case heard != s.heard:
+		s.heardAt = now
 	}
+	s.heard, s.refreshedAt = heard, now
 	if s.readAt.IsZero() || now.Sub(s.readAt) >= peersTime {
+		old := s.membership
 		s.membership, s.readAt = s.network.Membership(), now
+		if !slices.Equal(old.Capable, s.membership.Capable) {
+			s.steadySince = now
+		}
 		clear(s.peers)
 	}
 }
@@ -361,7 +384,7 @@
 		p = peersOf(s.membership, account)
 		s.peers[account] = p
 	}
-	p.IsConnected = isConnected
+	p.IsConnected, p.SteadySince = isConnected, s.steadySince
 	return p
 }
 
