Load test of accounts' rates: two fifths of the VMs cut off with the coordinator

Cause: no partition of the load test held enough callers to show a coordinator that goes on while it is cut off. Change: partitionMany in place of one partitionGroup.

--- a/pkg/core/ratelimiter/failures_test.go
+++ b/pkg/core/ratelimiter/failures_test.go
@@ -168,6 +168,14 @@
 			cut = append(cut, w.byName[name])
 		}
 		w.partition(cut, w.between(800*time.Millisecond, 6*time.Second))
+	case "partitionMany":
+		cut := []*vm{first}
+		for i, v := range w.vms {
+			if v != first && i%5 < 2 {
+				cut = append(cut, v)
+			}
+		}
+		w.partition(cut, w.between(3*time.Second, 6*time.Second))
 	case "killAll":
 		for _, v := range w.vms {
 			w.kill(v, w.between(300*time.Millisecond, 800*time.Millisecond))
