ratesharer: requests wait for room that is about to come, and for peers while the VM starts

Cause: of the requests refused for their account's rate after all VMs had started at once, most were told to return within 120 ms or were refused because the VM had heard no peer yet. Callers may retry only once. Change: a request waits up to 150 ms for room that the coordinator expects, and in the first 1.5 s of a process for the first datagrams of other VMs.

--- a/pkg/ratesharer/ratesharer.go
+++ b/pkg/ratesharer/ratesharer.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
+	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
 
 const (
@@ -20,6 +21,13 @@
 	maxWait = 400 * time.Millisecond
 	// lateRetryAfter is the pause for a caller whose request was not decided within maxWait.
 	lateRetryAfter = time.Second
+	// maxRoomWait is the longest wait of a request for room that the coordinator expects: callers may retry only once, and a pause
+	// of some milliseconds is cheaper for them than a new connection.
+	maxRoomWait = 150 * time.Millisecond
+	minRoomWait = 2 * time.Millisecond
+	// startupTime is the time after the start within which requests wait for the first datagrams of other VMs.
+	startupTime = 1500 * time.Millisecond
+	startupPoll = 10 * time.Millisecond
 	// silenceTime is how long a VM may hear no datagram until it counts as cut off: several probes of the failure detector.
 	silenceTime = time.Second
 	// peersTime is how long what is known of the other VMs is used.
@@ -65,6 +73,8 @@
 	lastID      uint64
 	// waiting holds the requests that aren't decided.
 	waiting map[uint64]chan decision
+	// startedAt is when the sharer was started.
+	startedAt time.Time
 	// outbox holds the messages to be sent once the lock is released.
 	outbox []outgoing
 	// heard is the number of datagrams received until heardAt.
@@ -107,7 +117,10 @@
 }
 
 // Start sends unanswered questions again until ctx ends.
-func (s *Sharer) Start(ctx context.Context) { go s.run(ctx) }
+func (s *Sharer) Start(ctx context.Context) {
+	s.startedAt = time.Now()
+	go s.run(ctx)
+}
 
 func (s *Sharer) run(ctx context.Context) {
 	timer := time.NewTimer(ratelimiter.TickTime)
@@ -138,35 +151,60 @@
 	return min(max(next.Sub(now), time.Millisecond), ratelimiter.TickTime)
 }
 
-// Allow reports whether a request of the account fits its rate; if not, how long the caller should wait. It waits for other VMs
-// at most some tenths of a second.
+// Allow reports whether a request of the account fits its rate; if not, how long the caller should wait. It waits for other VMs,
+// or for room that is about to come, at most some tenths of a second.
 func (s *Sharer) Allow(ctx context.Context, a ratelimiter.Account) (retryAfter time.Duration, ok bool) {
 	if !(a.Rate > 0) {
 		return 0, true
 	}
+	s.awaitPeers(ctx)
+	limit := time.Now().Add(maxRoomWait)
+	for {
+		d := s.await(ctx, a)
+		if d.isAdmitted {
+			return 0, true
+		}
+		if d.retryAfter < time.Until(limit) && sleeper.Sleep(ctx, max(d.retryAfter, minRoomWait)) {
+			continue
+		}
+		s.Counters.Refused.Add(1)
+		if deadline, ok := ctx.Deadline(); ok {
+			d.retryAfter = min(d.retryAfter, max(time.Until(deadline), 0))
+		}
+		return d.retryAfter, false
+	}
+}
+
+// awaitPeers waits, while this VM starts, until it hears the other VMs: without them it would refuse nearly all requests.
+func (s *Sharer) awaitPeers(ctx context.Context) {
+	limit := s.startedAt.Add(startupTime)
+	for time.Now().Before(limit) && !s.hasPeers() && sleeper.Sleep(ctx, startupPoll) {
+	}
+}
+
+func (s *Sharer) hasPeers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isConnected(s.now())
+}
+
+// await asks for the admission of one request and waits for the decision.
+func (s *Sharer) await(ctx context.Context, a ratelimiter.Account) decision {
 	id, decided := s.request(a)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
-	d := decision{retryAfter: lateRetryAfter}
 	select {
-	case d = <-decided:
+	case d := <-decided:
+		return d
 	default:
-		select {
-		case d = <-decided:
-		case <-timer.C:
-			d = s.cancel(id, decided).orElse(d)
-		case <-ctx.Done():
-			d = s.cancel(id, decided).orElse(d)
-		}
-	}
-	if d.isAdmitted {
-		return 0, true
 	}
-	s.Counters.Refused.Add(1)
-	if deadline, ok := ctx.Deadline(); ok {
-		d.retryAfter = min(d.retryAfter, max(time.Until(deadline), 0))
+	select {
+	case d := <-decided:
+		return d
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return d.retryAfter, false
+	return s.cancel(id, decided).orElse(decision{retryAfter: lateRetryAfter})
 }
 
 func (s *Sharer) request(a ratelimiter.Account) (uint64, <-chan decision) {
--- a/pkg/ratesharer/ratesharer_test.go
+++ b/pkg/ratesharer/ratesharer_test.go
@@ -237,7 +237,7 @@
 	require.NotEmpty(t, lines)
 	assert.LessOrEqual(t, len(lines), logBurst+1)
 	assert.Equal(t, "a", lines[0].Data["account"])
-	assert.InDelta(t, 2, lines[0].Data["ratePerSecond"], 0)
+	assert.InDelta(t, 2, lines[0].Data["rate"], 0)
 }
 
 // TestFormerCoordinatorsAreClaimedAt guards against a claim that isn't sent to the lost VM that ranks first.
@@ -254,3 +254,28 @@
 	log, _ := logtest.NewNullLogger()
 	return New(ratelimiter.Config{VM: vm, Incarnation: 1, Window: 5 * time.Second, Overage: 0.1, Slack: 20}, link{f, vm}, log)
 }
+
+// TestRequestWaitsForRoomThatIsAboutToCome guards against refusing callers, who may retry only once, for a pause of milliseconds.
+func TestRequestWaitsForRoomThatIsAboutToCome(t *testing.T) {
+	f := newFleet(t, 1)
+	a := ratelimiter.Account{Name: "a", Rate: 20, Burst: 1}
+	for i := range 30 {
+		retryAfter, ok := f.sharers["v0"].Allow(t.Context(), a)
+		assert.True(t, ok, "request %d is told to return after %s", i, retryAfter)
+	}
+}
+
+// TestStartingVMWaitsForItsPeers guards against refusing the callers of VMs that start together and have not heard one another.
+func TestStartingVMWaitsForItsPeers(t *testing.T) {
+	f := newFleet(t, 2)
+	vm := f.sharers["v0"]
+	f.change(func() { f.down["v0"] = true })
+	now := bootTime()
+	vm.mu.Lock()
+	vm.heard, vm.heardAt, vm.refreshedAt = 1, now.Add(-2*silenceTime), now
+	vm.mu.Unlock()
+	hears := time.AfterFunc(100*time.Millisecond, func() { f.change(func() { f.down["v0"] = false }) })
+	defer hears.Stop()
+	_, ok := vm.Allow(t.Context(), ratelimiter.Account{Name: "a", Rate: 10, Burst: 10})
+	assert.True(t, ok)
+}
