Tests: a reload of the settings makes strict revocation active

Cause: TestReloadKeepsGoodSettings builds a gateway without an admitter, and reload dereferenced it.

Change: the test gives it one, and checks that strictRevoke holds after a reload.

Result: go test ./pkg/assembler passes (562 s with GOMAXPROCS=2).

--- a/pkg/assembler/reload_test.go
+++ b/pkg/assembler/reload_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/admitter"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/platform"
 )
 
@@ -27,7 +29,11 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(&strings.Builder{})
-	g := &gateway{gatewayParts: gatewayParts{Settings: first, Log: log}}
+	cfg := &registrar.Config{}
+	cfg.RequireKeys()
+	registry := func() *registrar.Registry { return registrar.NewRegistry(cfg, nil) }
+	a := admitter.New(admitter.Headers{}, revocation(first), registry, nil, nil, admitter.Unlimited{}, nil, log)
+	g := &gateway{gatewayParts: gatewayParts{Settings: first, Log: log, Admitter: a}}
 	g.active.Store(&first)
 
 	read := make(chan time.Duration)
@@ -37,6 +43,11 @@
 	assert.Contains(t, []time.Duration{8 * time.Second, 5 * time.Second}, <-read)
 	assert.Equal(t, 5*time.Second, g.active.Load().Grace)
 
+	assert.Zero(t, a.MaxWatch())
+	write(strings.Replace(string(text), "graceS = 8", "graceS = 5\nstrictRevoke = true", 1))
+	g.reload()
+	assert.Equal(t, 1500*time.Millisecond, a.MaxWatch(), "strict revocation is not active")
+
 	write("nodeName = 5")
 	g.reload()
 	assert.Equal(t, 5*time.Second, g.active.Load().Grace, "a settings file with errors changed the active settings")
