--- a/soak/beside_test.go
+++ b/soak/beside_test.go
@@ -482,3 +482,8 @@
 	}
 	assert.Empty(t, b.logViolations())
 }
+
+// newFleetOf starts a fleet with a VM of each build. The VMs call serve, which forwards to the store.
+func newFleetOf(t testing.TB, store *standin.Store, serve http.Handler, builds ...string) *fleet {
+	return newAdjustedFleet(t, store, serve, nil, builds...)
+}
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -145,6 +145,7 @@
 		r.Header.Set("X-Token-Count", "450,250")
 		r.Header.Set("X-Model", "m")
 	}
+	c.fleet.authorize(r.Header, accountOf(id))
 	for _, set := range adjust {
 		set(r.Header)
 	}
@@ -210,6 +211,7 @@
 	r.GetBody = nil
 	r.Host = host
 	r.Header.Set("X-Request-Id", id)
+	c.fleet.authorize(r.Header, callerAccounts[0])
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := client.Do(r)
 	if err != nil {
@@ -227,9 +229,15 @@
 	var items []map[string]any
 	k, host := j.route()
 	for _, id := range j.items {
+		h := http.Header{"X-Model": {"m"}, "X-Token-Count": {"540,400"}}
+		c.fleet.authorize(h, callerAccounts[1])
+		headers := map[string]string{}
+		for name := range h {
+			headers[name] = h.Get(name)
+		}
 		items = append(items, map[string]any{
 			"id": id, "path": k.prefix + itemPath + id, "body": []byte("body of " + id), "tokens": 940,
-			"headers": map[string]string{"X-Model": "m", "X-Token-Count": "540,400"},
+			"headers": headers,
 		})
 	}
 	code, _ := c.callJobAt(host, v, http.MethodPost, k.prefix+j.id, j.id, map[string]any{"items": items})
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -45,7 +45,9 @@
 	ip       netip.Addr
 	link     *proxy
 	settings string
-	log      string
+	// bounds are further lines of the section of the settings with this name.
+	bounds string
+	log    string
 	// build is the folder of the program that the next start runs.
 	build string
 
@@ -86,11 +88,11 @@
 graceS = %d
 configApplyMs = 2500
 statusS = 120
-
+%s
 [platform]
 address = %q
 rowBytes = 65536
-%s`, v.name, v.ip.String(), v.ip, v.ip, drain.Milliseconds(), int(grace.Seconds()), v.link.addr().String(), extra)
+%s`, v.name, v.ip.String(), v.ip, v.ip, drain.Milliseconds(), int(grace.Seconds()), v.bounds, v.link.addr().String(), extra)
 	require.NoError(v.t, os.WriteFile(v.settings, []byte(text), 0o600))
 }
 
@@ -225,18 +227,28 @@
 	mu        sync.Mutex
 	endpoints []*endpoint
 	started   int
+	// accounts are those of the configuration, if it has any.
+	accounts []map[string]any
+	// bounds are lines of the settings of VMs that are added.
+	bounds string
 	// added holds the kinds whose routes the configuration has besides those of kinds.
 	added []kind
 }
 
-func newFleet(t testing.TB, vms int) *fleet {
+func newFleet(t testing.TB, vms int, adjust ...func(*fleet)) *fleet {
 	store := standin.NewStore()
-	return newFleetOf(t, store, store, slices.Repeat([]string{binaries}, vms)...)
+	return newAdjustedFleet(t, store, store, adjust, slices.Repeat([]string{binaries}, vms)...)
 }
 
-// newFleetOf starts a fleet with a VM of each build. The VMs call serve, which forwards to the store.
-func newFleetOf(t testing.TB, store *standin.Store, serve http.Handler, builds ...string) *fleet {
+// newAdjustedFleet starts a fleet with a VM of each build, after the adjustments. The VMs call serve, which forwards to the
+// store.
+func newAdjustedFleet(
+	t testing.TB, store *standin.Store, serve http.Handler, adjust []func(*fleet), builds ...string,
+) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), store: store}
+	for _, change := range adjust {
+		change(f)
+	}
 	f.server = httptest.NewServer(serve)
 	t.Cleanup(func() {
 		f.server.CloseClientConnections()
@@ -265,7 +277,7 @@
 		t: f.t, name: name, ip: netip.AddrFrom4([4]byte{127, 11, byte(n >> 8), byte(n)}),
 		link:     newProxy(f.t, netip.MustParseAddrPort(f.server.Listener.Addr().String())),
 		settings: filepath.Join(f.dir, name+".toml"), log: filepath.Join(f.dir, name+".log"),
-		build: build,
+		build: build, bounds: f.bounds,
 	}
 	v.writeSettings("")
 	v.start()
@@ -382,12 +394,16 @@
 	for _, k := range slices.Concat(kinds, f.added, further) {
 		routes = append(routes, k.route())
 	}
-	f.store.Put(platform.OperatorTable, "", platform.ConfigKey, map[string]any{
+	config := map[string]any{
 		"version": f.version, "routes": routes, "services": services,
 		"limits": map[string]any{
 			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
 		},
-	})
+	}
+	if len(f.accounts) > 0 {
+		config["tenants"] = slices.Clone(f.accounts)
+	}
+	f.store.Put(platform.OperatorTable, "", platform.ConfigKey, config)
 }
 
 // logViolations returns the data races and panics found in the logs.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -106,7 +106,11 @@
 
 // runSeed runs one seed on a fleet of its own and fails the test for each violation.
 func runSeed(t *testing.T, seed uint64) {
-	f := newFleet(t, vmCount)
+	f := newFleet(t, vmCount, func(f *fleet) {
+		if hasAccounts(seed) {
+			f.addAccounts()
+		}
+	})
 	s := &soak{t: t, fleet: f, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), outages: newOutages()}
 	s.callers = &callers{fleet: f, seed: seed, outages: s.outages}
 	f.store.SetFault(func(r *http.Request) standin.StoreFault {
@@ -131,6 +135,9 @@
 	}
 	violations := append(checkAll(c.attempts, c.jobs, f.runs()), s.violations...)
 	violations = append(violations, f.logViolations()...)
+	if hasAccounts(seed) {
+		violations = append(violations, accountViolations(f.runs())...)
+	}
 	for _, violation := range violations {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -71,6 +71,12 @@
 			go s.inject(start, inj, apply)
 		}
 	}
+	if hasAccounts(seed) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		inj := &injection{at: time.Duration(random.Int64N(int64(injectionWindow / 2))), duration: faultDurationSpan}
+		s.wg.Add(1)
+		go s.inject(start, inj, s.revokeKey)
+	}
 }
 
 // limitEndpoint makes an endpoint name a rate limit for limitWindow. It must hold unless a VM was down.
@@ -117,6 +123,7 @@
 	}
 	r.Host, r.GetBody = host, nil
 	r.Header.Set("X-Request-Id", id)
+	s.fleet.authorize(r.Header, accountOf(id))
 	// The caller doesn't need the answer.
 	if res, err := client.Do(r); err == nil {
 		_ = res.Body.Close()
