Tests: rows of waiting tokens that an earlier build wrote

Cause: the route's row is shared with builds that know no accounts.

Change: a test stores such rows with a full quota; an account's job is accepted, the route's row stays the sum of all jobs, and it counts once the configuration has no accounts.

--- a/pkg/assembler/gateway_accounts_test.go
+++ b/pkg/assembler/gateway_accounts_test.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -315,6 +317,28 @@
 	assert.Equal(t, http.StatusTooManyRequests, f.submitAs(f.vms[1], "key-of-b", newID("job"), newItems(1)).status)
 }
 
+// TestTokensOfEarlierBuildsCountForTheRoute stores a job and the route's row as an earlier build writes them, with a full quota.
+// They must not refuse the job of an account, and must refuse a job once the configuration has no accounts.
+func TestTokensOfEarlierBuildsCountForTheRoute(t *testing.T) {
+	t.Parallel()
+	f := newAccountFleet(t, 1)
+	for _, id := range []string{"i-llm-1", "i-llm-2"} {
+		f.endpoint(id).SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoAnswer })
+	}
+	f.batchRoute()["cap"] = 10 * 940
+	f.awaitConfig()
+	key := "gate/" + strconv.FormatUint(xxhash.Sum64String(testHost+"\x00/batch/"), 16)
+	f.store.Put("job", partitionFor(key), key, map[string]any{"accepted": 10 * 940})
+	f.storeJob(newID("job"), newItems(10), nil)
+	assert.Equal(t, http.StatusAccepted, f.submitAs(f.vms[0], callerKey, newID("job"), newItems(8)).status)
+	row := struct{ Accepted int64 }{}
+	require.NoError(t, json.Unmarshal(f.store.Value("job", partitionFor(key), key), &row))
+	assert.EqualValues(t, 18*940, row.Accepted, "the route's row must stay the sum of all its jobs, as earlier builds read it")
+	f.accounts = nil
+	f.awaitConfig()
+	assert.Equal(t, http.StatusTooManyRequests, f.submit(f.vms[0], newID("job"), newItems(1)).status)
+}
+
 // TestRevokedKeyIsRefusedByAVMThatHearsNothing cuts a VM off from the store and its peers and revokes a key. The VM must serve the
 // key for a while, since it can't know, and refuse all keys once the bound has passed; when it hears the store again, it serves.
 func TestRevokedKeyIsRefusedByAVMThatHearsNothing(t *testing.T) {
