--- a/pkg/ratesharer/ratesharer.go
+++ b/pkg/ratesharer/ratesharer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/clocker"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
@@ -23,7 +24,7 @@
 	lateRetryAfter = time.Second
 	// maxRoomWait is the longest wait of a request for room that the coordinator expects: callers may retry only once, and a pause
 	// of some milliseconds is cheaper for them than a new connection.
-	maxRoomWait = 150 * time.Millisecond
+	maxRoomWait = 300 * time.Millisecond
 	minRoomWait = 2 * time.Millisecond
 	// startupTime is the time after the start within which requests wait for the first datagrams of other VMs.
 	startupTime = 1500 * time.Millisecond
@@ -49,6 +50,9 @@
 	Send(vm string, payload []byte)
 }
 
+// bootTime returns the time since the machine's boot, with the time in which it was suspended, as a time after the epoch.
+func bootTime() time.Time { return time.Unix(0, 0).Add(clocker.Now()) }
+
 // Counters count messages to other VMs, and requests.
 type Counters struct {
 	// Questions, Answers, Notifications and Claims were sent to other VMs.
