Answers to incomplete bodies are sent before the rest of the body is read

Cause: the read deadline that bounds the rest of a body replaced that of the end of a stop, which had let the server answer at once. A body that came slowly got its 503 two seconds late, after the end of the process.

Change: the answer to a body that could not be read closes the connection, so the server answers first.

--- a/pkg/jobmanager/submit.go
+++ b/pkg/jobmanager/submit.go
@@ -89,6 +89,8 @@
 	// Only the end of this VM's stop sets a deadline for a body.
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		m.log.WithField("job", id).Info("job refused: its body was incomplete at the end of this VM's stop")
+		// Else the server would wait for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
 		relayer.WriteRefusal(w, http.StatusServiceUnavailable, 0, relayer.ErrStopping.Error())
 		return
 	}
--- a/pkg/relayer/body.go
+++ b/pkg/relayer/body.go
@@ -32,6 +32,7 @@
 // refuseBody refuses a request whose body could not be read; nothing of it was sent to an endpoint.
 func (l *Relayer) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, ErrStopping) {
+		closeAfterAnswer(w)
 		l.RefuseLeaving(w, r)
 		return
 	}
@@ -40,12 +41,13 @@
 	WriteBodyError(w, err)
 }
 
-// WriteBodyError answers a request whose body could not be read. Unless the body was invalid, its connection is closed.
+// closeAfterAnswer has the connection closed after the answer. Otherwise the server would wait for the rest of the body first.
+func closeAfterAnswer(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
+
+// WriteBodyError answers a request whose body could not be read. Its connection is closed.
 func WriteBodyError(w http.ResponseWriter, err error) {
 	status, retryAfter := bodyreader.Status(err)
-	if status != http.StatusBadRequest {
-		w.Header().Set("Connection", "close")
-	}
+	closeAfterAnswer(w)
 	if status == http.StatusServiceUnavailable {
 		WriteRefusal(w, status, retryAfter, err.Error())
 		return
