--- a/pkg/bodyreader/reader.go
+++ b/pkg/bodyreader/reader.go
@@ -38,7 +38,7 @@
 	mu     sync.Mutex
 	core   *budgeter.Budgeter
 	limits budgeter.Limits
-	// left is the memory that the process had after the last return of memory, at returnedAt.
+	// left is the memory that the process had at the start, or after the last return of memory, at returnedAt.
 	left       int64
 	returnedAt time.Time
 }
@@ -74,7 +74,10 @@
 }
 
 // Start gives stalled bodies up until ctx ends.
-func (b *Reader) Start(ctx context.Context) { go b.run(ctx) }
+func (b *Reader) Start(ctx context.Context) {
+	b.left = usedMemory()
+	go b.run(ctx)
+}
 
 func (b *Reader) run(ctx context.Context) {
 	sleeper.Every(ctx, checkInterval, b.check)
@@ -96,12 +99,7 @@
 	if !isQuiet {
 		return
 	}
-	used := usedMemory()
-	if b.left == 0 {
-		b.left = used
-		return
-	}
-	if used > limit {
+	if usedMemory() > limit {
 		debug.FreeOSMemory()
 		b.left, b.returnedAt = usedMemory(), now
 	}
