--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/admitter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/clocker"
 	"github.com/dogwoodledge/dogwoodledge/pkg/confirmer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/authenticator"
@@ -91,6 +92,7 @@
 	RateSharer *ratesharer.Sharer
 	JobManager *jobmanager.Manager
 	ItemRunner *itemrunner.Runner
+	Bodies     *bodyreader.Reader
 	Listener   *listener.Listener
 	Meter      *tracer.Meter
 }
@@ -112,8 +114,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newRateSharer,
-			newAdmitter, newRelayer, newJobManager, newItemRunner, newListener,
+			newBalancer, newGossiper, newBodies, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer,
+			newRateSharer, newAdmitter, newRelayer, newJobManager, newItemRunner, newListener,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -246,17 +248,21 @@
 
 func newRelayer(
 	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator,
-	c *confirmer.Confirmer, rs *resumer.Resumer, a *admitter.Admitter, m *tracer.Meter, log logrus.FieldLogger,
+	c *confirmer.Confirmer, rs *resumer.Resumer, a *admitter.Admitter, bodies *bodyreader.Reader, m *tracer.Meter,
+	log logrus.FieldLogger,
 ) *relayer.Relayer {
-	return relayer.New(platform.Headers(), w.Current, b, p, i, c, rs, a, leavingNotifier(w, g), m, log)
+	rl := relayer.New(platform.Headers(), w.Current, b, p, i, c, rs, a, leavingNotifier(w, g), m, log)
+	rl.SetBodies(bodies)
+	return rl
 }
 
 func newJobManager(
-	s platform.Settings, t storer.Table, w *watcher.Watcher, g *gossiper.Gossiper, log logrus.FieldLogger,
+	s platform.Settings, t storer.Table, w *watcher.Watcher, g *gossiper.Gossiper, bodies *bodyreader.Reader,
+	log logrus.FieldLogger,
 ) *jobmanager.Manager {
 	return jobmanager.New(jobmanager.Config{
 		VM: s.VM.ID, Incarnation: g.Incarnation(), RowBytes: s.RowBytes,
-		KeepFor: s.JobStatus + jobmanager.KeepMargin,
+		KeepFor: s.JobStatus + jobmanager.KeepMargin, Bodies: bodies,
 	}, t, platform.JobCodec{}, w.Current, g, log)
 }
 
@@ -269,12 +275,12 @@
 
 func newListener(
 	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, rl *relayer.Relayer, jm *jobmanager.Manager,
-	t *tracer.Tracer, log logrus.FieldLogger,
+	bodies *bodyreader.Reader, t *tracer.Tracer, log logrus.FieldLogger,
 ) *listener.Listener {
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
-		HasPeers: g.HasVMList,
+		HasPeers: g.HasVMList, Limits: clientLimits(s), Bodies: bodies,
 	}, w.Current, rl, jm, t.Handler(), log)
 }
 
@@ -312,6 +318,7 @@
 	if err := g.PeerSyncer.Start(g.ctx); err != nil {
 		return err
 	}
+	g.Bodies.Start(g.ctx)
 	g.Isolator.Start(g.ctx)
 	g.Resumer.Start(g.ctx)
 	g.RateSharer.Start(g.ctx)
@@ -374,7 +381,7 @@
 			return err
 		}
 	}
-	return nil
+	return g.exportClients()
 }
 
 // stop shuts the daemon down gracefully: it hands batch jobs over to other VMs and completes requests that have begun, until
@@ -443,6 +450,7 @@
 		return
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	g.Bodies.SetLimits(clientLimits(s).Budget)
 	g.active.Store(&s)
 	g.Admitter.SetPolicy(revocation(s))
 	g.Log.Info("settings reloaded; changed addresses take effect at the next start")
--- a/pkg/relayer/refusal.go
+++ b/pkg/relayer/refusal.go
@@ -11,13 +11,22 @@
 
 // Refuse answers and logs a request that the active configuration doesn't admit and that has not run.
 func (l *Relayer) Refuse(w http.ResponseWriter, r *http.Request, status int, detail string) {
+	l.logRefusal(r, status, detail)
+	WriteError(w, status, detail)
+}
+
+// logRefusal logs a request that is not admitted, unless too many were for the same cause.
+func (l *Relayer) logRefusal(r *http.Request, status int, detail string) {
+	unlogged, mayLog := l.refusalLog.Allow(time.Now(), strconv.Itoa(status))
+	if !mayLog {
+		return
+	}
 	reg := l.registry()
 	l.log.WithFields(logrus.Fields{
 		"request": r.Header.Get(l.headers.RequestID), "host": r.Host, "path": r.URL.Path, "status": status, "cause": detail,
 		"config": reg.Config.Version, "configRow": reg.ConfigRow.Version, "configSource": reg.ConfigRow.Source,
-		"configAge": ms(time.Since(reg.ConfigRow.ActiveSince)),
+		"configAge": ms(time.Since(reg.ConfigRow.ActiveSince)), "unlogged": unlogged,
 	}).Info("request not admitted")
-	WriteError(w, status, detail)
 }
 
 // RefuseLeaving refuses a request that this VM would not complete before it stops. The caller can retry on another VM at once.
