Fetch changed rows with a late configuration while the store is lost

Cause: since the configuration is fetched alone, a VM without the store acted under a new configuration up to 500 ms before it heard of the endpoints that had changed with it; TestVMWithoutStoreLearnsFromPeers failed (one whole run of pkg/assembler).

Change: if the store is lost, the fetch of a configuration asks for the rows that changed since, too; these are few.

--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -153,8 +153,13 @@
 	}
 	log := s.log.WithFields(logrus.Fields{"peer": n.vm, "row": n.row, "knownRow": known})
 	log.Warn("peer has a newer configuration, and the store's feed has not brought it; fetching it from a peer")
+	q := newsRequest{ConfigAfter: known}
+	if s.watcher.IsLost() && s.watcher.EndpointsVersion() > 0 {
+		// The few rows that changed come along: what this VM does under the configuration should go by them.
+		q = s.newsOfAll()
+	}
 	for _, peer := range s.configPeers(n.vm) {
-		if err := s.fetch(ctx, peer, newsRequest{ConfigAfter: known}); err != nil {
+		if err := s.fetch(ctx, peer, q); err != nil {
 			log.WithError(err).WithField("address", peer.String()).Info("peer did not send its configuration")
 		}
 		if s.watcher.Current().ConfigRow.Version > known {
@@ -182,13 +187,17 @@
 	if !ok {
 		return
 	}
-	q := newsRequest{
+	if err := s.fetch(ctx, peer, s.newsOfAll()); err != nil {
+		s.log.WithError(err).WithField("peer", peer.String()).Info("peer did not send its rows; asking a peer again in 500 ms")
+	}
+}
+
+// newsOfAll asks for all that is newer than what this VM knows.
+func (s *Syncer) newsOfAll() newsRequest {
+	return newsRequest{
 		ConfigAfter: s.watcher.Current().ConfigRow.Version, HasRows: true,
 		EndpointsAfter: max(s.heardVersion.Load(), s.watcher.EndpointsVersion()),
 	}
-	if err := s.fetch(ctx, peer, q); err != nil {
-		s.log.WithError(err).WithField("peer", peer.String()).Info("peer did not send its rows; asking a peer again in 500 ms")
-	}
 }
 
 // fetch asks the peer for news and applies them. A peer of a build without this call sends all rows.
