Read a large table of endpoints from other VMs

Cause: each VM read all rows of endpoints at its start and after a lost history, and followed all changes: 150 VMs in the region without the store take 180 MB over a link of 60 Mbit/s for 3,003 rows (worked out).

Change: above 500 rows, peersyncer.Table answers the calls of the watcher's feed from another VM: a new call, Follow, waits for changes after a version and brings them compressed, with the age of the source's knowledge. core/distributor chooses the source; the store is read by three VMs of a region, and by others whose sources fail or are over 2 s behind. The feed's rules are as before. Reads for callers that wait ask the store itself. A VM's row says that the deployment has many endpoints, for its next process; in smaller deployments rows, calls and messages are unchanged. Metrics: bytes and rows read by table and source, age and source of the endpoints.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -78,6 +78,7 @@
 	Balancer   *balancer.Balancer
 	Gossiper   *gossiper.Gossiper
 	PeerSyncer *peersyncer.Syncer
+	Endpoints  *peersyncer.Table
 	Prober     *prober.Prober
 	Pool       *dialer.Pool
 	Isolator   *isolator.Isolator
@@ -104,8 +105,8 @@
 		fx.StopTimeout(gatewayStopTimeout),
 		fx.Supply(s),
 		fx.Provide(
-			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newWatcher,
-			newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newRelayer,
+			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newEndpointTable,
+			newWatcher, newBalancer, newGossiper, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer, newRelayer,
 			newJobManager, newItemRunner, newListener,
 		),
 		fx.Invoke(runGateway),
@@ -130,13 +131,23 @@
 
 func newTable(s *platform.Store) storer.Table { return s }
 
+// newEndpointTable returns the store with the table of endpoints read from other VMs while it is large.
+func newEndpointTable(
+	s platform.Settings, t storer.Table, g *gossiper.Gossiper, log logrus.FieldLogger,
+) *peersyncer.Table {
+	return peersyncer.NewTable(peersyncer.TableConfig{
+		Name: platform.EndpointTable, Zone: s.VM.AvailabilityZone, IsLarge: g.HasManyEndpoints(), OnLarge: g.SetManyEndpoints,
+	}, t, g, &peersyncer.Connections{}, log)
+}
+
 func newWatcher(
-	t storer.Table, b *balancer.Balancer, g *gossiper.Gossiper, rs *resumer.Resumer, log logrus.FieldLogger,
+	t *peersyncer.Table, b *balancer.Balancer, g *gossiper.Gossiper, rs *resumer.Resumer, log logrus.FieldLogger,
 ) *watcher.Watcher {
 	onChange := func(r *registrar.Registry) {
 		rs.Observe(r)
 		b.Configure(r)
 		g.AnnounceConfig(r.ConfigRow.Version)
+		t.ObserveRows(len(r.Endpoints))
 	}
 	return watcher.New(t, watcher.Decoder{
 		ConfigTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, EndpointTable: platform.EndpointTable,
@@ -156,13 +167,13 @@
 func newGossiper(
 	s platform.Settings, t storer.Table, source func() *rand.Rand, log logrus.FieldLogger,
 ) *gossiper.Gossiper {
-	incarnation, err := gossiper.NextIncarnation(context.Background(), t, s.VM.ID, time.Now())
+	previous, err := gossiper.ReadPrevious(context.Background(), t, s.VM.ID, time.Now())
 	if err != nil {
 		log.WithError(err).Warn("row of this VM's earlier process not read; the incarnation is that of the clock")
 	}
 	return gossiper.New(gossiper.Config{
-		VM: s.VM.ID, Incarnation: incarnation, Address: netip.AddrPortFrom(s.IP, s.FirstPort),
-		Region: s.VM.Region, Capacity: s.Cores,
+		VM: s.VM.ID, Incarnation: previous.NextIncarnation, Address: netip.AddrPortFrom(s.IP, s.FirstPort),
+		Region: s.VM.Region, Capacity: s.Cores, HasManyEndpoints: previous.HadManyEndpoints,
 	}, t, source(), log)
 }
 
@@ -176,9 +187,12 @@
 }
 
 func newPeerSyncer(
-	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, i *isolator.Isolator, log logrus.FieldLogger,
+	s platform.Settings, w *watcher.Watcher, t *peersyncer.Table, g *gossiper.Gossiper, i *isolator.Isolator,
+	log logrus.FieldLogger,
 ) *peersyncer.Syncer {
-	return peersyncer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log, i)
+	p := peersyncer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log, i)
+	p.PassOn(t, s.VM.AvailabilityZone)
+	return p
 }
 
 func newProber(
@@ -335,7 +349,45 @@
 			return err
 		}
 	}
-	return nil
+	return g.exportReads()
+}
+
+// exportReads exports the counters of what this VM reads from the store and from other VMs.
+func (g *gateway) exportReads() error {
+	p, e := &g.PeerSyncer.Counters, &g.Endpoints.Counters
+	for _, c := range []struct {
+		name, description string
+		counter           *atomic.Int64
+	}{
+		{"peer_bytes", "bytes of rows fetched from peers while the store was lost or behind", &p.BytesFetched},
+		{"peer_rows", "rows fetched from peers while the store was lost or behind", &p.RowsFetched},
+		{"endpoints_store_calls", "calls to the store for the table of endpoints", &e.StoreCalls},
+		{"endpoints_peer_calls", "calls to peers for the table of endpoints that brought an answer", &e.PeerCalls},
+		{"endpoints_peer_bytes", "bytes of rows of endpoints read from peers", &e.PeerBytes},
+		{"endpoints_peer_rows", "rows of endpoints read from peers", &e.PeerRows},
+		{"endpoints_peer_failures", "calls to peers for the table of endpoints that failed, or whose answer was old", &e.PeerFailures},
+		{"endpoints_source_changes", "changes of the peer that the table of endpoints is read from", &e.SourceChanges},
+	} {
+		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
+			return err
+		}
+	}
+	if err := g.Meter.CountBy("store_bytes", "bytes of rows read from the store, by table", "table", g.Store.BytesRead); err != nil {
+		return err
+	}
+	if err := g.Meter.CountBy("store_rows", "rows read from the store, by table", "table", g.Store.RowsRead); err != nil {
+		return err
+	}
+	return g.Meter.Gauge("endpoints_age_ms",
+		"ms since which changes of endpoints may be unknown, by the source: a peer, or store", "source", g.endpointsAge)
+}
+
+func (g *gateway) endpointsAge() (int64, string) {
+	source := g.Endpoints.Source()
+	if source == "" {
+		source = "store"
+	}
+	return g.Endpoints.Age(time.Now()).Milliseconds(), source
 }
 
 // stop shuts the daemon down gracefully: it hands batch jobs over to other VMs and completes requests that have begun, until
--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/assembler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/peersyncer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/resumer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
@@ -58,7 +59,8 @@
 	app  *fx.App
 	base string
 	// gossiper is that of the VM's app.
-	gossiper *gossiper.Gossiper
+	gossiper  *gossiper.Gossiper
+	endpoints *peersyncer.Table
 }
 
 func route(kind, prefix, service string, extra map[string]any) map[string]any {
@@ -226,7 +228,7 @@
 	f.t.Helper()
 	s := f.settings(fmt.Sprintf("front-%d", len(f.vms)+1))
 	vm := &testVM{name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String()}
-	vm.app = assembler.NewGateway(s, fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper))
+	vm.app = assembler.NewGateway(s, fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.endpoints))
 	require.NoError(f.t, vm.app.Start(context.Background()))
 	f.vms = append(f.vms, vm)
 	f.t.Cleanup(func() { _ = vm.app.Stop(context.Background()) })
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -50,6 +50,8 @@
 	Region      string
 	// Capacity is the share of a core that the VM has.
 	Capacity float64
+	// HasManyEndpoints says that the VM's row is to say that the deployment has many endpoints.
+	HasManyEndpoints bool
 }
 
 // vmRow is the value of a VM's row in the store.
@@ -58,6 +60,8 @@
 	Incarnation int64          `json:"incarnation"`
 	Region      string         `json:"region"`
 	Capacity    float64        `json:"capacity"`
+	// HasManyEndpoints says that the VM's next process is to read the endpoints from other VMs.
+	HasManyEndpoints bool `json:"manyEndpoints,omitempty"`
 }
 
 // Handler is called with payloads and updates from other VMs; its methods must not block.
@@ -107,9 +111,10 @@
 	isLeaving atomic.Bool
 	// configRow is the version of the row of the active configuration.
 	configRow atomic.Int64
-	// isRegistered says that this VM's row was written; unlisted signals that it was deleted since.
-	isRegistered atomic.Bool
-	unlisted     chan struct{}
+	// isRegistered says that this VM's row was written; unlisted signals that it has to be written again.
+	isRegistered     atomic.Bool
+	unlisted         chan struct{}
+	hasManyEndpoints atomic.Bool
 
 	// Counters can be read from any goroutine.
 	Counters Counters
@@ -134,6 +139,7 @@
 		unlisted: make(chan struct{}, 1),
 	}
 	g.handler.Store(&Handler{})
+	g.hasManyEndpoints.Store(cfg.HasManyEndpoints)
 	g.feed = watcher.NewFeed(store, VMTable, []string{""}, g.applyTable, log)
 	g.feed.SetGap(listGap)
 	return g
@@ -181,6 +187,9 @@
 // Incarnation returns this VM's incarnation.
 func (g *Gossiper) Incarnation() int64 { return g.cfg.Incarnation }
 
+// HasManyEndpoints reports whether the VM's row says that the deployment has many endpoints.
+func (g *Gossiper) HasManyEndpoints() bool { return g.hasManyEndpoints.Load() }
+
 // HasVMList reports whether the list of VMs has been read from the store.
 func (g *Gossiper) HasVMList() bool { return g.feed.Version() > 0 }
 
--- a/pkg/gossiper/incarnation_test.go
+++ b/pkg/gossiper/incarnation_test.go
@@ -28,21 +28,23 @@
 func TestNextIncarnationGrows(t *testing.T) {
 	now := time.UnixMicro(1000)
 	for _, tt := range []struct {
-		name  string
-		store oneRow
-		want  int64
-		fails bool
+		name    string
+		store   oneRow
+		want    int64
+		hadMany bool
+		fails   bool
 	}{
 		{name: "no row", want: 1000},
 		{name: "earlier process", store: oneRow{value: `{"incarnation":999}`}, want: 1000},
+		{name: "many endpoints", store: oneRow{value: `{"incarnation":999,"manyEndpoints":true}`}, want: 1000, hadMany: true},
 		{name: "clock was set back", store: oneRow{value: `{"incarnation":2000}`}, want: 2001},
 		{name: "no room for refutations", store: oneRow{value: `{"incarnation":9223372036854775807}`}, want: 1000},
 		{name: "no row of a VM", store: oneRow{value: `[]`}, want: 1000, fails: true},
 		{name: "store unreachable", store: oneRow{err: errors.New("down")}, want: 1000, fails: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := NextIncarnation(t.Context(), tt.store, "a", now)
-			assert.Equal(t, tt.want, got)
+			got, err := ReadPrevious(t.Context(), tt.store, "a", now)
+			assert.Equal(t, Previous{NextIncarnation: tt.want, HadManyEndpoints: tt.hadMany}, got)
 			assert.Equal(t, tt.fails, err != nil)
 		})
 	}
--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/detector"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/distributor"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/hasher"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
@@ -187,6 +188,20 @@
 	return ok && m.Region == g.cfg.Region
 }
 
+// Place returns this VM's place in the distribution of large tables among the live VMs of its region; false if the list of VMs
+// was not read yet.
+func (g *Gossiper) Place() (distributor.Place, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	vms := 1
+	for _, m := range g.states {
+		if isLive(m) && m.Region == g.cfg.Region {
+			vms++
+		}
+	}
+	return distributor.PlaceOf(g.cfg.VM, vms, g.capable(g.cfg.Region)), !g.listedAt.IsZero()
+}
+
 // applyTable applies an update of the table of VMs, and signals if this VM's row is missing.
 func (g *Gossiper) applyTable(u watcher.Update) {
 	now := time.Now()
@@ -225,9 +240,6 @@
 	g.mu.Unlock()
 	g.handle(now, listed)
 	if !isListed && g.isRegistered.Load() {
-		select {
-		case g.unlisted <- struct{}{}:
-		default:
-		}
+		g.requestRegistration()
 	}
 }
--- a/pkg/gossiper/register.go
+++ b/pkg/gossiper/register.go
@@ -21,30 +21,51 @@
 	forgetInterval = 10 * time.Second
 )
 
-// runRegister writes this VM's row, and writes it again whenever another VM has deleted it.
+// runRegister writes this VM's row, and writes it again whenever another VM has deleted it or what it says changes.
 func (g *Gossiper) runRegister(ctx context.Context) {
-	value, err := json.Marshal(vmRow{
-		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region, Capacity: g.cfg.Capacity,
-	})
-	if err != nil {
-		g.log.WithError(err).Error("row of this VM can't be encoded; the VM stays unlisted")
-		return
-	}
-	put := storer.Change{Puts: []storer.Entry{{Table: VMTable, Key: g.cfg.VM, Value: value}}}
-	for g.register(ctx, put) {
+	for g.register(ctx) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.unlisted:
-			g.log.Warn("VM's row is gone from the store, written again")
+			g.log.Warn("VM's row is gone from the store or out of date, written again")
 		}
 	}
 }
 
+// SetManyEndpoints sets whether the VM's row says that the deployment has many endpoints.
+func (g *Gossiper) SetManyEndpoints(hasMany bool) {
+	if g.hasManyEndpoints.Swap(hasMany) != hasMany {
+		g.requestRegistration()
+	}
+}
+
+// requestRegistration has this VM's row written again.
+func (g *Gossiper) requestRegistration() {
+	select {
+	case g.unlisted <- struct{}{}:
+	default:
+	}
+}
+
+// ownRow returns the change that writes this VM's row.
+func (g *Gossiper) ownRow() (storer.Change, error) {
+	value, err := json.Marshal(vmRow{
+		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region, Capacity: g.cfg.Capacity,
+		HasManyEndpoints: g.hasManyEndpoints.Load(),
+	})
+	return storer.Change{Puts: []storer.Entry{{Table: VMTable, Key: g.cfg.VM, Value: value}}}, err
+}
+
 // register retries the write of the row until it succeeds; it returns false if ctx ends first.
-func (g *Gossiper) register(ctx context.Context, put storer.Change) bool {
+func (g *Gossiper) register(ctx context.Context) bool {
 	for failed := 0; ; failed++ {
-		_, err := g.store.Apply(ctx, put)
+		put, err := g.ownRow()
+		if err != nil {
+			g.log.WithError(err).Error("row of this VM can't be encoded; the VM stays unlisted")
+			return false
+		}
+		_, err = g.store.Apply(ctx, put)
 		if err == nil {
 			g.isRegistered.Store(true)
 			g.log.WithField("incarnation", g.cfg.Incarnation).WithField("failed", failed).Info("VM registered")
--- a/pkg/gossiper/register_test.go
+++ b/pkg/gossiper/register_test.go
@@ -114,8 +114,7 @@
 	g, hook := newTestGossiper("v1", store)
 	g.applyTable(watcher.Update{IsFull: true, Version: 1})
 	assert.Empty(t, g.unlisted, "the VM has not registered yet")
-	put := storer.Change{Puts: rowsOf(t, "v1")}
-	require.True(t, g.register(t.Context(), put))
+	require.True(t, g.register(t.Context()))
 	assert.Equal(t, "VM not registered, trying again", hook.AllEntries()[0].Message)
 	g.applyTable(watcher.Update{Version: 2, Entries: rowsOf(t, "v1")})
 	assert.Empty(t, g.unlisted)
@@ -125,3 +124,45 @@
 	g.applyTable(watcher.Update{IsFull: true, Version: 4})
 	assert.Len(t, g.unlisted, 1, "a full list without the VM must signal that its row is missing")
 }
+
+// TestRowNamesManyEndpoints checks that the row of a VM has no further field in a deployment with few endpoints, and is written
+// again when the deployment turns out to have many.
+func TestRowNamesManyEndpoints(t *testing.T) {
+	store := &changeLog{}
+	g, _ := newTestGossiper("v1", store)
+	require.True(t, g.register(t.Context()))
+	assert.NotContains(t, string(store.changes[0].Puts[0].Value), "manyEndpoints")
+	g.SetManyEndpoints(false)
+	assert.Empty(t, g.unlisted)
+	g.SetManyEndpoints(true)
+	require.Len(t, g.unlisted, 1)
+	require.True(t, g.register(t.Context()))
+	assert.Contains(t, string(store.changes[1].Puts[0].Value), `"manyEndpoints":true`)
+}
+
+// TestPlaceIsAmongTheVMsOfTheRegion checks that only live VMs of the own region pass tables on, and none before the list is read.
+func TestPlaceIsAmongTheVMsOfTheRegion(t *testing.T) {
+	g, _ := newTestGossiper("v1", &changeLog{})
+	_, ok := g.Place()
+	assert.False(t, ok)
+	var rows []storer.Entry
+	for i := range 40 {
+		region := "r"
+		if i%2 == 0 {
+			region = "far"
+		}
+		rows = append(rows, storer.Entry{Table: VMTable, Key: fmt.Sprintf("p%d", i), Version: int64(i + 1), Value: fmt.Appendf(nil,
+			`{"address":"127.0.0.1:1","incarnation":2,"region":%q,"capacity":1}`, region)})
+	}
+	g.cfg.Region, g.cfg.Capacity = "r", 0.1
+	g.applyTable(watcher.Update{IsFull: true, Version: 50, Entries: rows})
+	p, ok := g.Place()
+	assert.True(t, ok)
+	assert.False(t, p.IsReader, "a VM with a tenth of the others' capacity serves none")
+	assert.Len(t, p.Sources, 5)
+	for _, vm := range p.Sources {
+		assert.True(t, g.IsNear(vm), vm)
+	}
+	assert.False(t, g.IsNear("p0"))
+	assert.False(t, g.IsNear("unknown"))
+}
--- a/pkg/peersyncer/message.go
+++ b/pkg/peersyncer/message.go
@@ -83,6 +83,18 @@
 	return errors.Wrap(cbor.Unmarshal(raw, m), "decode message")
 }
 
+// format is how the messages of a method are encoded.
+type format struct {
+	encode func(m any) ([]byte, error)
+	decode func(b []byte, m any) error
+}
+
+// Messages are compressed, or plain if they hold what is compressed already.
+var (
+	compressed = format{encodeMessage, decodeMessage}
+	plain      = format{cbor.Marshal, cbor.Unmarshal}
+)
+
 func messagesOf(entries []storer.Entry) []rowMessage {
 	rows := make([]rowMessage, 0, len(entries))
 	for _, e := range entries {
--- a/pkg/peersyncer/service.go
+++ b/pkg/peersyncer/service.go
@@ -28,6 +28,8 @@
 	watcher *watcher.Watcher
 	// sources holds the watcher, too.
 	sources []Source
+	// follows is nil if this VM passes no table on.
+	follows *follows
 }
 
 // serviceDesc returns the gRPC service description. Requests are empty or opaque bytes and replies opaque bytes, so that no
@@ -46,13 +48,14 @@
 					return srv.(*Server).rows()
 				},
 			},
-			method(newsMethod, (*Server).news),
+			method(newsMethod, compressed, (*Server).news),
+			method(followMethod, plain, (*Server).follow),
 		},
 	}
 }
 
-// method returns the description of a method whose request and reply are compressed messages.
-func method[Q, R any](name string, serve func(*Server, context.Context, Q) (R, error)) grpc.MethodDesc {
+// method returns the description of a method with messages of the format.
+func method[Q, R any](name string, f format, serve func(*Server, context.Context, Q) (R, error)) grpc.MethodDesc {
 	return grpc.MethodDesc{
 		MethodName: name,
 		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
@@ -61,14 +64,14 @@
 				return nil, err
 			}
 			var q Q
-			if err := decodeMessage(raw.GetValue(), &q); err != nil {
+			if err := f.decode(raw.GetValue(), &q); err != nil {
 				return nil, status.Error(codes.InvalidArgument, err.Error())
 			}
 			r, err := serve(srv.(*Server), ctx, q)
 			if err != nil {
 				return nil, err
 			}
-			b, err := encodeMessage(r)
+			b, err := f.encode(r)
 			return wrapperspb.Bytes(b), err
 		},
 	}
@@ -103,3 +106,10 @@
 	reply.Rows = messagesOf(entries)
 	return reply, nil
 }
+
+func (s *Server) follow(ctx context.Context, q FollowRequest) (FollowReply, error) {
+	if s.follows == nil {
+		return FollowReply{}, status.Error(codes.Unimplemented, "this VM passes no table on")
+	}
+	return s.follows.follow(ctx, q)
+}
--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -62,6 +62,7 @@
 	address netip.AddrPort
 	watcher *watcher.Watcher
 	sources []Source
+	follows *follows
 	peers   Peers
 	log     logrus.FieldLogger
 	server  *grpc.Server
@@ -84,6 +85,9 @@
 	}
 }
 
+// PassOn makes the syncer pass the table on to VMs that follow it, as one in the availability zone; call it before Start.
+func (s *Syncer) PassOn(t *Table, zone string) { s.follows = newFollows(s.watcher, t, zone) }
+
 // Start serves peers, and fetches from them while the store is lost, until ctx ends. It returns an error if it can't listen.
 func (s *Syncer) Start(ctx context.Context) error {
 	listen := net.ListenConfig{}
@@ -92,7 +96,7 @@
 		return errors.Wrapf(err, "listen for peers on %s", s.address)
 	}
 	s.server = grpc.NewServer()
-	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher, sources: s.sources})
+	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher, sources: s.sources, follows: s.follows})
 	go s.runServer(socket)
 	go s.runFetch(ctx)
 	go s.runFetchConfig(ctx)
--- a/pkg/tracer/meter.go
+++ b/pkg/tracer/meter.go
@@ -57,6 +57,29 @@
 	return errors.Wrap(err, "set up metric "+name)
 }
 
+// CountBy exports a counter with the values that the function returns, by the value of the label, when the metrics are read.
+func (m *Meter) CountBy(name, description, label string, values func() map[string]int64) error {
+	_, err := otel.Meter("dogwoodledge").Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for key, v := range values() {
+				o.Observe(v, metric.WithAttributes(attribute.String(label, key)))
+			}
+			return nil
+		}))
+	return errors.Wrap(err, "set up metric "+name)
+}
+
+// Gauge exports a value, and the value of its label, that the function returns when the metrics are read.
+func (m *Meter) Gauge(name, description, label string, value func() (int64, string)) error {
+	_, err := otel.Meter("dogwoodledge").Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			v, key := value()
+			o.Observe(v, metric.WithAttributes(attribute.String(label, key)))
+			return nil
+		}))
+	return errors.Wrap(err, "set up metric "+name)
+}
+
 // RequestEnded counts an online request by route and outcome, and records how long it took.
 func (m *Meter) RequestEnded(route, outcome string, took time.Duration) {
 	m.ended.Add(context.Background(), 1,
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -124,7 +124,7 @@
 	}
 	f.mu.Unlock()
 	if !isSynced {
-		u, err := f.scan(ctx)
+		u, err := f.scan(ctx, f.store)
 		return f.handleResult(ctx, u, err)
 	}
 	page, err := f.store.Watch(ctx, f.table, version, wait)
@@ -151,10 +151,10 @@
 }
 
 // scan reads all partitions; the update has the lowest of their versions, so that no change is missed.
-func (f *Feed) scan(ctx context.Context) (Update, error) {
+func (f *Feed) scan(ctx context.Context, store storer.Table) (Update, error) {
 	u := Update{IsFull: true}
 	for n, p := range f.partitions {
-		entries, version, err := storer.ScanAll(ctx, f.store, storer.Range{Table: f.table, Partition: p})
+		entries, version, err := storer.ScanAll(ctx, store, storer.Range{Table: f.table, Partition: p})
 		if err != nil {
 			return u, err
 		}
--- a/pkg/watcher/refresh.go
+++ b/pkg/watcher/refresh.go
@@ -74,8 +74,9 @@
 	f.mu.Lock()
 	version, isSynced := f.version, f.isSynced
 	f.mu.Unlock()
+	store := f.direct()
 	for isSynced {
-		page, err := f.store.Watch(ctx, f.table, version, probeTimeout)
+		page, err := store.Watch(ctx, f.table, version, probeTimeout)
 		lost := (*storer.HistoryLostError)(nil)
 		if errors.As(err, &lost) {
 			f.handleLostHistory(version)
@@ -89,7 +90,7 @@
 			return nil
 		}
 	}
-	u, err := f.scan(ctx)
+	u, err := f.scan(ctx, store)
 	if err != nil {
 		return err
 	}
@@ -97,6 +98,14 @@
 	return nil
 }
 
+// direct returns the store itself, if the feed's calls may be answered by another VM.
+func (f *Feed) direct() storer.Table {
+	if t, ok := f.store.(interface{ Direct() storer.Table }); ok {
+		return t.Direct()
+	}
+	return f.store
+}
+
 // pass passes on an update that the feed's own calls may have overtaken.
 func (f *Feed) pass(u Update) {
 	f.mu.Lock()
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -47,11 +47,16 @@
 	passed    []registrar.Endpoint
 	hasGap    bool
 	isChanged bool
-	// endpointsVersion is the store's version up to which rows holds all changes.
-	endpointsVersion int64
-	configRow        storer.Entry
-	configSource     registrar.ConfigRow
-	cfg              *registrar.Config
+	// endpointsVersion is the store's version up to which rows holds all changes, fullVersion that of the last full read: changes
+	// before it may have been missed.
+	endpointsVersion, fullVersion int64
+	// keptFrom is the lowest version of the rows that are kept around an outage; 0 if there are none.
+	keptFrom int64
+	// updated is closed, and replaced, when endpointsVersion or keptFrom changes.
+	updated      chan struct{}
+	configRow    storer.Entry
+	configSource registrar.ConfigRow
+	cfg          *registrar.Config
 	// expiry runs expire when the first of the rows expires.
 	expiry *time.Timer
 }
@@ -69,7 +74,10 @@
 func New(
 	store storer.Table, d Decoder, onChange func(*registrar.Registry), log logrus.FieldLogger,
 ) *Watcher {
-	w := &Watcher{decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{}}
+	w := &Watcher{
+		decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{},
+		updated: make(chan struct{}),
+	}
 	w.config = NewFeed(store, d.ConfigTable, []string{""}, w.applyConfigUpdate, log)
 	w.endpoints = NewFeed(store, d.EndpointTable, []string{""}, w.applyEndpointUpdate, log)
 	w.endpoints.SetGap(endpointGap)
@@ -115,6 +123,36 @@
 	Version int64
 }
 
+// Complete is a range of versions of which all changes are known.
+type Complete struct {
+	// Since is the version of the last full read; Until is 0 before the first one.
+	Since, Until int64
+}
+
+// EndpointsComplete returns the versions of which all changes of the endpoints may be passed on.
+func (w *Watcher) EndpointsComplete() Complete {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := Complete{Since: w.fullVersion, Until: w.endpointsVersion}
+	if w.keptFrom > 0 {
+		c.Until = min(c.Until, w.keptFrom-1)
+	}
+	return c
+}
+
+// EndpointsUpdated returns a channel that is closed at the next change of EndpointsComplete.
+func (w *Watcher) EndpointsUpdated() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.updated
+}
+
+// notifyUpdated signals a change of EndpointsComplete; the lock is held.
+func (w *Watcher) notifyUpdated() {
+	close(w.updated)
+	w.updated = make(chan struct{})
+}
+
 // EndpointsAfter returns the rows of endpoints, including removed ones, whose versions are later. Those of endpoints that are
 // kept around an outage are left out, and the changes are complete only up to the first of these.
 func (w *Watcher) EndpointsAfter(after int64) EndpointChanges {
@@ -226,6 +264,9 @@
 	if u.Version > w.endpointsVersion || u.IsFull {
 		w.endpointsVersion = u.Version
 	}
+	if u.IsFull {
+		w.fullVersion = u.Version
+	}
 	listed := map[string]bool{}
 	for _, e := range u.Entries {
 		listed[e.Key] = true
@@ -324,14 +365,22 @@
 	return true
 }
 
-// scheduleExpiry has expire run when the first row expires; the lock is held.
+// scheduleExpiry has expire run when the first row expires, and tells those who pass the rows on; the lock is held.
 func (w *Watcher) scheduleExpiry(now time.Time) {
 	next := time.Time{}
+	w.keptFrom = 0
 	for _, row := range w.rows {
-		if !row.expires.IsZero() && (next.IsZero() || row.expires.Before(next)) {
+		if row.expires.IsZero() {
+			continue
+		}
+		if next.IsZero() || row.expires.Before(next) {
 			next = row.expires
 		}
+		if w.keptFrom == 0 || row.entry.Version < w.keptFrom {
+			w.keptFrom = row.entry.Version
+		}
 	}
+	w.notifyUpdated()
 	switch {
 	case next.IsZero():
 	case w.expiry == nil:
