Decode endpoints without the watcher's lock

Change: rows of an update are decoded before the lock is taken. A first read of more than 500 endpoints logs one line; most of the others were dropped by the limit on lines.

Tests: a configuration is applied while an update is decoded; the first read logs one line, later changes each.

--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -16,6 +16,8 @@
 const (
 	// outageGrace is the maximum time that a live endpoint takes to register again once the store is back.
 	outageGrace = 2 * time.Second
+	// maxFirstLines is the number of endpoints up to which the first read logs each of them; more lines would be dropped.
+	maxFirstLines = 500
 	// endpointGap is the pause between calls of the endpoints' feed. While endpoints are replaced, one call then returns several
 	// changes; it adds little to the time within which a draining endpoint must get no more requests.
 	endpointGap = 200 * time.Millisecond
@@ -47,6 +49,8 @@
 	passed    []registrar.Endpoint
 	hasGap    bool
 	isChanged bool
+	// isBulk says that the endpoints that are applied are not logged one by one.
+	isBulk bool
 	// endpointsVersion is the store's version up to which rows holds all changes, fullVersion that of the last full read: changes
 	// before it may have been missed.
 	endpointsVersion, fullVersion int64
@@ -204,7 +208,9 @@
 				w.applyConfig(e, sourcePeer)
 			}
 		case w.decoder.EndpointTable:
-			w.applyEndpoint(e, now, time.Time{})
+			if known := w.rows[e.Key].entry; e.Version != known.Version || e.IsRemoved != known.IsRemoved {
+				w.applyEndpoint(w.decodeRow(e), now, time.Time{})
+			}
 		}
 	}
 	w.publish()
@@ -253,9 +259,15 @@
 
 // applyEndpointUpdate applies the rows of the update and, if it is a full one, removes the endpoints that it does not list.
 func (w *Watcher) applyEndpointUpdate(u Update) {
+	rows := w.decode(u.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	if isFirst := len(w.rows) == 0 && len(rows) > maxFirstLines; isFirst {
+		w.isBulk = true
+		defer func() { w.isBulk = false }()
+		w.log.WithFields(logrus.Fields{"rows": len(rows), "version": u.Version}).Info("endpoints read for the first time")
+	}
 	keepUntil := time.Time{}
 	if !u.StoreBackAt.IsZero() {
 		keepUntil = u.StoreBackAt.Add(outageGrace)
@@ -268,18 +280,18 @@
 		w.fullVersion = u.Version
 	}
 	listed := map[string]bool{}
-	for _, e := range u.Entries {
-		listed[e.Key] = true
-		if _, ok := w.rows[e.Key]; !ok && e.IsRemoved {
+	for _, row := range rows {
+		listed[row.entry.Key] = true
+		if _, ok := w.rows[row.entry.Key]; !ok && row.entry.IsRemoved {
 			// The feed has left out the changes before the last one of this row.
 			w.hasGap = true
 		}
-		w.applyEndpoint(e, now, keepUntil)
+		w.applyEndpoint(row, now, keepUntil)
 	}
 	if u.IsFull {
 		for id, row := range w.rows {
 			if !listed[id] && !row.entry.IsRemoved && row.entry.Version <= u.Version {
-				w.applyEndpoint(storer.Entry{Key: id, Version: u.Version, IsRemoved: true}, now, keepUntil)
+				w.applyEndpoint(decodedRow{entry: storer.Entry{Key: id, Version: u.Version, IsRemoved: true}}, now, keepUntil)
 			}
 		}
 	}
@@ -287,12 +299,44 @@
 	w.publish()
 }
 
+// decodedRow is a row with the endpoint that it holds, or the error if it holds none.
+type decodedRow struct {
+	entry    storer.Entry
+	endpoint registrar.Endpoint
+	err      error
+}
+
+// decode decodes rows without the lock: those of thousands of endpoints take a small VM a quarter of a second, for which a
+// configuration must not wait.
+func (w *Watcher) decode(entries []storer.Entry) []decodedRow {
+	rows := make([]decodedRow, 0, len(entries))
+	for _, e := range entries {
+		rows = append(rows, w.decodeRow(e))
+	}
+	return rows
+}
+
+func (w *Watcher) decodeRow(e storer.Entry) decodedRow {
+	row := decodedRow{entry: e}
+	if !e.IsRemoved {
+		row.endpoint, row.err = w.decoder.Endpoint(e.Key, e.Value, e.Version)
+	}
+	return row
+}
+
 // applyEndpoint applies a row unless a newer one is known. An endpoint that is removed before keepUntil stays usable until then,
 // because it may only have to register again. The lock is held.
-func (w *Watcher) applyEndpoint(e storer.Entry, now, keepUntil time.Time) {
+func (w *Watcher) applyEndpoint(row decodedRow, now, keepUntil time.Time) {
+	e := row.entry
 	old := w.rows[e.Key]
 	if e.Version < old.entry.Version || (e.Version == old.entry.Version && e.IsRemoved == old.entry.IsRemoved) {
-		w.applyOldEndpoint(e)
+		w.applyOldEndpoint(row)
+		return
+	}
+	if w.isBulk && row.err == nil && !e.IsRemoved {
+		w.pass(old)
+		w.isChanged = true
+		w.rows[e.Key] = endpointRow{entry: e, endpoint: row.endpoint, isUsable: true}
 		return
 	}
 	log := w.log.WithFields(logrus.Fields{"endpoint": e.Key, "row": e.Version})
@@ -308,9 +352,9 @@
 		w.rows[e.Key] = row
 		return
 	}
-	endpoint, err := w.decoder.Endpoint(e.Key, e.Value, e.Version)
-	if err != nil {
-		log.WithError(err).Warn("endpoint row can't be decoded; no requests are sent to this endpoint")
+	endpoint := row.endpoint
+	if row.err != nil {
+		log.WithError(row.err).Warn("endpoint row can't be decoded; no requests are sent to this endpoint")
 		w.pass(old)
 		w.isChanged = w.isChanged || old.isUsable
 		w.rows[e.Key] = endpointRow{entry: e}
@@ -342,12 +386,10 @@
 }
 
 // applyOldEndpoint records an endpoint that was replaced by a row which arrived sooner, from a peer; the lock is held.
-func (w *Watcher) applyOldEndpoint(e storer.Entry) {
-	if e.IsRemoved || e.Version == w.rows[e.Key].entry.Version {
-		return
-	}
-	if endpoint, err := w.decoder.Endpoint(e.Key, e.Value, e.Version); err == nil && !endpoint.IsDraining {
-		w.passed = append(w.passed, endpoint)
+func (w *Watcher) applyOldEndpoint(row decodedRow) {
+	e := row.entry
+	if !e.IsRemoved && e.Version != w.rows[e.Key].entry.Version && row.err == nil && !row.endpoint.IsDraining {
+		w.passed = append(w.passed, row.endpoint)
 	}
 }
 
--- a/pkg/watcher/work_test.go
+++ b/pkg/watcher/work_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
@@ -97,3 +99,44 @@
 	assert.True(t, w.Current().HasEndpointsOf(before))
 	assert.Equal(t, int64('2'), w.Current().Config.Version)
 }
+
+// TestConfigurationDoesNotWaitForDecoding guards against a configuration that waits, on a small VM, until thousands of rows of
+// endpoints are decoded.
+func TestConfigurationDoesNotWaitForDecoding(t *testing.T) {
+	w, _ := newWorkWatcher(10)
+	decode := w.decoder.Endpoint
+	w.decoder.Endpoint = func(id string, text []byte, version int64) (registrar.Endpoint, error) {
+		w.ApplyPeerRows([]storer.Entry{{Table: "config", Key: "c", Value: []byte("7"), Version: 70}})
+		return decode(id, text, version)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.applyEndpointUpdate(Update{Version: 50, Entries: []storer.Entry{
+			{Table: "endpoints", Key: "e0001", Value: []byte("t"), Version: 50},
+		}})
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the configuration waits for the rows")
+	}
+	assert.Equal(t, int64('7'), w.Current().Config.Version)
+	assert.Equal(t, "t", w.Current().Endpoints["e0001"].Service)
+}
+
+// TestFirstReadOfManyEndpointsLogsOneLine guards against processor time for thousands of log lines at a start.
+func TestFirstReadOfManyEndpointsLogsOneLine(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	w, _ := newWorkWatcher(0)
+	w.log, w.rows = log, map[string]endpointRow{}
+	u := Update{IsFull: true, Version: 5000}
+	for i := range 3003 {
+		u.Entries = append(u.Entries, storer.Entry{Key: fmt.Sprintf("e%04d", i), Value: []byte("s"), Version: int64(i + 1)})
+	}
+	w.applyEndpointUpdate(u)
+	assert.Len(t, hook.AllEntries(), 1)
+	assert.Len(t, w.Current().Endpoints, 3003)
+	w.applyEndpointUpdate(Update{Version: 5001, Entries: []storer.Entry{{Key: "e0001", Version: 5001, IsRemoved: true}}})
+	assert.Equal(t, "endpoint gone", hook.LastEntry().Message)
+}
