--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -77,6 +77,7 @@
 	address netip.AddrPort
 	watcher *watcher.Watcher
 	sources []Source
+	follows *follows
 	peers   Peers
 	log     logrus.FieldLogger
 	server  *grpc.Server
@@ -101,6 +102,9 @@
 	}
 }
 
+// PassOn makes the syncer pass the table on to VMs that follow it, as one in the availability zone; call it before Start.
+func (s *Syncer) PassOn(t *Table, zone string) { s.follows = newFollows(s.watcher, t, zone) }
+
 // Start serves peers, and fetches from them while the store is lost, until ctx ends. It returns an error if it can't listen.
 func (s *Syncer) Start(ctx context.Context) error {
 	listen := net.ListenConfig{}
@@ -111,10 +115,10 @@
 	s.server = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxCallBytes), grpc.MaxHeaderListSize(maxHeadBytes), grpc.MaxConcurrentStreams(maxCalls),
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveParams(keepalive.ServerParameters{
-			MaxConnectionIdle: idleTimeout, MaxConnectionAge: ageLimit, MaxConnectionAgeGrace: fetchTimeout,
+			MaxConnectionIdle: idleTimeout, MaxConnectionAge: ageLimit, MaxConnectionAgeGrace: snapshotTimeout,
 		}),
 	)
-	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher, sources: s.sources})
+	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher, sources: s.sources, follows: s.follows})
 	go s.runServer(acceptor.New(
 		socket, acceptor.Config{Name: "vms", Connections: MaxConnections, PerAddress: maxPerVM}, &s.Connections, s.log))
 	go s.runFetch(ctx)
@@ -176,8 +180,13 @@
 	}
 	log := s.log.WithFields(logrus.Fields{"peer": n.vm, "row": n.row, "knownRow": known})
 	log.Warn("peer has a newer configuration, and the store's feed has not brought it; fetching it from a peer")
+	q := newsRequest{ConfigAfter: known}
+	if s.watcher.IsLost() && s.watcher.EndpointsVersion() > 0 {
+		// The few rows that changed come along: what this VM does under the configuration should go by them.
+		q = s.newsOfAll()
+	}
 	for _, peer := range s.configPeers(n.vm) {
-		if err := s.fetch(ctx, peer, newsRequest{ConfigAfter: known}); err != nil {
+		if err := s.fetch(ctx, peer, q); err != nil {
 			log.WithError(err).WithField("address", peer.String()).Info("peer did not send its configuration")
 		}
 		if s.watcher.Current().ConfigRow.Version > known {
@@ -205,13 +214,17 @@
 	if !ok {
 		return
 	}
-	q := newsRequest{
+	if err := s.fetch(ctx, peer, s.newsOfAll()); err != nil {
+		s.log.WithError(err).WithField("peer", peer.String()).Info("peer did not send its rows; asking a peer again in 500 ms")
+	}
+}
+
+// newsOfAll asks for all that is newer than what this VM knows.
+func (s *Syncer) newsOfAll() newsRequest {
+	return newsRequest{
 		ConfigAfter: s.watcher.Current().ConfigRow.Version, HasRows: true,
 		EndpointsAfter: max(s.heardVersion.Load(), s.watcher.EndpointsVersion()),
 	}
-	if err := s.fetch(ctx, peer, q); err != nil {
-		s.log.WithError(err).WithField("peer", peer.String()).Info("peer did not send its rows; asking a peer again in 500 ms")
-	}
 }
 
 // fetch asks the peer for news and applies them. A peer of a build without this call sends all rows.
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -96,9 +96,11 @@
 
 // watch calls the store's watch. The function that it returns records how new the rows are; it is to be called with the lock held
 // once the page's rows are passed on.
-func (f *Feed) watch(ctx context.Context, version int64, wait time.Duration) (storer.Page, func(), error) {
+func (f *Feed) watch(
+	ctx context.Context, store storer.Table, version int64, wait time.Duration,
+) (storer.Page, func(), error) {
 	sentAt := f.now()
-	page, err := f.store.Watch(ctx, f.table, version, wait)
+	page, err := store.Watch(ctx, f.table, version, wait)
 	receivedAt := f.now()
 	return page, func() {
 		if err == nil && !page.HasMore {
@@ -171,10 +173,10 @@
 	}
 	f.mu.Unlock()
 	if !isSynced {
-		u, err := f.scan(ctx)
+		u, err := f.scan(ctx, f.store)
 		return f.handleResult(ctx, u, func() {}, err)
 	}
-	page, observe, err := f.watch(ctx, version, wait)
+	page, observe, err := f.watch(ctx, f.store, version, wait)
 	lost := (*storer.HistoryLostError)(nil)
 	if errors.As(err, &lost) {
 		f.handleLostHistory(version)
@@ -198,10 +200,10 @@
 }
 
 // scan reads all partitions; the update has the lowest of their versions, so that no change is missed.
-func (f *Feed) scan(ctx context.Context) (Update, error) {
+func (f *Feed) scan(ctx context.Context, store storer.Table) (Update, error) {
 	u := Update{IsFull: true}
 	for n, p := range f.partitions {
-		entries, version, err := storer.ScanAll(ctx, f.store, storer.Range{Table: f.table, Partition: p})
+		entries, version, err := storer.ScanAll(ctx, store, storer.Range{Table: f.table, Partition: p})
 		if err != nil {
 			return u, err
 		}
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -16,6 +16,8 @@
 const (
 	// outageGrace is the maximum time that a live endpoint takes to register again once the store is back.
 	outageGrace = 2 * time.Second
+	// maxFirstLines is the number of endpoints up to which the first read logs each of them; more lines would be dropped.
+	maxFirstLines = 500
 	// endpointGap is the pause between calls of the endpoints' feed. While endpoints are replaced, one call then returns several
 	// changes; it adds little to the time within which a draining endpoint must get no more requests.
 	endpointGap = 200 * time.Millisecond
@@ -47,11 +49,18 @@
 	passed    []registrar.Endpoint
 	hasGap    bool
 	isChanged bool
-	// endpointsVersion is the store's version up to which rows holds all changes.
-	endpointsVersion int64
-	configRow        storer.Entry
-	configSource     registrar.ConfigRow
-	cfg              *registrar.Config
+	// isBulk says that the endpoints that are applied are not logged one by one.
+	isBulk bool
+	// endpointsVersion is the store's version up to which rows holds all changes, fullVersion that of the last full read: changes
+	// before it may have been missed.
+	endpointsVersion, fullVersion int64
+	// keptFrom is the lowest version of the rows that are kept around an outage; 0 if there are none.
+	keptFrom int64
+	// updated is closed, and replaced, when endpointsVersion or keptFrom changes.
+	updated      chan struct{}
+	configRow    storer.Entry
+	configSource registrar.ConfigRow
+	cfg          *registrar.Config
 	// expiry runs expire when the first of the rows expires.
 	expiry *time.Timer
 }
@@ -69,7 +78,10 @@
 func New(
 	store storer.Table, d Decoder, onChange func(*registrar.Registry), log logrus.FieldLogger,
 ) *Watcher {
-	w := &Watcher{decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{}}
+	w := &Watcher{
+		decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{},
+		updated: make(chan struct{}),
+	}
 	w.config = NewFeed(store, d.ConfigTable, []string{""}, w.applyConfigUpdate, log)
 	w.endpoints = NewFeed(store, d.EndpointTable, []string{""}, w.applyEndpointUpdate, log)
 	w.endpoints.SetGap(endpointGap)
@@ -123,6 +135,36 @@
 	Version int64
 }
 
+// Complete is a range of versions of which all changes are known.
+type Complete struct {
+	// Since is the version of the last full read; Until is 0 before the first one.
+	Since, Until int64
+}
+
+// EndpointsComplete returns the versions of which all changes of the endpoints may be passed on.
+func (w *Watcher) EndpointsComplete() Complete {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := Complete{Since: w.fullVersion, Until: w.endpointsVersion}
+	if w.keptFrom > 0 {
+		c.Until = min(c.Until, w.keptFrom-1)
+	}
+	return c
+}
+
+// EndpointsUpdated returns a channel that is closed at the next change of EndpointsComplete.
+func (w *Watcher) EndpointsUpdated() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.updated
+}
+
+// notifyUpdated signals a change of EndpointsComplete; the lock is held.
+func (w *Watcher) notifyUpdated() {
+	close(w.updated)
+	w.updated = make(chan struct{})
+}
+
 // EndpointsAfter returns the rows of endpoints, including removed ones, whose versions are later. Those of endpoints that are
 // kept around an outage are left out, and the changes are complete only up to the first of these.
 func (w *Watcher) EndpointsAfter(after int64) EndpointChanges {
@@ -174,7 +216,9 @@
 				w.applyConfig(e, sourcePeer)
 			}
 		case w.decoder.EndpointTable:
-			w.applyEndpoint(e, now, time.Time{})
+			if known := w.rows[e.Key].entry; e.Version != known.Version || e.IsRemoved != known.IsRemoved {
+				w.applyEndpoint(w.decodeRow(e), now, time.Time{})
+			}
 		}
 	}
 	w.publish()
@@ -242,9 +286,15 @@
 
 // applyEndpointUpdate applies the rows of the update and, if it is a full one, removes the endpoints that it does not list.
 func (w *Watcher) applyEndpointUpdate(u Update) {
+	rows := w.decode(u.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	if isFirst := len(w.rows) == 0 && len(rows) > maxFirstLines; isFirst {
+		w.isBulk = true
+		defer func() { w.isBulk = false }()
+		w.log.WithFields(logrus.Fields{"rows": len(rows), "version": u.Version}).Info("endpoints read for the first time")
+	}
 	keepUntil := time.Time{}
 	if !u.StoreBackAt.IsZero() {
 		keepUntil = u.StoreBackAt.Add(outageGrace)
@@ -253,19 +303,22 @@
 	if u.Version > w.endpointsVersion || u.IsFull {
 		w.endpointsVersion = u.Version
 	}
+	if u.IsFull {
+		w.fullVersion = u.Version
+	}
 	listed := map[string]bool{}
-	for _, e := range u.Entries {
-		listed[e.Key] = true
-		if _, ok := w.rows[e.Key]; !ok && e.IsRemoved {
+	for _, row := range rows {
+		listed[row.entry.Key] = true
+		if _, ok := w.rows[row.entry.Key]; !ok && row.entry.IsRemoved {
 			// The feed has left out the changes before the last one of this row.
 			w.hasGap = true
 		}
-		w.applyEndpoint(e, now, keepUntil)
+		w.applyEndpoint(row, now, keepUntil)
 	}
 	if u.IsFull {
 		for id, row := range w.rows {
 			if !listed[id] && !row.entry.IsRemoved && row.entry.Version <= u.Version {
-				w.applyEndpoint(storer.Entry{Key: id, Version: u.Version, IsRemoved: true}, now, keepUntil)
+				w.applyEndpoint(decodedRow{entry: storer.Entry{Key: id, Version: u.Version, IsRemoved: true}}, now, keepUntil)
 			}
 		}
 	}
@@ -273,12 +326,44 @@
 	w.publish()
 }
 
+// decodedRow is a row with the endpoint that it holds, or the error if it holds none.
+type decodedRow struct {
+	entry    storer.Entry
+	endpoint registrar.Endpoint
+	err      error
+}
+
+// decode decodes rows without the lock: those of thousands of endpoints take a small VM a quarter of a second, for which a
+// configuration must not wait.
+func (w *Watcher) decode(entries []storer.Entry) []decodedRow {
+	rows := make([]decodedRow, 0, len(entries))
+	for _, e := range entries {
+		rows = append(rows, w.decodeRow(e))
+	}
+	return rows
+}
+
+func (w *Watcher) decodeRow(e storer.Entry) decodedRow {
+	row := decodedRow{entry: e}
+	if !e.IsRemoved {
+		row.endpoint, row.err = w.decoder.Endpoint(e.Key, e.Value, e.Version)
+	}
+	return row
+}
+
 // applyEndpoint applies a row unless a newer one is known. An endpoint that is removed before keepUntil stays usable until then,
 // because it may only have to register again. The lock is held.
-func (w *Watcher) applyEndpoint(e storer.Entry, now, keepUntil time.Time) {
+func (w *Watcher) applyEndpoint(row decodedRow, now, keepUntil time.Time) {
+	e := row.entry
 	old := w.rows[e.Key]
 	if e.Version < old.entry.Version || (e.Version == old.entry.Version && e.IsRemoved == old.entry.IsRemoved) {
-		w.applyOldEndpoint(e)
+		w.applyOldEndpoint(row)
+		return
+	}
+	if w.isBulk && row.err == nil && !e.IsRemoved {
+		w.pass(old)
+		w.isChanged = true
+		w.rows[e.Key] = endpointRow{entry: e, endpoint: row.endpoint, isUsable: true}
 		return
 	}
 	log := w.log.WithFields(logrus.Fields{"endpoint": e.Key, "row": e.Version})
@@ -294,9 +379,9 @@
 		w.rows[e.Key] = row
 		return
 	}
-	endpoint, err := w.decoder.Endpoint(e.Key, e.Value, e.Version)
-	if err != nil {
-		log.WithError(err).Warn("endpoint row can't be decoded; no requests are sent to this endpoint")
+	endpoint := row.endpoint
+	if row.err != nil {
+		log.WithError(row.err).Warn("endpoint row can't be decoded; no requests are sent to this endpoint")
 		w.pass(old)
 		w.isChanged = w.isChanged || old.isUsable
 		w.rows[e.Key] = endpointRow{entry: e}
@@ -328,12 +413,10 @@
 }
 
 // applyOldEndpoint records an endpoint that was replaced by a row which arrived sooner, from a peer; the lock is held.
-func (w *Watcher) applyOldEndpoint(e storer.Entry) {
-	if e.IsRemoved || e.Version == w.rows[e.Key].entry.Version {
-		return
-	}
-	if endpoint, err := w.decoder.Endpoint(e.Key, e.Value, e.Version); err == nil && !endpoint.IsDraining {
-		w.passed = append(w.passed, endpoint)
+func (w *Watcher) applyOldEndpoint(row decodedRow) {
+	e := row.entry
+	if !e.IsRemoved && e.Version != w.rows[e.Key].entry.Version && row.err == nil && !row.endpoint.IsDraining {
+		w.passed = append(w.passed, row.endpoint)
 	}
 }
 
@@ -351,14 +434,22 @@
 	return true
 }
 
-// scheduleExpiry has expire run when the first row expires; the lock is held.
+// scheduleExpiry has expire run when the first row expires, and tells those who pass the rows on; the lock is held.
 func (w *Watcher) scheduleExpiry(now time.Time) {
 	next := time.Time{}
+	w.keptFrom = 0
 	for _, row := range w.rows {
-		if !row.expires.IsZero() && (next.IsZero() || row.expires.Before(next)) {
+		if row.expires.IsZero() {
+			continue
+		}
+		if next.IsZero() || row.expires.Before(next) {
 			next = row.expires
 		}
+		if w.keptFrom == 0 || row.entry.Version < w.keptFrom {
+			w.keptFrom = row.entry.Version
+		}
 	}
+	w.notifyUpdated()
 	switch {
 	case next.IsZero():
 	case w.expiry == nil:
