--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -30,8 +30,8 @@
 	fetchTimeout  = 400 * time.Millisecond
 	// watchLead is how long a VM waits for its own watch once it has learned that a peer has a newer configuration.
 	watchLead = 150 * time.Millisecond
-	// MaxConnections bounds the connections of other VMs. Each VM opens one at a time, for 400 ms at most; maxPerVM bounds those of
-	// one address.
+	// MaxConnections bounds the connections of other VMs: the VMs of a region that read a large table from this one keep one each.
+	// maxPerVM bounds those of one address.
 	MaxConnections = 256
 	maxPerVM       = 16
 	// maxCallBytes and maxHeadBytes bound a call, which has no parameters, and its head; maxCalls those at once on a connection.
