A wait for a slot is no measurement of the endpoint

Cause: the averages of the time to the first byte and of the service time held the wait in the endpoint's queue, and the estimate added that wait once more, so that after a peak short queues looked too long for all first attempts. An attempt was ended after twice the objective, also one placed with a longer estimate: it lost its place in the queue, and the endpoint counted as failed.

Change: Send.IsQueued marks such requests; their queue time is left out. The attempt's time-out begins after its estimate.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -28,6 +28,8 @@
 	VM          string
 	Incarnation int64
 	Topology    placer.Topology
+	// Omitted names decisions that a load test leaves out.
+	Omitted placer.Omitted
 }
 
 // Balancer places requests at endpoints and counts those in flight; it is safe for concurrent use.
@@ -78,8 +80,10 @@
 
 // New returns a balancer for the VM. It reports to other VMs once started, and decides alone until then.
 func New(cfg Config, n Network, random *rand.Rand, log logrus.FieldLogger) *Balancer {
+	alone := placer.New(cfg.Topology, placer.SpreadAlone, random)
+	alone.Omit(cfg.Omitted)
 	return &Balancer{
-		cfg: cfg, network: n, log: log, random: random, placer: placer.New(cfg.Topology, placer.SpreadAlone, random),
+		cfg: cfg, network: n, log: log, random: random, placer: alone,
 		nearTimeout: nearReplyTimeout, farTimeout: farReplyTimeout,
 		groups: map[string][]*group{}, byGroup: map[assigner.GroupKey]*group{}, byEndpoint: map[placer.Key]*group{},
 		asks: map[uint64]*ask{}, waiting: map[string][]time.Time{}, offers: map[string][]offer{}, preempt: map[placer.Key]int{},
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -186,6 +186,7 @@
 func (b *Balancer) handle(now time.Time, g *group, in assigner.Input) {
 	if g.host == nil {
 		g.host = assigner.New(b.cfg.Topology.Regions, b.random, uint64(now.UnixMicro()))
+		g.host.Omit(b.cfg.Omitted)
 		g.host.Handle(now, assigner.Configured{Endpoints: g.Endpoints})
 		g.host.Handle(now, assigner.RateLimitsNamed{Limits: b.limitsOf(g)})
 	}
--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// Omit leaves out the decisions; a load test calls it before the first input.
+func (a *Assigner) Omit(o placer.Omitted) { a.placer.Omit(o) }
+
 // IsIdle reports whether no VM has reported lately, so that the assigner need not be woken.
 func (a *Assigner) IsIdle() bool { return len(a.vms) == 0 }
 
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -22,7 +22,9 @@
 	id          uint64
 	sentAt      time.Time
 	firstByteAt time.Time
-	hasEnded    bool
+	// wasQueued says that the request had to wait for a slot.
+	wasQueued bool
+	hasEnded  bool
 }
 
 // Start counts a request that is about to be sent to the endpoint.
@@ -61,7 +63,7 @@
 	if !t.firstByteAt.IsZero() {
 		return option.None[Observation]()
 	}
-	t.firstByteAt = now
+	t.firstByteAt, t.wasQueued = now, wasQueued
 	c := p.conditionOf(t.key)
 	delete(c.unanswered, t.id)
 	c.recordSuccess()
@@ -109,8 +111,9 @@
 	switch how {
 	case EndedComplete:
 		if t.class == Online && !t.firstByteAt.IsZero() {
-			c.serviceTime = smooth(c.serviceTime, now.Sub(t.sentAt))
-			return option.Some(Observation{Key: t.key, ServiceTime: now.Sub(t.sentAt)})
+			took := p.serviceTimeOf(now, t, c)
+			c.serviceTime = smooth(c.serviceTime, took)
+			return option.Some(Observation{Key: t.key, ServiceTime: took})
 		}
 	case EndedFull, EndedFailed:
 		c.recordFailure(now)
@@ -120,6 +123,15 @@
 	return option.None[Observation]()
 }
 
+// serviceTimeOf returns how long the completed request held its slot. The wait for the slot is no part of it: counted in, it
+// would make an endpoint with a queue look slower than it is, and its queue longer.
+func (p *Placer) serviceTimeOf(now time.Time, t *Ticket, c *condition) time.Duration {
+	if t.wasQueued && !p.omitted.QueueTimes {
+		return c.firstByte + now.Sub(t.firstByteAt)
+	}
+	return now.Sub(t.sentAt)
+}
+
 // ObserveReport stores a peer's report in place of its last one.
 func (p *Placer) ObserveReport(now time.Time, r Report) {
 	if old, ok := p.view.peers[r.VM]; ok {
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -54,8 +54,18 @@
 	conditions map[Key]*condition
 	// longestLeft is the longest time until a deadline observed on each route; it separates first attempts from retries.
 	longestLeft map[string]time.Duration
+	omitted     Omitted
 }
 
+// Omitted names decisions that a load test leaves out to measure what they bring; the zero value omits none.
+type Omitted struct {
+	// QueueTimes tells the wait for a slot from the times of the endpoint itself.
+	QueueTimes bool
+}
+
+// Omit leaves out the decisions; a load test calls it before the first request.
+func (p *Placer) Omit(o Omitted) { p.omitted = o }
+
 // Values of spread, the range of costs within which a placer draws one of several endpoints.
 const (
 	// SpreadAlone makes VMs that know the same counts choose different endpoints; without it they would all choose one.
@@ -108,6 +118,9 @@
 	NeedsPreemption bool
 }
 
+// IsQueued reports whether the request has to wait for a slot, so that its time to the first byte is not that of the endpoint.
+func (s Send) IsQueued() bool { return s.NeedsPreemption || s.Load.Online >= s.Endpoint.Slots }
+
 // Refuse says that no endpoint can serve the request in time.
 type Refuse struct {
 	Reason     string
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -23,7 +23,7 @@
 func (q *request) forwardBody(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	body, head := q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint), bytes.Buffer{}
 	_, err := io.CopyN(&head, body, maxBufferedBytes)
-	q.balancer.FirstByte(ticket, s.NeedsPreemption)
+	q.balancer.FirstByte(ticket, s.IsQueued())
 	q.recordFirstByte()
 	switch {
 	case err == nil:
@@ -115,7 +115,7 @@
 		}
 		if !hasBegun && e.IsProgress() {
 			hasBegun = true
-			q.balancer.FirstByte(ticket, s.NeedsPreemption)
+			q.balancer.FirstByte(ticket, s.IsQueued())
 			q.recordFirstByte()
 		}
 		if e.ID >= 0 && q.firstEvent == continuer.NoEvent {
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -529,8 +529,8 @@
 	q.isolator.BrokeOff(e, q.parts, strike)
 }
 
-// attemptTimeoutFactor times the route's objective is the maximum wait for a stream's first event, or for a body up to
-// maxBufferedBytes, before another endpoint is tried.
+// attemptTimeoutFactor times the route's objective is how long after the estimate a stream's first event, or a body up to
+// maxBufferedBytes, must have come before another endpoint is tried. Without the estimate, requests lost their places in queues.
 const attemptTimeoutFactor = 2
 
 // errAttemptTimeout is the cancellation cause of an attempt that exceeded its timeout.
@@ -541,7 +541,7 @@
 func (q *request) withAttemptTimeout() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(q.ctx)
 	if q.route.IsIdempotent() && q.runs < q.route.MaxAttempts && q.route.Objective > 0 && !q.hasAnswer {
-		q.attemptTimer = time.AfterFunc(attemptTimeoutFactor*q.route.Objective, func() { cancel(errAttemptTimeout) })
+		q.attemptTimer = time.AfterFunc(q.estimate+attemptTimeoutFactor*q.route.Objective, func() { cancel(errAttemptTimeout) })
 	}
 	return ctx, func() {
 		q.stopAttemptTimer()
