Accounts within their share and urgent requests have precedence in the queues

Cause: no decision read an account or a priority, so one account's excess made all others late.

Change: the assigner knows what each account was lately given and asked for, and the max-min level of its group's slots. Free slots go to anyone. placer.Request has Account and Priority; they travel behind the route's name, and only with an account or where a service's routes differ in priority, so other messages are byte for byte as before. Metrics: assigner_lowered.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -319,6 +319,10 @@
 		{"assigner_unanswered", "questions to assigners without a reply in time", &b.Unanswered},
 		{"assigner_alone", "online requests placed without an assigner's reply", &b.Alone},
 		{"assigner_held", "times that a retry waited at this VM for a slot", &b.Held},
+		{
+			"assigner_lowered", "questions over which accounts within their share, or more urgent requests, had precedence",
+			&b.Lowered,
+		},
 		{"assigner_ignored", "orders ignored: repeated, or of a former assigner", &b.Ignored},
 		{"assigner_malformed", "messages that can't be decoded or are about unknown groups", &b.Malformed},
 		{"endpoint_limits", "answers in which an endpoint named a rate limit", &b.Limited},
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -48,8 +48,10 @@
 	groups     map[string][]*group
 	byGroup    map[assigner.GroupKey]*group
 	byEndpoint map[placer.Key]*group
-	nextID     uint64
-	sequence   uint64
+	// ranked holds the services whose online routes differ in priority.
+	ranked   map[string]bool
+	nextID   uint64
+	sequence uint64
 	// asks holds the questions to other VMs that wait for a reply, by number.
 	asks map[uint64]*ask
 	// waiting holds the due times of the batch items that wait at this VM, the soonest first, by service.
@@ -250,6 +252,7 @@
 		known[placer.KeyOf(id)] = true
 	}
 	b.placer.Retain(known)
+	b.ranked = rankedServices(r.Config)
 	old := b.byGroup
 	b.groups, b.byGroup, b.byEndpoint = map[string][]*group{}, map[assigner.GroupKey]*group{}, map[placer.Key]*group{}
 	for _, service := range r.Services() {
@@ -275,6 +278,26 @@
 	notify(b.slotsChanged)
 }
 
+// rankedServices returns the services whose online routes differ in priority.
+func rankedServices(c *registrar.Config) map[string]bool {
+	ranked, first := map[string]bool{}, map[string]int{}
+	if c == nil {
+		return ranked
+	}
+	for _, r := range c.Routes {
+		if r.Kind == registrar.KindBatch {
+			continue
+		}
+		for _, s := range r.Splits {
+			if p, ok := first[s.Service]; ok && p != r.Priority {
+				ranked[s.Service] = true
+			}
+			first[s.Service] = r.Priority
+		}
+	}
+	return ranked
+}
+
 // notify signals the channel unless a signal is pending already.
 func notify(c chan struct{}) {
 	select {
--- a/pkg/balancer/contention_test.go
+++ b/pkg/balancer/contention_test.go
@@ -549,6 +549,7 @@
 			Candidates: c.world.reg.EndpointsOf("llm"), Tried: tried,
 			Left: callerDeadline - time.Since(c.began), Waited: time.Since(arrived),
 		}
+		r.Account, r.Priority = fmt.Sprintf("account-%d", c.account), priorityOf(c.account)
 		d, ticket := b.Place(ctx, r)
 		s, ok := d.(placer.Send)
 		if !ok {
@@ -783,8 +784,8 @@
 // figures are the results of a run as shares of all callers' requests.
 type figures struct {
 	onTime, late, refused, lost float64
-	// urgent and other are the shares on time by priority, worstTenth that of the worst-served tenth of the accounts, worstZone that
-	// of the worst-served zone; hot is that of the account with the spike.
+	// urgent and other are the shares on time by priority, worstTenth that of the worst-served tenth of the urgent accounts,
+	// worstZone that of the worst-served zone; hot is that of the account with the spike.
 	urgent, other, worstTenth, worstZone, hot float64
 	lateBy                                    time.Duration
 	refusals, batchEvents                     float64
@@ -799,7 +800,7 @@
 		for o, n := range c {
 			all[o] += n
 		}
-		if c.total() > 0 && i != hotAccount {
+		if c.total() > 0 && i != hotAccount && priorityOf(i) == 0 {
 			accounts = append(accounts, c.share(outcomeOnTime))
 		}
 	}
@@ -863,7 +864,8 @@
 
 // baseline omits all decisions that were added for contention.
 var baseline = decisions{
-	Omitted: placer.Omitted{QueueTimes: true, Deadlines: true, Holding: true, Returns: true}, shortAttempts: true,
+	Omitted:       placer.Omitted{QueueTimes: true, Deadlines: true, Holding: true, Returns: true, Shares: true},
+	shortAttempts: true,
 }
 
 // TestContentionReport prints what callers get, site by site and failure by failure, with the decisions before and now.
@@ -920,7 +922,9 @@
 	before, now := meanContention(t, sites[1], failures[1], baseline), meanContention(t, sites[1], failures[1], decisions{})
 	t.Logf("before: %s", before)
 	t.Logf("now:    %s", now)
-	require.Greater(t, now.onTime, before.onTime)
+	require.Greater(t, now.onTime, before.onTime+0.015)
+	require.Greater(t, now.urgent, before.urgent+0.03)
+	require.Greater(t, now.worstTenth, before.worstTenth+0.06)
 	require.Less(t, now.refusals, before.refusals)
 	require.Less(t, now.refused+now.lost, 0.02)
 }
--- a/pkg/balancer/message.go
+++ b/pkg/balancer/message.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -52,7 +54,8 @@
 
 	// The fields below are those of a question.
 
-	Number      uint64
+	Number uint64
+	// Route is the route's name, or the text of questionRoute.
 	Route       string
 	ObjectiveMs int64
 	LeftMs      int64
@@ -142,6 +145,32 @@
 
 const mayWaitItems = 1
 
+// questionSeparator separates the parts of questionRoute.
+const questionSeparator = "\x00"
+
+// questionRoute returns the name of the request's route; if the request has an account or a priority, these follow.
+//
+// Earlier builds use the text as the key of a route and for nothing else, so that they answer such questions, too.
+func questionRoute(r placer.Request) string {
+	if r.Account == "" && r.Priority == 0 {
+		return r.Route.Name
+	}
+	return strings.Join([]string{r.Route.Name, strconv.Itoa(r.Priority), r.Account}, questionSeparator)
+}
+
+// splitQuestionRoute returns the parts of questionRoute.
+func splitQuestionRoute(text string) (route, account string, priority int) {
+	parts := strings.SplitN(text, questionSeparator, 3)
+	if len(parts) < 3 {
+		return text, "", 0
+	}
+	n, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return text, "", 0
+	}
+	return parts[0], parts[2], n
+}
+
 func encodeReport(group assigner.GroupKey, in assigner.Reported, question *assigner.Asked) ([]byte, error) {
 	m := reportMessage{
 		Group: uint64(group), VM: in.VM, Zone: in.AvailabilityZone, Incarnation: in.Incarnation,
@@ -170,7 +199,7 @@
 	named := softwareReportMessage{}
 	if question != nil {
 		r := question.Request
-		m.Number, m.Route, m.ObjectiveMs = question.Number, r.Route.Name, r.Route.Objective.Milliseconds()
+		m.Number, m.Route, m.ObjectiveMs = question.Number, questionRoute(r), r.Route.Objective.Milliseconds()
 		m.LeftMs, m.WaitedMs = r.Left.Milliseconds(), r.Waited.Milliseconds()
 		for _, k := range question.Excluded {
 			m.Excluded = append(m.Excluded, uint64(k))
@@ -392,9 +421,10 @@
 	if m.Number == 0 {
 		return assigner.Asked{}, false
 	}
+	route, account, priority := splitQuestionRoute(m.Route)
 	in := assigner.Asked{VM: m.VM, Number: m.Number, Request: placer.Request{
-		Route:            registrar.Route{Name: m.Route, Objective: duration(m.ObjectiveMs)},
-		AvailabilityZone: m.Zone, Left: duration(m.LeftMs), Waited: duration(m.WaitedMs),
+		Route:            registrar.Route{Name: route, Objective: duration(m.ObjectiveMs)},
+		AvailabilityZone: m.Zone, Left: duration(m.LeftMs), Waited: duration(m.WaitedMs), Account: account, Priority: priority,
 	}}
 	if len(m.Connected) > 0 {
 		in.Request.Connected = make(map[placer.Key]bool, len(m.Connected))
--- a/pkg/balancer/message_test.go
+++ b/pkg/balancer/message_test.go
@@ -196,6 +196,27 @@
 	assert.Equal(t, question, got)
 }
 
+// TestAccountTravelsWithTheQuestion guards against assigners that do not know whose request they place, and against any change of
+// the questions without an account and a priority, which other builds read.
+func TestAccountTravelsWithTheQuestion(t *testing.T) {
+	question := sampleQuestion()
+	assert.Equal(t, "r", questionRoute(question.Request))
+	question.Request.Account, question.Request.Priority = "an account", 2
+	b, err := encodeReport(11, sampleReport(), &question)
+	require.NoError(t, err)
+	m, err := decode(b)
+	require.NoError(t, err)
+	got, ok := m.(reportMessage).asked()
+	assert.True(t, ok)
+	assert.Equal(t, question, got)
+	for _, odd := range []string{"r\x00", "r\x00x\x00a", "\x00\x00"} {
+		route, account, priority := splitQuestionRoute(odd)
+		assert.Equal(t, odd, route)
+		assert.Empty(t, account)
+		assert.Zero(t, priority)
+	}
+}
+
 // TestRefusalSaysThatTheVMMayWait guards against retries that are refused for good because their VM does not keep them.
 func TestRefusalSaysThatTheVMMayWait(t *testing.T) {
 	out := assigner.Placed{VM: "v1", Question: 5, Decision: placer.Refuse{Reason: "full", MayWait: true}}
--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -63,6 +63,9 @@
 // placeOnce asks the assigners of the service's groups, those in this VM's region first, and decides alone if none replies.
 func (b *Balancer) placeOnce(ctx context.Context, r placer.Request) (placer.Decision, *placer.Ticket) {
 	r.AvailabilityZone = b.cfg.Topology.AvailabilityZone
+	if r.Account == "" && !b.isRanked(r) {
+		r.Priority = 0
+	}
 	best := placement{}
 	refused := placer.Refuse{Reason: "no endpoint is usable"}
 	hasReply := false
@@ -94,6 +97,13 @@
 	}
 }
 
+// isRanked reports whether requests of the same service differ in priority, so that it matters.
+func (b *Balancer) isRanked(r placer.Request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(r.Candidates) > 0 && b.ranked[r.Candidates[0].Service]
+}
+
 // better returns the placement with the lower estimate and gives up the other one.
 func (b *Balancer) better(old, other placement) placement {
 	if old.ticket == nil {
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -41,6 +41,8 @@
 	Malformed atomic.Int64
 	// Held counts the times that a retry waited at this VM for a slot.
 	Held atomic.Int64
+	// Lowered counts questions to assigners of this VM that others had precedence of, by their accounts or priorities.
+	Lowered atomic.Int64
 	// Limited counts answers in which an endpoint named a rate limit.
 	Limited atomic.Int64
 }
@@ -194,7 +196,10 @@
 	}
 	notify(b.hosting)
 	byVM := map[string][]assigner.Output{}
-	for _, out := range g.host.Handle(now, in) {
+	lowered := g.host.Lowered()
+	outputs := g.host.Handle(now, in)
+	b.Counters.Lowered.Add(g.host.Lowered() - lowered)
+	for _, out := range outputs {
 		vm := out.Recipient()
 		if l, ok := out.(assigner.RateLimitNotified); ok {
 			b.notifyLimit(now, g, l)
--- a/pkg/core/assigner/assigner.go
+++ b/pkg/core/assigner/assigner.go
@@ -32,6 +32,10 @@
 	since time.Time
 	// lastOrder is the number of the newest order.
 	lastOrder uint64
+	shares    shares
+	omitted   placer.Omitted
+	// lowered counts the questions over which others had precedence.
+	lowered int64
 }
 
 // vm is a VM that has reported.
@@ -61,11 +65,18 @@
 	return &Assigner{
 		placer:  placer.New(placer.Topology{Regions: regions}, placer.SpreadExact, random),
 		regions: regions, vms: map[string]*vm{}, ids: map[placer.Key]string{}, lastOrder: firstOrder,
+		shares: newShares(),
 	}
 }
 
 // Omit leaves out the decisions; a load test calls it before the first input.
-func (a *Assigner) Omit(o placer.Omitted) { a.placer.Omit(o) }
+func (a *Assigner) Omit(o placer.Omitted) {
+	a.omitted = o
+	a.placer.Omit(o)
+}
+
+// Lowered returns the number of questions so far over which other accounts or priorities had precedence.
+func (a *Assigner) Lowered() int64 { return a.lowered }
 
 // IsIdle reports whether no VM has reported lately, so that the assigner need not be woken.
 func (a *Assigner) IsIdle() bool { return len(a.vms) == 0 }
@@ -199,11 +210,17 @@
 			r.Tried[id] = true
 		}
 	}
+	if !a.omitted.Shares {
+		if r.WaitShare = a.shares.waitShare(now, r, a.placer.ServiceTime(), a.endpoints); r.WaitShare < 1 {
+			a.lowered++
+		}
+	}
 	d := a.placer.Place(now, r)
 	s, ok := d.(placer.Send)
 	if !ok {
 		return []Output{Placed{VM: in.VM, Question: in.Number, Decision: d}}
 	}
+	a.shares.gave(now, r.Account)
 	k := placer.KeyOf(s.Endpoint.ID)
 	out := a.countSend(now, in.VM, k, placer.Online)
 	number := a.give(now, in.VM, order{key: k, change: placer.Load{Online: 1}})
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -132,6 +132,18 @@
 	return now.Sub(t.sentAt)
 }
 
+// ServiceTime returns the mean time that a request holds a slot, over all endpoints.
+func (p *Placer) ServiceTime() time.Duration {
+	if len(p.conditions) == 0 {
+		return initialServiceTime
+	}
+	sum := time.Duration(0)
+	for _, c := range p.conditions {
+		sum += c.serviceTime
+	}
+	return sum / time.Duration(len(p.conditions))
+}
+
 // ObserveReport stores a peer's report in place of its last one.
 func (p *Placer) ObserveReport(now time.Time, r Report) {
 	if old, ok := p.view.peers[r.VM]; ok {
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -71,6 +72,8 @@
 	Holding bool
 	// Returns computes retry-after times from the queues and the callers that were refused before.
 	Returns bool
+	// Shares gives accounts within their share, and urgent requests, precedence.
+	Shares bool
 }
 
 // Omit leaves out the decisions; a load test calls it before the first request.
@@ -107,6 +110,12 @@
 	AvailabilityZone string
 	// Left is the time until the caller's deadline; Waited is how long ago the request reached this VM.
 	Left, Waited time.Duration
+	// Account is the account of the caller; empty means none. Priority ranks requests of one service; 0 is the highest.
+	Account  string
+	Priority int
+	// WaitShare is the share of the objective that a first attempt may wait for its first event where all slots are taken; zero
+	// means all of it.
+	WaitShare float64
 }
 
 // acceptsSoftware reports whether the endpoint has the software version that the request needs.
@@ -199,7 +208,7 @@
 func (p *Placer) longestWait(r Request, isFirst bool) time.Duration {
 	switch {
 	case isFirst:
-		return r.Route.Objective - r.Waited
+		return time.Duration(cmp.Or(r.WaitShare, 1)*float64(r.Route.Objective)) - r.Waited
 	case p.mayWait(r, isFirst):
 		return min(r.Route.Objective/3, initialFirstByte+heldWait)
 	}
