A retry is held for at most a third of its time

Cause: on a route with a time-out of 1.5 s, holding a retry for a second left it too little time for its answer. Change: the hold ends after a third of what the retry had left when it came.

--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -198,6 +198,8 @@
 	// holdTime is how long a retry waits at its VM for a slot that is free or nearly so, before it may join a queue: the troughs of
 	// the traffic come every 5.2 s, and callers leave after two seconds.
 	holdTime = time.Second
+	// holdShare bounds holdTime as a share of the time that the retry had left when it came to its VM.
+	holdShare = 0.33
 	// heldWait is the wait in an engine's queue that a retry accepts while its VM holds it, beyond the engine's own first byte.
 	heldWait = 20 * time.Millisecond
 	// HoldInterval is the time between two questions for a retry that its VM holds.
@@ -217,7 +219,11 @@
 
 // mayWait reports whether the VM of a request that gets no slot keeps it and asks again.
 func (p *Placer) mayWait(r Request, isFirst bool) bool {
-	return !p.omitted.Holding && !isFirst && r.Waited < holdTime && r.Left > 2*HoldInterval
+	if p.omitted.Holding || isFirst {
+		return false
+	}
+	longest := min(holdTime, time.Duration(holdShare*float64(r.Left+r.Waited)))
+	return r.Waited+HoldInterval <= longest
 }
 
 // firstAttemptShare is the share of the route's longest observed deadline at or above which hasLongestDeadline is true.
