--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -28,6 +28,8 @@
 	VM          string
 	Incarnation int64
 	Topology    placer.Topology
+	// Omitted names decisions that a load test leaves out.
+	Omitted placer.Omitted
 }
 
 // Balancer places requests at endpoints and counts those in flight; it is safe for concurrent use.
@@ -48,6 +50,8 @@
 	byEndpoint map[placer.Key]*group
 	// registry is the one whose endpoints are in use.
 	registry *registrar.Registry
+	// ranked holds the services whose online routes differ in priority.
+	ranked   map[string]bool
 	nextID   uint64
 	sequence uint64
 	// asks holds the questions to other VMs that wait for a reply, by number.
@@ -80,8 +84,10 @@
 
 // New returns a balancer for the VM. It reports to other VMs once started, and decides alone until then.
 func New(cfg Config, n Network, random *rand.Rand, log logrus.FieldLogger) *Balancer {
+	alone := placer.New(cfg.Topology, placer.SpreadAlone, random)
+	alone.Omit(cfg.Omitted)
 	return &Balancer{
-		cfg: cfg, network: n, log: log, random: random, placer: placer.New(cfg.Topology, placer.SpreadAlone, random),
+		cfg: cfg, network: n, log: log, random: random, placer: alone,
 		nearTimeout: nearReplyTimeout, farTimeout: farReplyTimeout,
 		groups: map[string][]*group{}, byGroup: map[assigner.GroupKey]*group{}, byEndpoint: map[placer.Key]*group{},
 		asks: map[uint64]*ask{}, waiting: map[string][]time.Time{}, offers: map[string][]offer{}, preempt: map[placer.Key]int{},
@@ -244,6 +250,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer notify(b.slotsChanged)
+	b.ranked = rankedServices(r.Config)
 	if r.HasEndpointsOf(b.registry) {
 		return
 	}
@@ -279,6 +286,26 @@
 	}
 }
 
+// rankedServices returns the services whose online routes differ in priority.
+func rankedServices(c *registrar.Config) map[string]bool {
+	ranked, first := map[string]bool{}, map[string]int{}
+	if c == nil {
+		return ranked
+	}
+	for _, r := range c.Routes {
+		if r.Kind == registrar.KindBatch {
+			continue
+		}
+		for _, s := range r.Splits {
+			if p, ok := first[s.Service]; ok && p != r.Priority {
+				ranked[s.Service] = true
+			}
+			first[s.Service] = r.Priority
+		}
+	}
+	return ranked
+}
+
 // notify signals the channel unless a signal is pending already.
 func notify(c chan struct{}) {
 	select {
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -39,6 +39,10 @@
 	Ignored atomic.Int64
 	// Malformed counts received messages that can't be decoded or are about unknown groups.
 	Malformed atomic.Int64
+	// Held counts the times that a retry waited at this VM for a slot.
+	Held atomic.Int64
+	// Lowered counts questions to assigners of this VM that others had precedence of, by their accounts or priorities.
+	Lowered atomic.Int64
 	// Limited counts answers in which an endpoint named a rate limit.
 	Limited atomic.Int64
 }
@@ -186,12 +190,16 @@
 func (b *Balancer) handle(now time.Time, g *group, in assigner.Input) {
 	if g.host == nil {
 		g.host = assigner.New(b.cfg.Topology.Regions, b.random, uint64(now.UnixMicro()))
+		g.host.Omit(b.cfg.Omitted)
 		g.host.Handle(now, assigner.Configured{Endpoints: g.Endpoints})
 		g.host.Handle(now, assigner.RateLimitsNamed{Limits: b.limitsOf(g)})
 	}
 	notify(b.hosting)
 	byVM := map[string][]assigner.Output{}
-	for _, out := range g.host.Handle(now, in) {
+	lowered := g.host.Lowered()
+	outputs := g.host.Handle(now, in)
+	b.Counters.Lowered.Add(g.host.Lowered() - lowered)
+	for _, out := range outputs {
 		vm := out.Recipient()
 		if l, ok := out.(assigner.RateLimitNotified); ok {
 			b.notifyLimit(now, g, l)
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -52,10 +53,32 @@
 	random     *rand.Rand
 	view       view
 	conditions map[Key]*condition
-	// longestLeft is the longest time until a deadline observed on each route; it separates first attempts from retries.
+	// longestLeft is the longest time until a deadline observed on each route, which is used where Omitted.Deadlines is set.
 	longestLeft map[string]time.Duration
+	// deadlines holds the distribution of the callers' deadlines on each route.
+	deadlines map[string]*deadlines
+	// promisedUntil is the latest time at which a refused caller was told to return.
+	promisedUntil time.Time
+	omitted       Omitted
 }
 
+// Omitted names decisions that a load test leaves out to measure what they bring; the zero value omits none.
+type Omitted struct {
+	// QueueTimes tells the wait for a slot from the times of the endpoint itself.
+	QueueTimes bool
+	// Deadlines tells first attempts from retries by the deadlines of many callers instead of the longest one.
+	Deadlines bool
+	// Holding makes retries wait at their VM for a free slot instead of in an engine's queue.
+	Holding bool
+	// Returns computes retry-after times from the queues and the callers that were refused before.
+	Returns bool
+	// Shares gives accounts within their share, and urgent requests, precedence.
+	Shares bool
+}
+
+// Omit leaves out the decisions; a load test calls it before the first request.
+func (p *Placer) Omit(o Omitted) { p.omitted = o }
+
 // Values of spread, the range of costs within which a placer draws one of several endpoints.
 const (
 	// SpreadAlone makes VMs that know the same counts choose different endpoints; without it they would all choose one.
@@ -68,7 +91,7 @@
 func New(t Topology, spread time.Duration, random *rand.Rand) *Placer {
 	return &Placer{
 		topology: t, spread: spread, random: random, view: newView(), conditions: map[Key]*condition{},
-		longestLeft: map[string]time.Duration{},
+		longestLeft: map[string]time.Duration{}, deadlines: map[string]*deadlines{},
 	}
 }
 
@@ -87,6 +110,12 @@
 	AvailabilityZone string
 	// Left is the time until the caller's deadline; Waited is how long ago the request reached this VM.
 	Left, Waited time.Duration
+	// Account is the account of the caller; empty means none. Priority ranks requests of one service; 0 is the highest.
+	Account  string
+	Priority int
+	// WaitShare is the share of the objective that a first attempt may wait for its first event where all slots are taken; zero
+	// means all of it.
+	WaitShare float64
 }
 
 // acceptsSoftware reports whether the endpoint has the software version that the request needs.
@@ -108,11 +137,16 @@
 	NeedsPreemption bool
 }
 
+// IsQueued reports whether the request has to wait for a slot, so that its time to the first byte is not that of the endpoint.
+func (s Send) IsQueued() bool { return s.NeedsPreemption || s.Load.Online >= s.Endpoint.Slots }
+
 // Refuse says that no endpoint can serve the request in time.
 type Refuse struct {
 	Reason     string
 	RetryAfter time.Duration
 	Estimate   time.Duration
+	// MayWait says that the request is a retry whose VM keeps it and asks again after HoldInterval.
+	MayWait bool
 }
 
 func (Send) isDecision()   {}
@@ -141,16 +175,17 @@
 	isFirst := p.isFirstAttempt(r)
 	best, found := p.best(now, r)
 	if !found {
-		return Refuse{Reason: p.reasonWithout(now, r), RetryAfter: p.retryAfter(r)}
-	}
-	limit := r.Route.Objective - r.Waited
-	if !isFirst {
-		limit = min(r.Left/2, maxRetryWait)
+		return Refuse{Reason: p.reasonWithout(now, r), RetryAfter: p.retryAfter(now, r, 0)}
 	}
 	// An endpoint with free slots gets the request even if it was slow recently: only new requests can show its recovery.
 	isQueued := best.Load.Online >= best.Endpoint.Slots
-	if r.Route.Objective > 0 && isQueued && best.Estimate > limit {
-		return Refuse{Reason: "no endpoint answers in time", RetryAfter: p.retryAfter(r), Estimate: best.Estimate}
+	longest := p.longestWait(r, isFirst)
+	if r.Route.Objective > 0 && isQueued && best.Estimate > longest {
+		d := Refuse{Reason: "no endpoint answers in time", Estimate: best.Estimate, MayWait: p.mayWait(r, isFirst)}
+		if !d.MayWait {
+			d.RetryAfter = p.retryAfter(now, r, best.Estimate-longest)
+		}
+		return d
 	}
 	p.conditionOf(KeyOf(best.Endpoint.ID)).beginTrial(now)
 	return best
@@ -159,11 +194,43 @@
 // maxRetryWait is the longest accepted wait for the first event of a retry: callers leave after two seconds without one.
 const maxRetryWait = 1500 * time.Millisecond
 
-// firstAttemptShare is the share of the route's longest observed deadline at or above which a request counts as a first
-// attempt.
+const (
+	// holdTime is how long a retry waits at its VM for a slot that is free or nearly so, before it may join a queue: the troughs of
+	// the traffic come every 5.2 s, and callers leave after two seconds.
+	holdTime = time.Second
+	// holdShare bounds holdTime as a share of the time that the retry had left when it came to its VM.
+	holdShare = 0.33
+	// heldWait is the wait in an engine's queue that a retry accepts while its VM holds it, beyond the engine's own first byte.
+	heldWait = 20 * time.Millisecond
+	// HoldInterval is the time between two questions for a retry that its VM holds.
+	HoldInterval = 80 * time.Millisecond
+)
+
+// longestWait returns the longest estimate with which the request joins the queue of an engine.
+func (p *Placer) longestWait(r Request, isFirst bool) time.Duration {
+	switch {
+	case isFirst:
+		return time.Duration(cmp.Or(r.WaitShare, 1)*float64(r.Route.Objective)) - r.Waited
+	case p.mayWait(r, isFirst):
+		return min(r.Route.Objective/3, initialFirstByte+heldWait)
+	}
+	return min(r.Left/2, maxRetryWait)
+}
+
+// mayWait reports whether the VM of a request that gets no slot keeps it and asks again.
+func (p *Placer) mayWait(r Request, isFirst bool) bool {
+	if p.omitted.Holding || isFirst {
+		return false
+	}
+	longest := min(holdTime, time.Duration(holdShare*float64(r.Left+r.Waited)))
+	return r.Waited+HoldInterval <= longest
+}
+
+// firstAttemptShare is the share of the route's longest observed deadline at or above which hasLongestDeadline is true.
 const firstAttemptShare = 0.97
 
-func (p *Placer) isFirstAttempt(r Request) bool {
+// hasLongestDeadline is isFirstAttempt by the longest deadline that was seen on the route.
+func (p *Placer) hasLongestDeadline(r Request) bool {
 	longest := p.longestLeft[r.Route.Name]
 	if r.Left > longest {
 		p.longestLeft[r.Route.Name] = r.Left
@@ -172,18 +239,6 @@
 	return float64(r.Left) >= firstAttemptShare*float64(longest)
 }
 
-// Bounds of the retry-after time as shares of the time until the deadline; callers retry within a third of that time.
-const (
-	minRetryShare = 0.06
-	maxRetryShare = 0.3
-)
-
-// retryAfter draws the time after which a refused caller is to retry, so that retries are spread over time.
-func (p *Placer) retryAfter(r Request) time.Duration {
-	share := minRetryShare + p.random.Float64()*(maxRetryShare-minRetryShare)
-	return time.Duration(share * float64(r.Left))
-}
-
 // candidate is an endpoint with the estimate and the cost of choosing it.
 type candidate struct {
 	send Send
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -26,7 +26,7 @@
 	lease := (*bodyreader.Lease)(nil)
 	err := q.buffer(&head, body, &lease)
 	defer lease.Close()
-	q.balancer.FirstByte(ticket, s.NeedsPreemption)
+	q.balancer.FirstByte(ticket, s.IsQueued())
 	q.recordFirstByte()
 	switch {
 	case err == nil:
@@ -118,7 +118,7 @@
 		}
 		if !hasBegun && e.IsProgress() {
 			hasBegun = true
-			q.balancer.FirstByte(ticket, s.NeedsPreemption)
+			q.balancer.FirstByte(ticket, s.IsQueued())
 			q.recordFirstByte()
 		}
 		if e.ID >= 0 && q.firstEvent == continuer.NoEvent {
--- a/pkg/relayer/place.go
+++ b/pkg/relayer/place.go
@@ -17,7 +17,6 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
-	route.Priority = q.admission.Priority(route)
 	v := q.isolator.Check(q.parts)
 	if v.Part != "" && !v.IsProbeDue && !q.isProbe(v.Part) {
 		return refuseQuarantined(v), nil
@@ -27,9 +26,11 @@
 		return placer.Refuse{Reason: "no endpoint of the software version that began the stream accepts requests"}, nil
 	}
 	now := time.Now()
+	account, _ := q.admission.Account()
 	d, ticket := q.balancer.Place(q.ctx, placer.Request{
 		Route: route, Candidates: candidates, Tried: q.tried, Software: q.begun, Left: q.deadline.Sub(now),
 		Waited: now.Sub(q.start), Connected: dialer.Connected(q.pool, placer.KeyOf),
+		Account: account.Name, Priority: q.admission.Priority(route),
 	})
 	s, isSend := d.(placer.Send)
 	if !isSend {
