Gateway: accounts are held to the rates of the configuration

Cause: the admitter allowed every request whatever its account's rate. Change: the admitter's limiter is ratesharer, with the rate and burst of the active configuration; the clock is clocker's. The whole suite was not run.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -228,15 +228,33 @@
 	return authenticator.Policy{IsStrict: s.IsRevocationStrict, RevokeAfter: s.RevokeAfter}
 }
 
-func newAdmitter(s platform.Settings, w *watcher.Watcher, m *tracer.Meter, log logrus.FieldLogger) *admitter.Admitter {
+func newAdmitter(
+	s platform.Settings, w *watcher.Watcher, q *ratesharer.Sharer, m *tracer.Meter, log logrus.FieldLogger,
+) *admitter.Admitter {
 	h := platform.Headers()
 	a := admitter.New(
 		admitter.Headers{RequestID: h.RequestID, Credentials: h.Credentials}, revocation(s), w.Current, w.ConfigAsOf, clocker.Now,
-		admitter.Unlimited{}, m, log)
+		accountLimiter{registry: w.Current, sharer: q}, m, log)
 	w.SetMaxConfigWatch(a.MaxWatch)
 	return a
 }
 
+// accountLimiter holds accounts to the rates of the active configuration.
+type accountLimiter struct {
+	registry func() *registrar.Registry
+	sharer   *ratesharer.Sharer
+}
+
+// Allow implements admitter.Limiter.
+func (l accountLimiter) Allow(ctx context.Context, account string) (retryAfter time.Duration, ok bool) {
+	a, ok := l.registry().Config.Account(account)
+	if !ok {
+		// The account was removed; its key is checked again before the request is sent.
+		return 0, true
+	}
+	return l.sharer.Allow(ctx, ratelimiter.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
+}
+
 func newRateSharer(s platform.Settings, g *gossiper.Gossiper, log logrus.FieldLogger) *ratesharer.Sharer {
 	return ratesharer.New(ratelimiter.Config{
 		VM: s.VM.ID, Incarnation: g.Incarnation(), Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack,
--- a/pkg/ratesharer/ratesharer.go
+++ b/pkg/ratesharer/ratesharer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/clocker"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
@@ -41,6 +42,9 @@
 	Send(vm string, payload []byte)
 }
 
+// bootTime returns the time since the machine's boot, with the time in which it was suspended, as a time after the epoch.
+func bootTime() time.Time { return time.Unix(0, 0).Add(clocker.Now()) }
+
 // Counters count messages to other VMs, and requests.
 type Counters struct {
 	// Questions, Answers, Notifications and Claims were sent to other VMs.
