--- a/pkg/assembler/gateway_accounts_test.go
+++ b/pkg/assembler/gateway_accounts_test.go
@@ -339,8 +339,9 @@
 	assert.Equal(t, http.StatusTooManyRequests, f.submit(f.vms[0], newID("job"), newItems(1)).status)
 }
 
-// TestRevokedKeyIsRefusedByAVMThatHearsNothing cuts a VM off from the store and its peers and revokes a key. The VM must serve the
-// key for a while, since it can't know, and refuse all keys once the bound has passed; when it hears the store again, it serves.
+// TestRevokedKeyIsRefusedByAVMThatHearsNothing cuts a VM off from the store and its peers and revokes a key. The VM must serve
+// the key for a while, since it can't know, and refuse all keys once the bound has passed; when it hears the store again, it
+// serves.
 func TestRevokedKeyIsRefusedByAVMThatHearsNothing(t *testing.T) {
 	t.Parallel()
 	const bound = 2500 * time.Millisecond
