Makefile: crowds of clients are tested apart from other packages

Cause: go test runs packages side by side, and the crowd tests check a process's memory and descriptors. Change: make check runs them in a step of their own, make crowd alone.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/dogwoodledge/dogwoodledge/pkg/commander.Version=$(VERSION)
 
-.PHONY: build demo check bench prove soak mutate beside slopes lint tools generate clean
+.PHONY: build demo check crowd bench prove soak mutate beside slopes lint tools generate clean
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -15,9 +15,14 @@
 # check runs all tests; those of ./prove use programs built under the race detector.
 check: build
 	go vet ./...
-	go test $$(go list ./... | grep -v /prove)
+	go test $$(go list ./... | grep -v -e /prove -e /crowd)
+	$(MAKE) crowd
 	$(MAKE) prove
 
+# crowd sends crowds of clients outside the limits to a VM, one at a time and apart from other tests: it checks memory.
+crowd:
+	go test -count=1 ./crowd
+
 # prove runs the tests of docs/PROOFS.md that use real processes.
 prove:
 	scripts/prove.sh
