--- a/soak/caller_took_test.go
+++ b/soak/caller_took_test.go
@@ -23,7 +23,7 @@
 	})}
 	go func() { _ = server.Serve(socket) }()
 	defer func() { _ = server.Close() }()
-	c := &callers{outages: newOutages()}
+	c := &callers{fleet: &fleet{}, outages: newOutages()}
 	a := c.send(&http.Client{}, &vm{name: "v", ip: ip}, status, "a")
 	assert.Equal(t, http.StatusOK, a.status)
 	assert.GreaterOrEqual(t, a.took, delay)
