placer: retries wait and return in order only where requests have accounts

Cause: a deployment that asks for nothing new has to be served as before. Ruled out: taking the step back, which gains where accounts compete (TestContentionServesMoreInTime).

--- a/pkg/core/placer/deadlines.go
+++ b/pkg/core/placer/deadlines.go
@@ -58,7 +58,7 @@
 
 // isFirstAttempt reports whether the request is its caller's first attempt, by the deadlines of the route's callers.
 func (p *Placer) isFirstAttempt(r Request) bool {
-	if p.omitted.Deadlines {
+	if p.omitted.Deadlines || !r.competes() {
 		return p.hasLongestDeadline(r)
 	}
 	d, ok := p.deadlines[r.Route.Name]
--- a/pkg/core/placer/placer.go
+++ b/pkg/core/placer/placer.go
@@ -217,9 +217,13 @@
 	return min(r.Left/2, maxRetryWait)
 }
 
+// competes reports whether the request has an account. Only deployments with accounts ask for an order among callers: without
+// accounts, retries are placed, recognized and told to return as by earlier builds.
+func (r Request) competes() bool { return r.Account != "" }
+
 // mayWait reports whether the VM of a request that gets no slot keeps it and asks again.
 func (p *Placer) mayWait(r Request, isFirst bool) bool {
-	if p.omitted.Holding || isFirst {
+	if p.omitted.Holding || isFirst || !r.competes() {
 		return false
 	}
 	longest := min(holdTime, time.Duration(holdShare*float64(r.Left+r.Waited)))
--- a/pkg/core/placer/returns.go
+++ b/pkg/core/placer/returns.go
@@ -22,7 +22,7 @@
 // Times beyond the longest one are drawn from its upper half, so that these callers do not return at once.
 func (p *Placer) retryAfter(now time.Time, r Request, excess time.Duration) time.Duration {
 	longest := time.Duration(maxRetryShare * float64(r.Left))
-	if p.omitted.Returns {
+	if p.omitted.Returns || !r.competes() {
 		share := minRetryShare + p.random.Float64()*(maxRetryShare-minRetryShare)
 		return time.Duration(share * float64(r.Left))
 	}
