--- a/pkg/acceptor/conn.go
+++ b/pkg/acceptor/conn.go
@@ -124,13 +124,16 @@
 
 // writeRefusal writes an answer without the server, if the caller takes it at once.
 func (c *Conn) writeRefusal(status int) {
-	retryAfter := ""
+	headers := ""
 	if status == http.StatusServiceUnavailable {
-		retryAfter = "Retry-After: " + refusalRetryAfter + "\r\n"
+		headers = "Retry-After: " + refusalRetryAfter + "\r\n"
+	}
+	if name := c.port.cfg.RefusalHeader; name != "" {
+		headers += name + ": 1\r\n"
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
 	_, _ = fmt.Fprintf(c.TCPConn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n",
-		status, http.StatusText(status), retryAfter)
+		status, http.StatusText(status), headers)
 }
 
 // evict makes the server close the connection unless it has read the head of a request.
--- a/pkg/acceptor/port.go
+++ b/pkg/acceptor/port.go
@@ -32,6 +32,8 @@
 	Connections, PerAddress int
 	// Heads returns the limits of a head; nil if the port does not speak HTTP/1.
 	Heads func() HeadLimits
+	// RefusalHeader is the name of a header that refusals by the port itself bear; empty for none.
+	RefusalHeader string
 	// Bodies holds the bytes of large heads and says how long an answer may make no progress; nil for no limits.
 	Bodies *bodyreader.Reader
 }
