--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -271,7 +270,7 @@
 		relayer.WriteRefusal(w, http.StatusServiceUnavailable, unreadyRetryAfter, "no configuration is known yet")
 		return
 	}
-	if l.refuseOverLimits(w, r, reg.Config.Limits) {
+	if l.relayer.RefuseOverLimits(w, r, reg.Config.Limits) {
 		return
 	}
 	route, ok := reg.Config.Match(r.Host, r.URL.Path)
@@ -306,20 +305,6 @@
 	l.relayer.Serve(w, r, route)
 }
 
-// refuseOverLimits refuses a request whose head, or whose stated length, exceeds the limits; it reports whether it did.
-func (l *Listener) refuseOverLimits(w http.ResponseWriter, r *http.Request, limits registrar.Limits) bool {
-	if limit := limits.BodyBytes; limit > 0 && r.ContentLength > limit {
-		l.relayer.Refuse(w, r, http.StatusRequestEntityTooLarge, (&bodyreader.TooLargeError{Limit: limit}).Error())
-		return true
-	}
-	if limit := limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
-		l.relayer.Refuse(w, r, http.StatusRequestHeaderFieldsTooLarge,
-			"the headers have more than "+strconv.Itoa(limit)+" bytes: send less")
-		return true
-	}
-	return false
-}
-
 // boundRest bounds how long the server reads on after the answer to find the next request: the client may have stopped within the
 // body.
 func boundRest(w http.ResponseWriter) {
@@ -357,14 +342,3 @@
 	}
 	return n.Add(1)
 }
-
-// headerBytes returns the approximate size of the request line and headers as sent.
-func headerBytes(r *http.Request) int {
-	n := len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
--- a/pkg/relayer/log.go
+++ b/pkg/relayer/log.go
@@ -38,6 +38,9 @@
 		fields["events"] = q.events
 	}
 	q.addEventFields(fields)
+	if q.isDelegated() {
+		fields["delegatedBy"] = q.delegatedBy
+	}
 	if q.stream != q.id {
 		fields["resumes"] = q.stream
 	}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -129,6 +129,11 @@
 // Serve answers an online request of the route. It aborts the caller's connection, mostly by a panic with http.ErrAbortHandler,
 // if an answer has begun and can't be completed.
 func (l *Relayer) Serve(w http.ResponseWriter, r *http.Request, route registrar.Route) {
+	l.serve(w, r, route, "")
+}
+
+// serve does what Serve does for a request that the VM delegatedBy has handed over; empty for one of a caller.
+func (l *Relayer) serve(w http.ResponseWriter, r *http.Request, route registrar.Route, delegatedBy string) {
 	start := time.Now()
 	admission, refusal := l.admitter.Admit(r, route)
 	if refusal != nil {
@@ -145,7 +150,7 @@
 	}
 	defer lease.Close()
 	q := &request{
-		Relayer: l, w: w, r: r, admission: admission, route: route, body: body, start: start,
+		Relayer: l, w: w, r: r, admission: admission, route: route, body: body, start: start, delegatedBy: delegatedBy,
 		id: r.Header.Get(l.headers.RequestID), tried: map[string]bool{}, firstEvent: continuer.NoEvent,
 		parts: slices.Concat(
 			l.headers.PartsOf(r.Header), []string{quarantiner.RequestPart(r.Method, r.Host, r.RequestURI, body)},
@@ -165,7 +170,7 @@
 	q.ctx = ctx
 	q.outlastEnd = context.AfterFunc(l.ending, func() { end(ErrStopping) })
 	defer q.outlastEnd()
-	if q.findBeginning() && q.isWithinRate() {
+	if q.findBeginning() && (q.isDelegated() || q.isWithinRate()) {
 		q.run()
 	}
 	q.logEnd()
@@ -174,21 +179,6 @@
 	}
 }
 
-// abort ends an answer that was begun and can't be completed so that the caller can tell it from a whole one.
-func abort(w http.ResponseWriter, r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) {
-		// Before HTTP/1.1 an answer without a length ends with its connection, so the connection must not end properly.
-		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = conn.Close()
-			return
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // request is one online request of a caller.
 type request struct {
 	*Relayer
@@ -198,7 +188,9 @@
 	// admission says whose request it is.
 	admission *admitter.Admission
 	route     registrar.Route
-	id        string
+	// delegatedBy is the VM that handed the request over; empty if this VM got it from its caller.
+	delegatedBy string
+	id          string
 	// parts holds the ids of the shared parts of the prompt, and the part that stands for the whole request.
 	parts []string
 	// probed is the quarantined part that the request probes, if any.
