--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -182,7 +182,7 @@
 	}
 	return gossiper.New(gossiper.Config{
 		VM: s.VM.ID, Incarnation: previous.NextIncarnation, Address: netip.AddrPortFrom(s.IP, s.FirstPort),
-		Region: s.VM.Region, Capacity: s.Cores, HasManyEndpoints: previous.HadManyEndpoints,
+		Region: s.VM.Region, AvailabilityZone: s.VM.AvailabilityZone, Capacity: s.Cores, HasManyEndpoints: previous.HadManyEndpoints,
 	}, t, source(), log)
 }
 
--- a/pkg/core/detector/detector.go
+++ b/pkg/core/detector/detector.go
@@ -25,6 +25,9 @@
 	CrossRegionProbers int
 	// ForgetLostAfter is how long a lost member is kept.
 	ForgetLostAfter time.Duration
+	// MaxPartitionIncarnation is the highest incarnation that this VM takes to say whether it is partitioned; 0 is no limit. A VM
+	// with fewer than two incarnations left doesn't say that it is, so that it can always say that it no longer is.
+	MaxPartitionIncarnation uint64
 }
 
 // DefaultConfig returns the default settings for the member: a failed VM is declared lost within about seven seconds.
@@ -124,6 +127,8 @@
 		d.self.Incarnation++
 		d.memberUpdates.add(d.self.VM, d.self)
 		out = d.announceLeaving(out)
+	case PartitionChanged:
+		d.setPartitioned(in.IsPartitioned)
 	case HeadActivated:
 		d.head = in.Head
 	case EndpointChanged:
@@ -134,6 +139,20 @@
 	return out
 }
 
+// Self returns this VM's own member.
+func (d *Detector) Self() Member { return d.self }
+
+// setPartitioned raises this VM's incarnation if the state is a new one; the next messages carry it.
+func (d *Detector) setPartitioned(is bool) {
+	most := d.cfg.MaxPartitionIncarnation
+	if is == d.self.IsPartitioned || (is && most > 0 && d.self.Incarnation+2 > most) {
+		return
+	}
+	d.self.IsPartitioned = is
+	d.self.Incarnation++
+	d.memberUpdates.add(d.self.VM, d.self)
+}
+
 // gossipFor returns the updates that a message to vm carries. If vm is suspect or lost, they include that state, so that
 // vm can refute it.
 func (d *Detector) gossipFor(vm string) Gossip {
--- a/pkg/core/detector/detector_test.go
+++ b/pkg/core/detector/detector_test.go
@@ -29,6 +29,8 @@
 	lossOneIn int
 	queue     []datagram
 	heads     map[int]int64
+	// sent is the number of messages sent, those that were lost included.
+	sent int
 }
 
 type datagram struct {
@@ -79,6 +81,7 @@
 			w.heads[from] = max(w.heads[from], out.Head.Revision)
 			w.detectors[from].Handle(w.now, HeadActivated{Head: out.Head})
 		case Send:
+			w.sent++
 			for to, addr := range w.addresses {
 				isLost := w.lossOneIn > 0 && w.random.IntN(w.lossOneIn) == 0
 				if addr == out.To && !w.isCut(from, to) && !isLost {
--- a/pkg/core/detector/input.go
+++ b/pkg/core/detector/input.go
@@ -25,6 +25,11 @@
 // LeaveOrdered says that this VM is leaving.
 type LeaveOrdered struct{}
 
+// PartitionChanged says whether this VM reaches no endpoint.
+type PartitionChanged struct {
+	IsPartitioned bool
+}
+
 // HeadActivated says that a newer configuration head is active on this VM.
 type HeadActivated struct {
 	Head configurator.Head
@@ -38,12 +43,13 @@
 // Woken says that the time of NextWake has come.
 type Woken struct{}
 
-func (Received) isInput()        {}
-func (Listed) isInput()          {}
-func (LeaveOrdered) isInput()    {}
-func (HeadActivated) isInput()   {}
-func (EndpointChanged) isInput() {}
-func (Woken) isInput()           {}
+func (Received) isInput()         {}
+func (Listed) isInput()           {}
+func (LeaveOrdered) isInput()     {}
+func (PartitionChanged) isInput() {}
+func (HeadActivated) isInput()    {}
+func (EndpointChanged) isInput()  {}
+func (Woken) isInput()            {}
 
 // Output is an action that a detector requests.
 type Output interface {
@@ -56,7 +62,7 @@
 	Message Message
 }
 
-// Changed says that a member is new, or that its state, address or incarnation changed.
+// Changed says that a member is new, or that its state, address or incarnation changed, or whether it is partitioned.
 type Changed struct {
 	Member Member
 }
--- a/pkg/core/detector/message.go
+++ b/pkg/core/detector/message.go
@@ -30,8 +30,13 @@
 	AvailabilityZone string
 	State            State
 	Incarnation      uint64
+	// IsPartitioned says that the VM said, at this incarnation, that it reaches no endpoint. It doesn't count for a lost VM.
+	IsPartitioned bool
 }
 
+// CountsAsPartitioned reports whether the VM is one that runs and said that it reaches no endpoint.
+func (m Member) CountsAsPartitioned() bool { return m.IsPartitioned && m.State != Lost }
+
 // EndpointUpdate says whether an endpoint is leaving; an update with a higher Number replaces one with a lower.
 type EndpointUpdate struct {
 	Endpoint  string
--- a/pkg/core/detector/receive.go
+++ b/pkg/core/detector/receive.go
@@ -53,22 +53,31 @@
 	return true
 }
 
-// learn applies an update of a member if it is newer than the known one.
+// learn applies an update of a member if it says something newer than what is known.
 func (d *Detector) learn(now time.Time, m Member, out []Output) []Output {
 	if m.VM == d.self.VM {
 		d.refute(m)
 		return out
 	}
 	old, ok := d.members[m.VM]
-	if ok && !isNewer(m, old.Member) {
-		return out
+	if !ok {
+		d.members[m.VM] = &record{Member: m, since: now}
+		d.memberUpdates.add(m.VM, m)
+		return append(out, Changed{Member: m})
 	}
-	d.members[m.VM] = &record{Member: m, since: now}
-	d.memberUpdates.add(m.VM, m)
-	if ok && old.State == m.State && old.Address == m.Address && old.Incarnation == m.Incarnation {
+	known := old.Member
+	switch {
+	case isNewer(m, known):
+		// Within one incarnation only VMs that don't know the flag drop it.
+		m.IsPartitioned = m.IsPartitioned || (known.IsPartitioned && m.Incarnation == known.Incarnation)
+		d.members[m.VM] = &record{Member: m, since: now}
+	case m.Incarnation == known.Incarnation && m.IsPartitioned && !known.IsPartitioned:
+		old.IsPartitioned = true
+	default:
 		return out
 	}
-	return append(out, Changed{Member: m})
+	d.memberUpdates.add(m.VM, d.members[m.VM].Member)
+	return append(out, Changed{Member: d.members[m.VM].Member})
 }
 
 func isNewer(m, old Member) bool {
@@ -80,11 +89,8 @@
 
 // refute raises this VM's incarnation above that of an update which would override its own state.
 func (d *Detector) refute(m Member) {
-	isSame := m.Incarnation == d.self.Incarnation && m.State == d.self.State
-	if m.Incarnation < d.self.Incarnation || isSame {
-		return
-	}
-	if m.Incarnation == d.self.Incarnation && m.State < d.self.State {
+	overrides := m.State > d.self.State || (m.IsPartitioned && !d.self.IsPartitioned)
+	if m.Incarnation < d.self.Incarnation || (m.Incarnation == d.self.Incarnation && !overrides) {
 		return
 	}
 	d.self.Incarnation = m.Incarnation + 1
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -39,6 +39,10 @@
 	// refutationBits is the number of low bits of a detector's incarnation that count refutations; the others hold the
 	// incarnation of the VM's process.
 	refutationBits = 12
+	// maxPartitionIncarnations is how many of these a VM may use up and still say that it is partitioned; the others are left for
+	// refutations, so that the count doesn't reach the incarnation of the process. At two changes each, a process can say so some
+	// thousand times.
+	maxPartitionIncarnations = 1 << (refutationBits - 1)
 )
 
 // Config identifies this VM.
@@ -48,6 +52,8 @@
 	Incarnation int64
 	Address     netip.AddrPort
 	Region      string
+	// AvailabilityZone is the VM's zone in the region; it may be empty.
+	AvailabilityZone string
 	// Capacity is the share of a core that the VM has.
 	Capacity float64
 	// HasManyEndpoints says that the VM's row is to say that the deployment has many endpoints.
@@ -59,7 +65,9 @@
 	Address     netip.AddrPort `json:"address"`
 	Incarnation int64          `json:"incarnation"`
 	Region      string         `json:"region"`
-	Capacity    float64        `json:"capacity"`
+	// AvailabilityZone is empty in rows that older builds wrote.
+	AvailabilityZone string  `json:"zone,omitempty"`
+	Capacity         float64 `json:"capacity"`
 	// HasManyEndpoints says that the VM's next process is to read the endpoints from other VMs.
 	HasManyEndpoints bool `json:"manyEndpoints,omitempty"`
 }
@@ -109,6 +117,9 @@
 	storeSeenAt time.Time
 
 	isLeaving atomic.Bool
+	// isPartitioned says that this VM reaches no endpoint; announcing is held while it changes.
+	isPartitioned atomic.Bool
+	announcing    sync.Mutex
 	// configRow is the version of the row of the active configuration.
 	configRow atomic.Int64
 	// isRegistered says that this VM's row was written; unlisted signals that it has to be written again.
@@ -128,11 +139,13 @@
 // New returns a gossiper that is not started.
 func New(cfg Config, store storer.Table, random *rand.Rand, log logrus.FieldLogger) *Gossiper {
 	self := detector.Member{
-		VM: cfg.VM, Address: cfg.Address, Region: cfg.Region, Incarnation: uint64(cfg.Incarnation) << refutationBits,
+		VM: cfg.VM, Address: cfg.Address, Region: cfg.Region, AvailabilityZone: cfg.AvailabilityZone,
+		Incarnation: uint64(cfg.Incarnation) << refutationBits,
 	}
 	settings := detector.DefaultConfig(self)
 	settings.ProbeInterval, settings.AckTimeout, settings.SuspicionTimeout = probeInterval, ackTimeout, suspicionTimeout
 	settings.ForgetLostAfter = 2 * forgetAfter
+	settings.MaxPartitionIncarnation = self.Incarnation + maxPartitionIncarnations
 	g := &Gossiper{
 		cfg: cfg, store: store, log: log, detector: detector.New(settings, random),
 		states: map[string]detector.Member{}, members: map[string]*member{}, ranks: map[string][]string{},
@@ -268,9 +281,10 @@
 	case known.silentSince.IsZero() && isKnown && old.State == detector.Alive:
 		known.silentSince = now
 	}
-	if !isKnown || old.State != m.State {
+	if !isKnown || old.State != m.State || old.IsPartitioned != m.IsPartitioned {
 		g.log.WithFields(logrus.Fields{
-			"peer": m.VM, "state": m.State.String(), "incarnation": processOf(m), "known": len(g.states),
+			"peer": m.VM, "state": m.State.String(), "incarnation": processOf(m), "partitioned": m.CountsAsPartitioned(),
+			"known": len(g.states),
 		}).Info("peer changed")
 	}
 }
--- a/pkg/gossiper/members.go
+++ b/pkg/gossiper/members.go
@@ -62,14 +62,19 @@
 
 // LiveVMs returns the VMs that accept work: those that are live, this one included, and not leaving.
 func (g *Gossiper) LiveVMs() []VMIncarnation {
+	return g.liveVMs(!g.isLeaving.Load(), isLive)
+}
+
+// liveVMs returns this VM, if isSelfLive is set, and the others that match.
+func (g *Gossiper) liveVMs(isSelfLive bool, matches func(detector.Member) bool) []VMIncarnation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	vms := make([]VMIncarnation, 0, len(g.states)+1)
-	if !g.isLeaving.Load() {
+	if isSelfLive {
 		vms = append(vms, VMIncarnation{Name: g.cfg.VM, Incarnation: g.cfg.Incarnation})
 	}
 	for vm, m := range g.states {
-		if isLive(m) {
+		if matches(m) {
 			vms = append(vms, VMIncarnation{Name: vm, Incarnation: processOf(m)})
 		}
 	}
@@ -233,7 +238,8 @@
 			m.row, m.listedAt, m.version = r, now, e.Version
 		}
 		listed.Members = append(listed.Members, detector.Member{
-			VM: e.Key, Address: r.Address, Region: r.Region, Incarnation: uint64(r.Incarnation) << refutationBits,
+			VM: e.Key, Address: r.Address, Region: r.Region, AvailabilityZone: r.AvailabilityZone,
+			Incarnation: uint64(r.Incarnation) << refutationBits,
 		})
 	}
 	clear(g.ranks)
--- a/pkg/gossiper/register.go
+++ b/pkg/gossiper/register.go
@@ -51,8 +51,8 @@
 // ownRow returns the change that writes this VM's row.
 func (g *Gossiper) ownRow() (storer.Change, error) {
 	value, err := json.Marshal(vmRow{
-		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region, Capacity: g.cfg.Capacity,
-		HasManyEndpoints: g.hasManyEndpoints.Load(),
+		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Region: g.cfg.Region,
+		AvailabilityZone: g.cfg.AvailabilityZone, Capacity: g.cfg.Capacity, HasManyEndpoints: g.hasManyEndpoints.Load(),
 	})
 	return storer.Change{Puts: []storer.Entry{{Table: VMTable, Key: g.cfg.VM, Value: value}}}, err
 }
--- a/pkg/messenger/messenger_test.go
+++ b/pkg/messenger/messenger_test.go
@@ -25,8 +25,11 @@
 			VM: "vm-1", Address: netip.MustParseAddrPort("10.0.0.1:7000"), Region: "syd", AvailabilityZone: "syd-a",
 			State: detector.Alive, Incarnation: 7,
 		},
-		Head:      configurator.Head{Revision: 3, Hash: "abc", Preset: "peak"},
-		Members:   []detector.Member{{VM: "vm-2", Address: netip.MustParseAddrPort("[::1]:7000"), State: detector.Suspect}},
+		Head: configurator.Head{Revision: 3, Hash: "abc", Preset: "peak"},
+		Members: []detector.Member{
+			{VM: "vm-2", Address: netip.MustParseAddrPort("[::1]:7000"), State: detector.Suspect},
+			{VM: "vm-3", Address: netip.MustParseAddrPort("[::1]:7001"), Incarnation: 8, IsPartitioned: true},
+		},
 		Endpoints: []detector.EndpointUpdate{{Endpoint: "engine-1", IsLeaving: true, Number: 9}},
 	}
 }
--- a/pkg/packer/datagram.go
+++ b/pkg/packer/datagram.go
@@ -100,7 +100,7 @@
 func memberToWire(m detector.Member) *wire.Member {
 	return &wire.Member{
 		Vm: m.VM, Address: addressToWire(m.Address), Region: m.Region, AvailabilityZone: m.AvailabilityZone,
-		State: int32(m.State), Incarnation: m.Incarnation,
+		State: int32(m.State), Incarnation: m.Incarnation, Partitioned: m.IsPartitioned,
 	}
 }
 
@@ -115,7 +115,7 @@
 	}
 	return detector.Member{
 		VM: w.GetVm(), Address: addr, Region: w.GetRegion(), AvailabilityZone: w.GetAvailabilityZone(),
-		State: state, Incarnation: w.GetIncarnation(),
+		State: state, Incarnation: w.GetIncarnation(), IsPartitioned: w.GetPartitioned(),
 	}, nil
 }
 
