--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -32,11 +32,24 @@
 	idle map[string][]*Conn
 	// maxIdle returns the current limit on idle connections to an endpoint.
 	maxIdle func(endpoint string) int
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewPool returns a pool that keeps at most as many idle connections to an endpoint as maxIdle returns.
 func NewPool(maxIdle func(endpoint string) int) *Pool {
-	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdle}
+	d := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
+	}}
+	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdle, dial: d.DialContext}
+}
+
+// SetDial replaces the function that opens connections, before the first request; each call lasts ConnectTimeout at most.
+func (p *Pool) SetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	p.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
 }
 
 // Conn is a connection to one endpoint.
@@ -83,10 +96,7 @@
 // Open opens a connection to the endpoint with the id; the error is a *ConnectError.
 func (p *Pool) Open(ctx context.Context, id string, addr netip.AddrPort) (*Conn, error) {
 	start := time.Now()
-	d := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
-	}}
-	conn, err := d.DialContext(ctx, "tcp4", addr.String())
+	conn, err := p.dial(ctx, "tcp4", addr.String())
 	if err != nil {
 		return nil, &ConnectError{Address: addr, After: time.Since(start), Cause: err}
 	}
