--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -56,6 +57,10 @@
 	jobStatus   time.Duration
 	// grace is the grace period of the VMs that are added.
 	grace time.Duration
+	// isPartitionable makes the VMs that are added have partitions.
+	isPartitionable bool
+	// addresses holds those of the endpoints.
+	addresses sync.Map
 }
 
 type testVM struct {
@@ -68,6 +73,8 @@
 	// rateSharer is that of the VM's app.
 	rateSharer *ratesharer.Sharer
 	endpoints  *peersyncer.Table
+	// partition is between the VM and all endpoints, if the fleet is partitionable.
+	partition *partition
 }
 
 func route(kind, prefix, service string, extra map[string]any) map[string]any {
@@ -117,6 +124,7 @@
 	e := standin.NewEndpoint(id, service, "syd-a")
 	f.t.Cleanup(e.Close)
 	f.endpoints = append(f.endpoints, e)
+	f.addresses.Store(e.Entry("ready")["address"], true)
 	f.store.Put("servers", "", id, e.Entry("ready"))
 	return e
 }
@@ -239,8 +247,14 @@
 	f.t.Helper()
 	s := f.settings(fmt.Sprintf("front-%d", len(f.vms)+1))
 	vm := &testVM{name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String()}
-	vm.app = assembler.NewGateway(
-		s, fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.rateSharer, &vm.endpoints))
+	opts := []fx.Option{
+		fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.rateSharer, &vm.endpoints),
+	}
+	if f.isPartitionable {
+		vm.partition = f.newPartition()
+		opts = append(opts, fx.Decorate(vm.partition.decorate))
+	}
+	vm.app = assembler.NewGateway(s, opts...)
 	require.NoError(f.t, vm.app.Start(context.Background()))
 	f.vms = append(f.vms, vm)
 	f.t.Cleanup(func() { _ = vm.app.Stop(context.Background()) })
