--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -446,8 +446,8 @@
 
 // stop shuts the daemon down gracefully: it hands batch jobs over to other VMs and completes requests that have begun, until
 // shortly before the grace period ends. Then it answers those that have no answer.
-func (g *gateway) stop(context.Context) error {
-	start := time.Now()
+func (g *gateway) stop(ctx context.Context) error {
+	start := stopTimeOf(ctx)
 	// The file may have changed without a SIGHUP.
 	g.reload()
 	grace := float64(g.active.Load().Grace)
@@ -521,7 +521,7 @@
 }
 
 func runOnPlatform() error {
-	stop, hup := receive(os.Interrupt, syscall.SIGTERM), newHangUps()
+	stop, hup := receiveStop(), newHangUps()
 	file := os.Getenv(platform.SettingsVariable)
 	if file == "" {
 		return errors.Errorf("environment variable %s is empty: set it to the settings file's path", platform.SettingsVariable)
--- a/pkg/assembler/main.go
+++ b/pkg/assembler/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -60,7 +61,7 @@
 }
 
 func run(file string) error {
-	stop := receive(os.Interrupt, syscall.SIGTERM)
+	stop := receiveStop()
 	s, err := loader.ReadSettings(file)
 	if err != nil {
 		return err
@@ -77,15 +78,46 @@
 	return c
 }
 
+// stopSignals receives the signals that stop the daemon.
+type stopSignals struct {
+	signals <-chan os.Signal
+	// first receives the time of the first signal.
+	first chan time.Time
+}
+
+// receiveStop returns a channel that receives the time of the first stop signal. The grace period begins then, also while the
+// daemon starts.
+func receiveStop() <-chan time.Time {
+	s := stopSignals{signals: receive(os.Interrupt, syscall.SIGTERM), first: make(chan time.Time, 1)}
+	go s.run()
+	return s.first
+}
+
+func (s stopSignals) run() {
+	<-s.signals
+	s.first <- time.Now()
+}
+
+// stopTime is the key of a stop's context for the time of its signal.
+type stopTime struct{}
+
+// stopTimeOf returns when the signal of the stop came; without one, the stop begins now.
+func stopTimeOf(ctx context.Context) time.Time {
+	if t, ok := ctx.Value(stopTime{}).(time.Time); ok {
+		return t
+	}
+	return time.Now()
+}
+
 // runApp starts the daemon, waits for a stop signal and shuts it down.
-func runApp(app *fx.App, stop <-chan os.Signal) error {
+func runApp(app *fx.App, stop <-chan time.Time) error {
 	startCtx, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return errors.Wrap(err, "start")
 	}
-	<-stop
-	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	begun := context.WithValue(context.Background(), stopTime{}, <-stop)
+	stopCtx, cancel := context.WithTimeout(begun, app.StopTimeout())
 	defer cancel()
 	return errors.Wrap(app.Stop(stopCtx), "stop")
 }
--- a/pkg/assembler/signals_test.go
+++ b/pkg/assembler/signals_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,7 +18,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/assembler"
+	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/platform"
+	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
 
 // daemonVariable makes the test program run as the daemon.
@@ -59,11 +63,11 @@
 memoryMb = 512
 maxFds = 4096
 [bounds]
-graceS = 8
+graceS = %d
 [platform]
 address = %q
 rowBytes = 65536
-`, name, s.IP, s.FirstPort, s.LastPort, s.Callers, s.Ready, s.Store),
+`, name, s.IP, s.FirstPort, s.LastPort, s.Callers, s.Ready, s.Grace/time.Second, s.Store),
 	}
 	require.NoError(f.t, syscall.Mkfifo(d.settings, 0o600))
 	d.cmd.Env = append(os.Environ(), daemonVariable+"=1", platform.SettingsVariable+"="+d.settings, "GORACE=atexit_sleep_ms=0")
@@ -110,6 +114,39 @@
 	require.Fail(d.t, "the daemon ended without the log line "+message, d.cmd.Wait())
 }
 
+// TestGracePeriodBeginsWithTheSignal stops a daemon that still starts, since the store is silent to it at first, and kills it
+// when the grace period is over. A request whose endpoint is silent must be answered before that.
+func TestGracePeriodBeginsWithTheSignal(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.grace = 3 * time.Second
+	for _, r := range f.routes {
+		r["timeoutMs"] = 30000
+	}
+	f.configure()
+	for _, e := range f.endpoints {
+		e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoAnswer })
+	}
+	var reads atomic.Int64
+	f.store.SetFault(func(r *http.Request) standin.StoreFault {
+		if r.URL.Path == "/rows-get" && r.URL.Query().Get("table") == gossiper.VMTable && reads.Add(1) == 1 {
+			return standin.Silent
+		}
+		return standin.NoFault
+	})
+	d := f.newDaemon("front-9")
+	d.begin(syscall.SIGTERM)
+	kill := time.AfterFunc(f.grace, func() { _ = d.cmd.Process.Kill() })
+	defer kill.Stop()
+	d.awaitLine("started")
+	id := newID("early")
+	a := f.call(t.Context(), &testVM{base: "http://" + d.addr}, http.MethodPost, "/book/1", id, "prompt",
+		withHeader("X-Deadline-Ms", "20000"))
+	assert.NoError(t, a.err, "the request ends without an answer")
+	assert.Equal(t, http.StatusGatewayTimeout, a.status, a.body)
+	assert.NotEmpty(t, f.runsOf(id))
+}
+
 // TestSignalsAtAnyTimeEndNoDaemonEarly sends signals to a daemon before it has read its settings, and from its last log line
 // until its end. SIGHUP must never end it, and SIGTERM must always end it by a planned stop.
 func TestSignalsAtAnyTimeEndNoDaemonEarly(t *testing.T) {
