--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -43,6 +43,7 @@
 	// written receives the result of writing the request.
 	written    chan error
 	isComplete bool
+	isClosed   bool
 }
 
 // Do sends the request on the connection and reads the head of its answer; the error is an *ExchangeError.
@@ -51,6 +52,7 @@
 func (p *Pool) Do(ctx context.Context, c *Conn, r Request) (*Exchange, error) {
 	start := time.Now()
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
+	p.observer.Exchanges(1)
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(step string, err error) (*Exchange, error) {
 		x.Close()
@@ -161,6 +163,11 @@
 
 // Close ends the exchange. The connection is kept for reuse only if the request was written and the answer read completely.
 func (x *Exchange) Close() {
+	if x.isClosed {
+		return
+	}
+	x.isClosed = true
+	x.pool.observer.Exchanges(-1)
 	if !x.stop() || !x.isComplete {
 		_ = x.conn.Close()
 		return
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -18,6 +18,8 @@
 	// ConnectTimeout covers two round trips between regions. Only within a region does it also cover the first retransmission
 	// of a lost packet.
 	ConnectTimeout = 300 * time.Millisecond
+	// minConnectTime is how long an attempt to connect must have lasted to count as failed if its context ended it.
+	minConnectTime = 100 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint states no limit.
 	defaultIdleTimeout = 4 * time.Second
 	// idleMargin is subtracted from the limit that an endpoint states. It covers a round trip and the limit's rounding to whole
@@ -31,8 +33,9 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn
 	// maxIdle returns the current limit on idle connections to an endpoint.
-	maxIdle func(endpoint string) int
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	maxIdle  func(endpoint string) int
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	observer Observer
 }
 
 // NewPool returns a pool that keeps at most as many idle connections to an endpoint as maxIdle returns.
@@ -40,7 +43,7 @@
 	d := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
 	}}
-	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdle, dial: d.DialContext}
+	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdle, dial: d.DialContext, observer: noObserver{}}
 }
 
 // SetDial replaces the function that opens connections, before the first request; each call lasts ConnectTimeout at most.
@@ -98,9 +101,16 @@
 	start := time.Now()
 	conn, err := p.dial(ctx, "tcp4", addr.String())
 	if err != nil {
+		if ctx.Err() == nil || time.Since(start) >= minConnectTime {
+			p.observer.Failed(id)
+		}
 		return nil, &ConnectError{Address: addr, After: time.Since(start), Cause: err}
 	}
-	return newConn(conn, id, addr), nil
+	p.observer.Connected(id)
+	c := newConn(conn, id, addr)
+	c.Conn = &observedConn{Conn: conn, endpoint: id, observer: p.observer}
+	c.limit.r = c.Conn
+	return c, nil
 }
 
 func newConn(conn net.Conn, endpoint string, addr netip.AddrPort) *Conn {
