--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -64,6 +64,10 @@
 	offers map[string][]offer
 	// preempt is the number of batch items to stop at each endpoint.
 	preempt map[placer.Key]int
+	// witness is nil if all failures are the endpoints'; doubts holds those that are not settled, failedAt is when the last one was.
+	witness  Witness
+	doubts   []doubt
+	failedAt time.Time
 
 	// hosting signals that VMs use an assigner of this VM, changed that counts changed, slotsChanged that a slot was offered to a
 	// batch item or has to be freed.
@@ -114,12 +118,21 @@
 	}
 }
 
-// observe keeps an observation for the next report; the lock is held.
+// observe keeps an observation for the next report, a failure once it is known to be the endpoint's; the lock is held.
 func (b *Balancer) observe(o option.Option[placer.Observation]) {
 	seen, ok := o.Get()
 	if !ok {
 		return
 	}
+	if seen.HasFailed {
+		b.observeFailure(time.Now(), seen)
+		return
+	}
+	b.keep(seen)
+}
+
+// keep keeps an observation for the next report; the lock is held.
+func (b *Balancer) keep(seen placer.Observation) {
 	if g, ok := b.byEndpoint[seen.Key]; ok && len(g.observations) < maxObservations {
 		g.observations = append(g.observations, seen)
 	}
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -104,6 +104,7 @@
 
 // report sends this VM's counts at the group's endpoints to the assigner, with a question if there is one; the lock is held.
 func (b *Balancer) report(now time.Time, g *group, question *assigner.Asked) {
+	b.settleDoubts(now)
 	b.sequence++
 	in := assigner.Reported{
 		VM: b.cfg.VM, AvailabilityZone: b.cfg.Topology.AvailabilityZone, Incarnation: b.cfg.Incarnation, Sequence: b.sequence,
@@ -136,6 +137,21 @@
 			r.Loads[k] = placer.Load{Online: l.Online, Batch: max(l.Batch-b.preempt[k], 0)}
 		}
 	}
+	if !b.isInDoubt(now) {
+		b.reportFaults(now, g, &r)
+	}
+	waiting, bound := b.waiting[g.Service], b.bound[g.Service]
+	for i := len(b.offers[g.Service]); i < len(waiting) && len(r.Waiting) < maxWaiting; i++ {
+		r.Waiting = append(r.Waiting, waiting[i].Sub(now))
+		if i < len(bound) {
+			r.Bound = append(r.Bound, bound[i])
+		}
+	}
+	return r
+}
+
+// reportFaults adds the failures and the slow endpoints that this VM has observed; the lock is held.
+func (b *Balancer) reportFaults(now time.Time, g *group, r *placer.Report) {
 	for k, f := range b.placer.Faults(now) {
 		if _, ok := g.endpoints[k]; ok {
 			r.Faults[k] = f
@@ -146,14 +162,6 @@
 			r.Slow = append(r.Slow, k)
 		}
 	}
-	waiting, bound := b.waiting[g.Service], b.bound[g.Service]
-	for i := len(b.offers[g.Service]); i < len(waiting) && len(r.Waiting) < maxWaiting; i++ {
-		r.Waiting = append(r.Waiting, waiting[i].Sub(now))
-		if i < len(bound) {
-			r.Bound = append(r.Bound, bound[i])
-		}
-	}
-	return r
 }
 
 // runHost wakes the assigners that this VM hosts, while VMs use any of them.
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -217,6 +217,14 @@
 	return faults
 }
 
+// ForgetFailures forgets all failures of endpoints.
+func (p *Placer) ForgetFailures() {
+	for _, c := range p.conditions {
+		c.recordSuccess()
+		c.faults, c.trialUntil = 0, time.Time{}
+	}
+}
+
 // Own returns a copy of this VM's counts by endpoint.
 func (p *Placer) Own() map[Key]Load {
 	own := make(map[Key]Load, len(p.view.own))
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -51,6 +51,12 @@
 // them. The VM of rank 0 deletes the part's expired rows.
 type Rank func(part string) (rank, vms int)
 
+// Vouches reports whether what failed at the endpoint since the time was its own failure, and not that of this VM's links.
+type Vouches func(ctx context.Context, since time.Time, endpoint string) bool
+
+// SetVouches sets what tells the end of endpoints from failures of this VM's links; it must be called before Start.
+func (i *Isolator) SetVouches(v Vouches) { i.vouches = v }
+
 // Isolator holds the quarantined parts of prompts.
 type Isolator struct {
 	store    storer.Table
@@ -60,6 +66,8 @@
 	rank     Rank
 	log      logrus.FieldLogger
 	ctx      context.Context
+	// vouches is nil if this VM's links never fail.
+	vouches Vouches
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
@@ -214,7 +222,13 @@
 
 // runConfirm finds out whether an endpoint has ended, and records the strikes if it has.
 func (i *Isolator) runConfirm(s *suspicion) {
+	// Bytes of other endpoints may still arrive right after all links have failed.
+	since := time.Now().Add(confirmDelay)
 	hasEnded := i.hasEnded(s.endpoint)
+	if hasEnded && i.vouches != nil && !i.vouches(i.ctx, since, s.endpoint.ID) {
+		i.log.WithField("endpoint", s.endpoint.ID).Info("connections broke off by a failure of this VM's links; no strikes")
+		hasEnded = false
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.unconfirmed, s.endpoint.LeavingKey())
