--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"os"
 	"reflect"
@@ -25,6 +26,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/ratelimiter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/delegator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
@@ -37,6 +39,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/ratesharer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/relayer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/resumer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/scout"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
@@ -95,6 +98,10 @@
 	ItemRunner *itemrunner.Runner
 	Bodies     *bodyreader.Reader
 	Listener   *listener.Listener
+	Relayer    *relayer.Relayer
+	Scout      *scout.Scout
+	Delegator  *delegator.Delegator
+	Peers      *peerPool
 	Meter      *tracer.Meter
 }
 
@@ -116,7 +123,7 @@
 		fx.Provide(
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newEndpointTable,
 			newWatcher, newBalancer, newGossiper, newBodies, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer,
-			newRateSharer, newAdmitter, newRelayer, newJobManager, newItemRunner, newListener,
+			newRateSharer, newAdmitter, newRelayer, newJobManager, newItemRunner, newListener, newScout, newDelegator, newPeerPool,
 		),
 		fx.Invoke(runGateway),
 		fx.Options(opts...),
@@ -262,11 +269,12 @@
 
 func newRelayer(
 	w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool, i *isolator.Isolator,
-	c *confirmer.Confirmer, rs *resumer.Resumer, a *admitter.Admitter, bodies *bodyreader.Reader, m *tracer.Meter,
-	log logrus.FieldLogger,
+	c *confirmer.Confirmer, rs *resumer.Resumer, a *admitter.Admitter, bodies *bodyreader.Reader, sc *scout.Scout,
+	d *delegator.Delegator, peers *peerPool, m *tracer.Meter, log logrus.FieldLogger,
 ) *relayer.Relayer {
 	rl := relayer.New(platform.Headers(), w.Current, b, p, i, c, rs, a, leavingNotifier(w, g), m, log)
 	rl.SetBodies(bodies)
+	rl.SetHandover(relayer.Handover{Links: sc, Delegator: d, Pool: peers.Pool, HasPeers: d.HasPeers})
 	return rl
 }
 
@@ -289,12 +297,12 @@
 
 func newListener(
 	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, rl *relayer.Relayer, jm *jobmanager.Manager,
-	bodies *bodyreader.Reader, t *tracer.Tracer, log logrus.FieldLogger,
+	bodies *bodyreader.Reader, sc *scout.Scout, t *tracer.Tracer, log logrus.FieldLogger,
 ) *listener.Listener {
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
-		HasPeers: g.HasVMList, Limits: clientLimits(s), Bodies: bodies,
+		HasPeers: g.HasVMList, IsAway: isAway(sc, g), Limits: clientLimits(s), Bodies: bodies,
 	}, w.Current, rl, jm, t.Handler(), log)
 }
 
@@ -337,6 +345,12 @@
 	g.Resumer.Start(g.ctx)
 	g.RateSharer.Start(g.ctx)
 	g.Prober.Start(g.ctx)
+	g.Scout.OnChange(g.linksChanged)
+	g.Scout.Start(g.ctx)
+	g.Delegator.SetHandler(http.HandlerFunc(g.Relayer.ServeDelegated))
+	if err := g.Delegator.Start(g.ctx); err != nil {
+		return err
+	}
 	g.JobManager.Start(g.ctx)
 	g.ItemRunner.Start(g.ctx)
 	go g.runSweep()
@@ -353,7 +367,7 @@
 
 // receivePayload passes a payload of another VM to the component that it is for.
 func (g *gateway) receivePayload(payload []byte) {
-	if !g.Resumer.Receive(payload) && !g.RateSharer.Receive(payload) {
+	if !g.Resumer.Receive(payload) && !g.RateSharer.Receive(payload) && !g.Scout.Receive(g.ctx, payload) {
 		g.Balancer.Receive(payload)
 	}
 }
@@ -453,24 +467,28 @@
 	grace := float64(g.active.Load().Grace)
 	limit := start.Add(time.Duration(grace * (1 - stopMarginShare)))
 	g.Log.Info("leaving")
-	g.Listener.Leave(drainer.Drain{Begun: start, End: limit, Propagation: unreadyPropagationTime})
+	drain := drainer.Drain{Begun: start, End: limit, Propagation: unreadyPropagationTime}
+	g.Listener.Leave(drain)
+	g.Delegator.Leave(drain)
 	g.Gossiper.Leave()
 	g.ItemRunner.Leave()
 	for time.Now().Before(limit) {
 		isUnreadyKnown := time.Since(start) > unreadyPropagationTime
-		if isUnreadyKnown && g.Listener.InFlight() == 0 && g.ItemRunner.Running() == 0 {
+		if isUnreadyKnown && g.inFlight() == 0 && g.ItemRunner.Running() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
 	}
 	g.Listener.Close()
+	g.Delegator.Close()
 	g.awaitAnswers(limit)
 	g.Listener.EndUnanswered()
 	g.awaitAnswers(limit.Add(time.Duration(grace * endShare)))
-	g.Log.WithFields(logrus.Fields{"open": g.Listener.InFlight(), "items": g.ItemRunner.Running()}).Info("stopped")
+	g.Log.WithFields(logrus.Fields{"open": g.inFlight(), "items": g.ItemRunner.Running()}).Info("stopped")
 	g.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	go g.Delegator.Stop(ctx)
 	g.Listener.Stop(ctx)
 	g.LogQueue.Close(closeTimeout)
 	return nil
@@ -478,11 +496,14 @@
 
 // awaitAnswers waits until no caller's request is in flight, at most until the limit.
 func (g *gateway) awaitAnswers(limit time.Time) {
-	for g.Listener.InFlight() > 0 && time.Now().Before(limit) {
+	for g.inFlight() > 0 && time.Now().Before(limit) {
 		time.Sleep(stopPoll)
 	}
 }
 
+// inFlight returns the number of requests of callers, and of other VMs, in flight.
+func (g *gateway) inFlight() int64 { return g.Listener.InFlight() + g.Delegator.InFlight() }
+
 // runReload reloads the settings file at every SIGHUP and every reloadEvery.
 func (g *gateway) runReload() {
 	tick := time.NewTicker(reloadEvery)
@@ -517,7 +538,10 @@
 }
 
 func (g *gateway) runSweep() {
-	sleeper.Every(g.ctx, sweepEvery, g.Pool.Sweep)
+	sleeper.Every(g.ctx, sweepEvery, func(now time.Time) {
+		g.Pool.Sweep(now)
+		g.Peers.Sweep(now)
+	})
 }
 
 func runOnPlatform() error {
--- a/pkg/delegator/delegator.go
+++ b/pkg/delegator/delegator.go
@@ -86,9 +86,9 @@
 
 // Delegation is one request that is handed over to another VM.
 type Delegation struct {
-	// VM is the peer, and Address that of its port.
-	VM      string
-	Address netip.AddrPort
+	// VM is the peer, and Address that of its port; From is this VM.
+	VM, From string
+	Address  netip.AddrPort
 
 	delegator *Delegator
 	isEnded   atomic.Bool
@@ -107,9 +107,12 @@
 	}
 	d.chooser.Begin(p.VM)
 	d.HandedOver.Add(1)
-	return &Delegation{VM: p.VM, Address: p.Address, delegator: d}, true
+	return &Delegation{VM: p.VM, From: d.cfg.VM, Address: p.Address, delegator: d}, true
 }
 
+// HasPeers reports whether any other VM is in touch with the endpoints.
+func (d *Delegator) HasPeers() bool { return len(d.peers()) > 0 }
+
 // End records how the request ended at the peer; only the first call counts.
 func (g *Delegation) End(how core.Ending) {
 	if g.isEnded.Swap(true) {
--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -55,6 +55,8 @@
 	// HasPeers reports whether the VM knows its peers. A VM that doesn't would fill slots that others use, and could receive
 	// no updates if it lost the store; so it is not ready.
 	HasPeers func() bool
+	// IsAway reports whether this VM hands its requests over to others, so that callers should rather go there; nil for never.
+	IsAway func() bool
 	// Limits are those of the VM.
 	Limits acceptor.ClientLimits
 	// Bodies holds what callers have sent; nil for no budget.
@@ -236,13 +238,15 @@
 const stopPoll = 5 * time.Millisecond
 
 func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if l.drain.Load() != nil || !l.registry().IsReady() || !l.cfg.HasPeers() {
+	if l.drain.Load() != nil || !l.registry().IsReady() || !l.cfg.HasPeers() || l.isAway() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func (l *Listener) isAway() bool { return l.cfg.IsAway != nil && l.cfg.IsAway() }
+
 // unreadyRetryAfter is the Retry-After for callers of a VM that knows no configuration or no endpoint yet.
 const unreadyRetryAfter = 300 * time.Millisecond
 
@@ -255,8 +259,10 @@
 	}
 	n := countRequest(r)
 	d := l.drain.Load()
-	if d != nil {
+	if d != nil || l.isAway() {
 		w.Header().Set("Connection", "close")
+	}
+	if d != nil {
 		l.relayer.LogWhileLeaving(r, time.Since(d.Begun), n)
 	}
 	// The request is counted before this check, so that no request is passed on after Close and an InFlight of 0.
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -26,8 +26,7 @@
 	lease := (*bodyreader.Lease)(nil)
 	err := q.buffer(&head, body, &lease)
 	defer lease.Close()
-	q.balancer.FirstByte(ticket, s.IsQueued())
-	q.recordFirstByte()
+	q.recordFirstByte(ticket, s)
 	switch {
 	case err == nil:
 		return q.forwardLargeBody(x, io.MultiReader(&head, body), s)
@@ -86,7 +85,10 @@
 
 // recordFirstByte is called when a stream's first event, or a body up to maxBufferedBytes, has been read. It stops the attempt
 // timeout and records the time since the request's start, once per request.
-func (q *request) recordFirstByte() {
+func (q *request) recordFirstByte(ticket *placer.Ticket, s placer.Send) {
+	if !q.atPeer {
+		q.balancer.FirstByte(ticket, s.IsQueued())
+	}
 	q.stopAttemptTimer()
 	if q.firstByte == 0 {
 		q.firstByte = time.Since(q.start)
@@ -118,8 +120,7 @@
 		}
 		if !hasBegun && e.IsProgress() {
 			hasBegun = true
-			q.balancer.FirstByte(ticket, s.IsQueued())
-			q.recordFirstByte()
+			q.recordFirstByte(ticket, s)
 		}
 		if e.ID >= 0 && q.firstEvent == continuer.NoEvent {
 			q.firstEvent = e.ID
@@ -139,7 +140,7 @@
 		if !q.hasAnswer {
 			q.writeHead(x.Response, -1)
 		}
-		if e.IsProgress() && !isRecorded {
+		if e.IsProgress() && !isRecorded && !q.atPeer {
 			isRecorded = true
 			q.begun = option.Some(s.Endpoint.Software())
 			q.resumer.Began(q.stream, s.Endpoint)
@@ -158,7 +159,7 @@
 // endBrokenStream handles a stream that broke off: the request is retried or ended.
 func (q *request) endBrokenStream(err error, s placer.Send) (bool, placer.Ending) {
 	how := placer.EndedFailed
-	if q.ctx.Err() != nil {
+	if q.ctx.Err() != nil || q.isCutOff() {
 		how = placer.EndedLocally
 	}
 	q.cause = errors.Wrap(err, "read stream of endpoint "+s.Endpoint.ID)
--- a/pkg/relayer/place.go
+++ b/pkg/relayer/place.go
@@ -17,6 +17,7 @@
 		return placer.Refuse{Reason: "the route is gone"}, nil
 	}
 	q.route = route
+	q.limitAttempts()
 	v := q.isolator.Check(q.parts)
 	if v.Part != "" && !v.IsProbeDue && !q.isProbe(v.Part) {
 		return refuseQuarantined(v), nil
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/delegator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
@@ -97,6 +98,8 @@
 	// ending ends when the VM answers what is still unanswered; end ends it.
 	ending context.Context
 	end    context.CancelFunc
+	// handover is nil if requests are not handed over to other VMs.
+	handover *Handover
 }
 
 // New returns a relayer; it calls onLeaving for each answer whose endpoint says that it leaves.
@@ -203,8 +206,13 @@
 
 	// runs counts the attempts in which an endpoint may have run the request.
 	runs int
+	// cutOff counts those of the runs that were ended because this VM hears no endpoint any more.
+	cutOff int
 	// refusals counts the endpoints that refused the request.
 	refusals int
+	// triedVMs holds the VMs that the request was handed over to; atPeer says that the attempt is one of another VM.
+	triedVMs map[string]bool
+	atPeer   bool
 	// tried holds the ids of the endpoints of earlier attempts.
 	tried map[string]bool
 	// hasAnswer says that the head of an answer has been forwarded.
@@ -295,6 +303,13 @@
 			q.endUnanswered(context.Cause(q.ctx))
 			return
 		}
+		if q.mayDelegate() {
+			if q.delegate() {
+				return
+			}
+			q.logAttempt()
+			continue
+		}
 		d, ticket := q.place()
 		send, ok := d.(placer.Send)
 		if !ok && q.isStopping() {
@@ -337,12 +352,15 @@
 	q.runs++
 	ctx, cancel := q.withAttemptTimeout()
 	defer cancel()
+	ctx, cutOff := context.WithCancelCause(ctx)
+	defer cutOff(nil)
+	defer q.endOnSilence(ticket, cutOff)()
 	q.attemptCtx = ctx
 	x, err := q.pool.Do(ctx, conn, q.outgoing(s.Endpoint, left))
 	if err != nil {
 		q.cause = err
 		q.recordBreak(s.Endpoint, false)
-		if q.ctx.Err() != nil {
+		if q.ctx.Err() != nil || q.isCutOff() {
 			ending = placer.EndedLocally
 		}
 		return q.endUnlessRetryable(err)
@@ -368,6 +386,11 @@
 		// The endpoint began to drain, or left, while the connection was opened.
 		return false, false
 	}
+	return q.checkTime(left)
+}
+
+// checkTime is checkSend as far as no endpoint matters.
+func (q *request) checkTime(left time.Duration) (maySend, isOver bool) {
 	if left < minTimeLeft || q.ctx.Err() != nil {
 		q.endUnanswered(errTimeout)
 		return false, true
@@ -386,7 +409,7 @@
 
 // recordBreak records that the attempt broke off at the endpoint, unless this VM or the caller ended it.
 func (q *request) recordBreak(e registrar.Endpoint, hadAnswer bool) {
-	if q.attemptCtx.Err() != nil {
+	if q.attemptCtx.Err() != nil || q.atPeer {
 		return
 	}
 	strike := quarantiner.Strike{HadAnswer: hadAnswer}
@@ -428,6 +451,8 @@
 // outgoing returns the request as it is sent to the endpoint, with the time left until its deadline.
 func (q *request) outgoing(e registrar.Endpoint, left time.Duration) dialer.Request {
 	h := ForwardHeader(q.r.Header)
+	delete(h, delegator.Header)
+	delete(h, attemptsLeft)
 	q.setAccount(h)
 	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	h[q.headers.ExpectInstance] = []string{e.ID}
@@ -482,13 +507,16 @@
 
 // canRetry reports whether the request may be sent again after an attempt in which it may have run.
 func (q *request) canRetry() bool {
-	return q.route.IsIdempotent() && q.sequence.CanResume() && q.runs < q.route.MaxAttempts && q.ctx.Err() == nil &&
+	return q.route.IsIdempotent() && q.sequence.CanResume() && q.runs < q.route.MaxAttempts+q.cutOff && q.ctx.Err() == nil &&
 		time.Until(q.deadline) > minTimeLeft
 }
 
 // endUnlessRetryable ends the request after an attempt with an indeterminate outcome, unless it may be retried; it reports
 // whether it ended the request.
 func (q *request) endUnlessRetryable(err error) bool {
+	if q.isCutOff() {
+		q.cutOff++
+	}
 	if q.canRetry() {
 		return false
 	}
