--- a/pkg/assembler/clients.go
+++ b/pkg/assembler/clients.go
@@ -5,6 +5,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/acceptor"
 	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
+	"github.com/dogwoodledge/dogwoodledge/pkg/delegator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/messenger"
 	"github.com/dogwoodledge/dogwoodledge/pkg/peersyncer"
@@ -14,7 +15,8 @@
 // clientLimits returns what clients may take of the VM.
 func clientLimits(s platform.Settings) acceptor.ClientLimits {
 	return acceptor.VM{
-		Memory: s.MemoryBytes, Descriptors: s.FileDescriptors, Peers: peersyncer.MaxConnections,
+		Memory: s.MemoryBytes, Descriptors: s.FileDescriptors,
+		Peers: peersyncer.MaxConnections + delegator.MaxConnections + delegator.MaxRequests,
 		Stall: s.ClientStall, Bytes: s.ClientBytes, Connections: s.ClientConnections,
 	}.Limits()
 }
@@ -59,6 +61,9 @@
 	if err := g.exportConnections("client", &g.Listener.Connections); err != nil {
 		return err
 	}
+	if err := g.exportConnections("delegation", &g.Delegator.Connections); err != nil {
+		return err
+	}
 	return g.exportConnections("vm", &g.PeerSyncer.Connections)
 }
 
--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -348,7 +348,7 @@
 	g.Scout.OnChange(g.linksChanged)
 	g.Scout.Start(g.ctx)
 	g.Delegator.SetHandler(http.HandlerFunc(g.Relayer.ServeDelegated))
-	if err := g.Delegator.Start(g.ctx); err != nil {
+	if err := g.Delegator.Start(context.Background()); err != nil {
 		return err
 	}
 	g.JobManager.Start(g.ctx)
@@ -417,6 +417,9 @@
 	if err := g.exportClients(); err != nil {
 		return err
 	}
+	if err := g.exportLinks(); err != nil {
+		return err
+	}
 	return g.exportReads()
 }
 
--- a/pkg/assembler/partition.go
+++ b/pkg/assembler/partition.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -110,6 +111,29 @@
 	return &peerPool{dialer.NewPool(func(string) int { return maxIdlePerPeer })}
 }
 
+// exportLinks exports the counters of partitions, and of the requests that VMs hand over.
+func (g *gateway) exportLinks() error {
+	s, d := &g.Scout.Counters, &g.Delegator.Counters
+	for _, c := range []struct {
+		name, description string
+		counter           *atomic.Int64
+	}{
+		{"partitions", "times that this VM lost its links to the endpoints", &s.Partitions},
+		{"link_probes", "connections opened to tell whether the links to the endpoints of a VM are lost", &s.Probes},
+		{"link_questions", "questions to other VMs whether they reach an endpoint", &s.Questions},
+		{"link_malformed", "messages about links that can't be decoded", &s.Malformed},
+		{"delegated_out", "requests handed over to other VMs, each VM that was tried", &d.HandedOver},
+		{"delegated_no_peer", "requests that could be handed over to no other VM", &d.NoPeer},
+		{"delegated_in", "requests that other VMs handed over to this one", &d.Received},
+		{"delegated_refused", "requests of other VMs that this one did not run", &d.RefusedHere},
+	} {
+		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // isAway reports whether callers should go to other VMs, since this one reaches no endpoint and one of its region does.
 func isAway(sc *scout.Scout, g *gossiper.Gossiper) func() bool {
 	return func() bool {
--- a/pkg/relayer/delegate.go
+++ b/pkg/relayer/delegate.go
@@ -49,6 +49,16 @@
 // delegatedRetryAfter is the Retry-After for a request that no VM in touch with the endpoints has room for.
 const delegatedRetryAfter = 200 * time.Millisecond
 
+// refuseDelegated refuses a request that another VM handed over while this VM reaches no endpoint either, and reports whether it
+// did.
+func (q *request) refuseDelegated() bool {
+	if !q.isDelegated() || q.handover == nil || q.handover.Links.ServesLocally() {
+		return false
+	}
+	q.refuse(placer.Refuse{Reason: "this VM reaches no endpoint"})
+	return true
+}
+
 // mayDelegate reports whether the request is to be handed over to another VM, rather than sent to an endpoint.
 func (q *request) mayDelegate() bool {
 	return q.handover != nil && !q.isDelegated() && !q.handover.Links.ServesLocally() && q.handover.HasPeers()
