--- a/pkg/dialer/endless_test.go
+++ b/pkg/dialer/endless_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -89,3 +92,72 @@
 	assert.Less(t, time.Since(start), 2*time.Second)
 	assert.Empty(t, p.idle)
 }
+
+// smallVM is the memory of the smallest VM, and vmConnections the number of connections that an endpoint takes of all VMs, which
+// may all be one VM's.
+const (
+	smallVM       = 144 << 20
+	vmConnections = 100
+)
+
+// heapBytes returns the bytes of the heap that are in use after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+	return int64(min(m.HeapAlloc, math.MaxInt64))
+}
+
+// TestHeadsOfManyLinesAreBounded has an endpoint answer all its connections by heads of very many short lines, below the limit of
+// bytes: a map of headers takes tens of times their length.
+func TestHeadsOfManyLinesAreBounded(t *testing.T) {
+	lines := strings.Builder{}
+	for n := 0; lines.Len() < maxHeadBytes-4096; n++ {
+		lines.WriteString(strconv.FormatInt(int64(n), 36) + ":\n")
+	}
+	addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		if _, err := readHead(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\n"+lines.String()+"\r\n")
+		_, _ = io.Copy(io.Discard, br)
+	})
+	p := NewPool(atMost(4))
+	before := heapBytes()
+	errs := make([]error, vmConnections)
+	var held []*Exchange
+	for n := range errs {
+		conn, err := p.Get(t.Context(), "e", addr, "a")
+		require.NoError(t, err)
+		x, err := p.Do(t.Context(), conn, Request{
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"a"}}, IDHeader: "X-Id", ID: "a",
+		})
+		errs[n] = err
+		if err == nil {
+			held = append(held, x)
+		}
+	}
+	assert.Less(t, heapBytes()-before, int64(smallVM/4), "what the heads keep")
+	for _, x := range held {
+		x.Close()
+	}
+	for _, err := range errs {
+		tooLarge := (*HeadTooLargeError)(nil)
+		require.ErrorAs(t, err, &tooLarge)
+		assert.Equal(t, HeadTooLargeError{Limit: maxHeadLines, Unit: "lines"}, *tooLarge)
+	}
+}
+
+// TestLinesOfABodyAreNotThoseOfItsHead has the body come with the head, in more lines than a head may have.
+func TestLinesOfABodyAreNotThoseOfItsHead(t *testing.T) {
+	body := strings.Repeat("\n", 3*maxHeadLines)
+	addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		answerEach(br, func(id string) bool {
+			_, _ = io.WriteString(conn, reply(id, "Content-Length: "+strconv.Itoa(len(body))+"\r\n", body))
+			return true
+		})
+	})
+	text, err := roundTrip(t, NewPool(atMost(4)), addr, "a", nil)
+	require.NoError(t, err)
+	assert.Equal(t, body, text)
+}
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -109,6 +109,9 @@
 	informational := 0
 	for strays := 0; ; {
 		res, err := http.ReadResponse(c.br, method)
+		if c.limit.exceeded != nil {
+			return nil, c.limit.exceeded
+		}
 		if err != nil {
 			return nil, err
 		}
