--- a/pkg/dialer/endless_test.go
+++ b/pkg/dialer/endless_test.go
@@ -161,3 +161,26 @@
 	require.NoError(t, err)
 	assert.Equal(t, body, text)
 }
+
+// TestErrorsDoNotKeepWhatAnEndpointSent has an endpoint send a line as long as a head, which is none: errors are logged, and kept
+// with the request.
+func TestErrorsDoNotKeepWhatAnEndpointSent(t *testing.T) {
+	long := strings.Repeat("\x01", maxHeadBytes-4096)
+	for name, head := range map[string]string{
+		"no status line": long + "\r\n", "no number": "HTTP/1.1 " + long + " OK\r\n",
+		"no header":     "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"other request": "HTTP/1.1 200 OK\r\nX-Id: " + strings.Repeat("y", len(long)) + "\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+				if _, err := readHead(br); err == nil {
+					_, _ = io.WriteString(conn, strings.Repeat(head, maxStrays+1))
+					_, _ = io.Copy(io.Discard, br)
+				}
+			})
+			_, err := roundTrip(t, NewPool(atMost(4)), addr, "a", nil)
+			require.Error(t, err)
+			assert.Less(t, len(err.Error()), 2048)
+		})
+	}
+}
--- a/pkg/dialer/errors.go
+++ b/pkg/dialer/errors.go
@@ -51,3 +51,27 @@
 func (e *UnnamedAnswerError) Error() string {
 	return "the answer with status " + strconv.Itoa(e.Status) + " names no request: connection closed"
 }
+
+// maxErrorText is the number of bytes of what an endpoint sent that are put into an error.
+const maxErrorText = 200
+
+// MalformedHeadError says that what an endpoint sent is no head of an answer. Text is the beginning of what is wrong with it,
+// which has Bytes bytes with the lines that it quotes.
+type MalformedHeadError struct {
+	Text  string
+	Bytes int
+}
+
+func (e *MalformedHeadError) Error() string {
+	return "no head of an answer (" + strconv.Itoa(e.Bytes) + " bytes of it follow in part): " + e.Text
+}
+
+// shorten returns the error of a head that can't be parsed without most of the lines that it quotes, which may be as long as a
+// head: errors are logged and kept.
+func shorten(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorText {
+		return err
+	}
+	return &MalformedHeadError{Text: text[:maxErrorText], Bytes: len(text)}
+}
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -113,7 +113,7 @@
 			return nil, c.limit.exceeded
 		}
 		if err != nil {
-			return nil, err
+			return nil, shorten(err)
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			if informational++; informational > maxInformational {
@@ -126,7 +126,9 @@
 		}
 		strays++
 		if strays > maxStrays {
-			return nil, errors.Errorf("connection carries answers to other requests, the last one to %q", res.Header.Get(r.IDHeader))
+			id := res.Header.Get(r.IDHeader)
+			return nil, errors.Errorf(
+				"connection carries answers to other requests, the last one to %q", id[:min(len(id), maxErrorText)])
 		}
 		c.limit.end()
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes))
