--- a/pkg/dialer/endless_test.go
+++ b/pkg/dialer/endless_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -184,3 +186,40 @@
 		})
 	}
 }
+
+// TestUnreadAnswerIsBounded reads some MB of an endless answer fast, so that the kernel's buffer would grow, and then nothing
+// more: what the endpoint can still send stays within a quarter of the smallest VM's memory for all its connections together.
+func TestUnreadAnswerIsBounded(t *testing.T) {
+	const read, sendBuffer = 64 << 20, 32 << 10
+	written, isRead := make(chan int64, 1), atomic.Bool{}
+	addr, _ := serveRaw(t, func(conn net.Conn, br *bufio.Reader) {
+		if _, err := readHead(br); err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetWriteBuffer(sendBuffer)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n")
+		block, sent := make([]byte, 64<<10), int64(0)
+		for {
+			mayEnd := isRead.Load()
+			_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+			n, err := conn.Write(block)
+			sent += int64(n)
+			if err != nil && (mayEnd || !errors.Is(err, os.ErrDeadlineExceeded)) {
+				written <- sent
+				return
+			}
+		}
+	})
+	p := NewPool(atMost(4))
+	conn, err := p.Get(t.Context(), "e", addr, "a")
+	require.NoError(t, err)
+	x, err := p.Do(t.Context(), conn, Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"a"}}, IDHeader: "X-Id", ID: "a",
+	})
+	require.NoError(t, err)
+	defer x.Close()
+	_, err = io.CopyN(io.Discard, x, read)
+	require.NoError(t, err)
+	isRead.Store(true)
+	assert.LessOrEqual(t, <-written-read-2*sendBuffer, int64(smallVM/4/vmConnections), "bytes that the kernel keeps")
+}
--- a/pkg/dialer/pool.go
+++ b/pkg/dialer/pool.go
@@ -26,6 +26,9 @@
 	// seconds.
 	idleMargin      = 700 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// receiveBytes bounds what the kernel keeps of an answer that is not read, which counts in the VM's memory. By itself it lets
+	// the buffer of a fast endpoint grow to tens of MB.
+	receiveBytes = 128 << 10
 )
 
 // Pool holds idle connections by endpoint; it is safe for concurrent use.
@@ -42,7 +45,7 @@
 func NewPool(maxIdle func(endpoint string) int) *Pool {
 	d := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
-	}}
+	}, Control: limitReceived}
 	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdle, dial: d.DialContext, observer: noObserver{}}
 }
 
@@ -113,6 +116,14 @@
 	return c, nil
 }
 
+// limitReceived sets the size of a socket's receive buffer before it connects, when the window's scale is agreed on.
+func limitReceived(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// A socket without the option only keeps more.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+	})
+}
+
 func newConn(conn net.Conn, endpoint string, addr netip.AddrPort) *Conn {
 	limit := &headLimit{r: conn}
 	return &Conn{
