--- a/pkg/tracer/log_queue.go
+++ b/pkg/tracer/log_queue.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// queueLines bounds the lines that wait for a slow output.
+	// queueLines bounds the lines that wait for a slow output, and queueBytes their length: three times that of ordinary lines.
 	queueLines = 1024
+	queueBytes = 1 << 20
 	// linesPerSecond and lineBurst limit the rate of lines; at 300 bytes a line, that is 120 kB a second.
 	linesPerSecond = 400
 	lineBurst      = 800
@@ -21,12 +22,14 @@
 )
 
 // LogQueue is a log writer that never blocks: it queues lines for its output, and drops and counts lines that exceed the rate
-// limit or the length of the queue.
+// limit or the length of the queue in lines or bytes.
 type LogQueue struct {
 	out     io.Writer
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	// waiting counts the bytes of the queued lines.
+	waiting atomic.Int64
 	// quit makes run write the queued lines and return; done is closed when run has returned.
 	quit chan struct{}
 	done chan struct{}
@@ -49,9 +52,16 @@
 		q.dropped.Add(1)
 		return len(line), nil
 	}
+	n := int64(len(line))
+	if q.waiting.Add(n) > queueBytes {
+		q.waiting.Add(-n)
+		q.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
+		q.waiting.Add(-n)
 		q.dropped.Add(1)
 	}
 	return len(line), nil
@@ -75,8 +85,7 @@
 	for {
 		select {
 		case line := <-q.lines:
-			// The error is ignored: there is no other output to report it to.
-			_, _ = q.out.Write(line)
+			q.write(line)
 		case <-q.quit:
 			q.flush()
 			return
@@ -92,9 +101,15 @@
 	for {
 		select {
 		case line := <-q.lines:
-			_, _ = q.out.Write(line)
+			q.write(line)
 		default:
 			return
 		}
 	}
 }
+
+func (q *LogQueue) write(line []byte) {
+	q.waiting.Add(-int64(len(line)))
+	// The error is ignored: there is no other output to report it to.
+	_, _ = q.out.Write(line)
+}
--- a/pkg/tracer/log_queue_test.go
+++ b/pkg/tracer/log_queue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -39,3 +41,27 @@
 	assert.NoError(t, err)
 	assert.Equal(t, "first\n", out.String())
 }
+
+// TestLogQueueHoldsFewBytes writes long lines, as of errors that quote what an endpoint sent, to an output that blocks: what
+// waits stays within queueBytes, and lines are written again once it has gone.
+func TestLogQueueHoldsFewBytes(t *testing.T) {
+	w := blockedWriter{make(chan struct{})}
+	q := NewLogQueue(w)
+	before, long := heapBytes(), bytes.Repeat([]byte("x"), 64<<10)
+	for range lineBurst {
+		_, _ = q.Write(long)
+	}
+	assert.Less(t, heapBytes()-before, int64(2*queueBytes), "bytes that wait")
+	assert.GreaterOrEqual(t, q.Dropped(), int64(lineBurst-queueBytes/len(long)-1))
+	close(w.release)
+	q.Close(time.Second)
+	assert.Zero(t, q.waiting.Load())
+}
+
+// heapBytes returns the bytes of the heap that are in use after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+	return int64(min(m.HeapAlloc, math.MaxInt64))
+}
