--- a/pkg/jobmanager/commit.go
+++ b/pkg/jobmanager/commit.go
@@ -28,12 +28,24 @@
 		return
 	}
 	rec.finished = append(rec.finished, finishedItem{item: item, result: r})
+	m.unwritten.Add(int64(len(r.Output)))
 	if !rec.isCommitting {
 		rec.isCommitting = true
 		go m.runCommit(ctx, job, rec)
 	}
 }
 
+// UnwrittenBytes returns the bytes of the outputs that are still to be written to the store.
+func (m *Manager) UnwrittenBytes() int64 { return m.unwritten.Load() }
+
+func outputBytes(list []finishedItem) int64 {
+	n := int64(0)
+	for _, f := range list {
+		n += int64(len(f.result.Output))
+	}
+	return n
+}
+
 // IsFinished reports whether the item has a result, which may not be written yet, or its job is unknown.
 func (m *Manager) IsFinished(job string, item int) bool {
 	m.mu.Lock()
@@ -160,7 +172,11 @@
 func (m *Manager) markWritten(job string, rec *record, batch []finishedItem) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rec.finished = rec.finished[len(batch):]
+	if m.jobs[job] == rec {
+		m.unwritten.Add(-outputBytes(rec.finished[:len(batch)]))
+	}
+	// Delete clears what it removes; the record would keep the outputs until its job is deleted.
+	rec.finished = slices.Delete(rec.finished, 0, len(batch))
 	for _, f := range batch {
 		delete(rec.checkpoints, f.item)
 		m.log.WithFields(logrus.Fields{
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -53,6 +53,9 @@
 	// refusalLog bounds the log lines about bodies that are refused, by status.
 	refusalLog *tracer.Sampler
 
+	// unwritten counts the bytes of the results in the records' finished items.
+	unwritten atomic.Int64
+
 	mu   sync.Mutex
 	jobs map[string]*record
 	// routeCounts counts the cached jobs by the route that accepted them; routes lists these routes.
@@ -150,6 +153,7 @@
 	if e.IsRemoved {
 		if ok {
 			m.countRoute(old.job, -1)
+			m.unwritten.Add(-outputBytes(old.finished))
 		}
 		delete(m.jobs, e.Key)
 		m.payloads.drop(e.Key)
