--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// stallTimeout is the maximum time without an event from an endpoint; it is well over the pause after which a stream counts as
-	// late.
+	// stallTimeout is the maximum time without an event from an endpoint; it is well over the pause after which a stream counts
+	// as late.
 	stallTimeout = 2 * time.Second
 	// maxOutputBytes bounds the output of an item: a longer result could not be read in one answer, and an endpoint that sends
 	// events without end would fill the memory.
@@ -48,6 +48,17 @@
 // whole or not, and asking again won't tell.
 var errNoRest = errors.New("the rest of the output has no event and no marked end")
 
+// OutputTooLongError says that an item's output would have more than Limit bytes with the event. It is discarded: with it, no run
+// could complete the item.
+type OutputTooLongError struct {
+	Limit int
+	Event int64
+}
+
+func (e *OutputTooLongError) Error() string {
+	return "output of more than " + strconv.Itoa(e.Limit) + " bytes at event " + strconv.FormatInt(e.Event, 10) + ": discarded"
+}
+
 // AnswerError says that an endpoint's response carries no result; Detail is the start of its body, or what is wrong with it.
 type AnswerError struct {
 	Endpoint string
@@ -112,7 +123,7 @@
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "panicked"
 	}
-	if errors.Is(err, errNoRest) {
+	if tooLong := (*OutputTooLongError)(nil); errors.Is(err, errNoRest) || errors.As(err, &tooLong) {
 		t.discardOutput()
 	}
 	how, outcome := placer.EndedFailed, "broken"
@@ -253,7 +264,10 @@
 			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
 		}
 		if kind := relayer.MediaTypeOf(res.Header); kind != "" && kind != eventStream {
-			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "type " + kind + " is no stream of events"}
+			return &AnswerError{
+				Endpoint: run.endpoint.ID, Status: res.StatusCode,
+				Detail: "type " + kind[:min(len(kind), maxDetail)] + " is no stream of events",
+			}
 		}
 		return nil
 	}
@@ -280,7 +294,7 @@
 		run.firstEvent = e.ID
 	}
 	if len(t.output)+len(e.Data) > maxOutputBytes {
-		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
+		return &OutputTooLongError{Limit: maxOutputBytes, Event: e.ID}
 	}
 	if last := t.sequence.Last(); e.ID != continuer.NoEvent && last != continuer.NoEvent && e.ID != last+1 {
 		return &continuer.GapError{After: last, Event: e.ID}
