--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -290,9 +290,12 @@
 
 func newItemRunner(
 	jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
-	i *isolator.Isolator, c *confirmer.Confirmer, rs *resumer.Resumer, m *tracer.Meter, log logrus.FieldLogger,
+	i *isolator.Isolator, c *confirmer.Confirmer, rs *resumer.Resumer, bodies *bodyreader.Reader, m *tracer.Meter,
+	log logrus.FieldLogger,
 ) *itemrunner.Runner {
-	return itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, c, rs.OnlySoftware, leavingNotifier(w, g), m, log)
+	r := itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, c, rs.OnlySoftware, leavingNotifier(w, g), m, log)
+	r.SetBodies(bodies)
+	return r
 }
 
 func newListener(
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -185,7 +185,8 @@
 // readOutput reads the events of an answer into the item's output; it returns nil once the output is complete. It resets stall at
 // each event.
 func (r *Runner) readOutput(ctx context.Context, x *dialer.Exchange, t *task, run *itemRun, stall *time.Timer) error {
-	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint))
+	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint), r.bodies)
+	defer events.Close()
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasFirstEvent {
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
@@ -63,6 +64,8 @@
 	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool)
 	metrics      Metrics
 	log          logrus.FieldLogger
+	// bodies is the budget within which events are held.
+	bodies *bodyreader.Reader
 
 	mu        sync.Mutex
 	jobs      map[string]*jobState
@@ -178,6 +181,9 @@
 	}
 }
 
+// SetBodies makes the runner hold events within a budget; without it there is none. It must be called before Start.
+func (r *Runner) SetBodies(b *bodyreader.Reader) { r.bodies = b }
+
 // Start runs items until ctx ends.
 func (r *Runner) Start(ctx context.Context) {
 	r.ctx = ctx
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -98,7 +98,8 @@
 
 // forwardStream forwards complete events as they arrive, as long as each follows the one before it.
 func (q *request) forwardStream(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
-	events := NewEventReader(q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint))
+	events := NewEventReader(q.confirmer.BodyOf(q.attemptCtx, x, s.Endpoint), q.bodies)
+	defer events.Close()
 	flush := http.NewResponseController(q.w)
 	q.sequence.Begin()
 	hasBegun, isRecorded := false, false
--- a/pkg/relayer/events.go
+++ b/pkg/relayer/events.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
 )
 
 // maxEventBytes is the size limit of one event of a stream.
@@ -36,14 +38,49 @@
 // about the work.
 func (e Event) IsProgress() bool { return e.ID >= 0 || e.Data != nil }
 
-// EventReader splits a stream into complete events.
+// EventReader splits a stream into complete events. Those above unreservedBytes are held within a budget.
 type EventReader struct {
-	br *bufio.Reader
+	br     *bufio.Reader
+	bodies *bodyreader.Reader
+	// lease is what is reserved for the last event, which may have up to room bytes.
+	lease *bodyreader.Lease
+	room  int
+}
+
+// NewEventReader returns a reader of the stream's events, which are held within the budget of b; nil for none. Close must be
+// called.
+func NewEventReader(r io.Reader, b *bodyreader.Reader) *EventReader {
+	return &EventReader{br: bufio.NewReaderSize(r, eventBufferBytes), bodies: b, room: unreservedBytes}
 }
 
-// NewEventReader returns a reader of the stream's events.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{br: bufio.NewReaderSize(r, eventBufferBytes)}
+// Close gives back what is reserved for the last event.
+func (r *EventReader) Close() {
+	r.lease.Close()
+	r.lease, r.room = nil, unreservedBytes
+}
+
+// eventCost is how many times its length an event takes: as received, during the copies of its growth, and its data.
+const eventCost = 3
+
+// hold makes room for an event of n bytes; the error says that it is too large, or that there is no room.
+func (r *EventReader) hold(n int) error {
+	if n > maxEventBytes {
+		return errors.Errorf("event of more than %d bytes", maxEventBytes)
+	}
+	for n > r.room {
+		var err error
+		if cost := int64(eventCost * r.room); r.lease == nil {
+			// The bytes that need no reservation otherwise are a part of it now.
+			r.lease, err = r.bodies.Reserve(2 * cost)
+		} else {
+			err = r.lease.Grow(cost)
+		}
+		if err != nil {
+			return errors.Wrapf(err, "event of more than %d bytes", r.room)
+		}
+		r.room *= 2
+	}
+	return nil
 }
 
 // eventBufferBytes is the size of the read buffer; longer lines are read in several steps.
@@ -52,16 +89,17 @@
 // HasMore reports whether bytes of another event are buffered.
 func (r *EventReader) HasMore() bool { return r.br.Buffered() > 0 }
 
-// Next returns the next event. It returns io.EOF if the stream ended between events, and io.ErrUnexpectedEOF if it ended
-// within one.
+// Next returns the next event, whose bytes are reserved until the next call. It returns io.EOF if the stream ended between
+// events, and io.ErrUnexpectedEOF if it ended within one.
 func (r *EventReader) Next() (Event, error) {
+	r.Close()
 	e := Event{ID: -1}
 	// An event may begin with one line of a field that is not known here.
 	var unknown []byte
 	for {
 		line, err := r.br.ReadSlice('\n')
-		if len(e.Raw)+len(line) > maxEventBytes {
-			return e, errors.Errorf("event of more than %d bytes", maxEventBytes)
+		if err := r.hold(len(e.Raw) + len(line)); err != nil {
+			return e, err
 		}
 		e.Raw = append(e.Raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -94,10 +132,10 @@
 func (r *EventReader) readLongLine(raw []byte) ([]byte, error) {
 	for {
 		more, err := r.br.ReadSlice('\n')
-		raw = append(raw, more...)
-		if len(raw) > maxEventBytes {
-			return raw, errors.Errorf("event of more than %d bytes", maxEventBytes)
+		if err := r.hold(len(raw) + len(more)); err != nil {
+			return raw, err
 		}
+		raw = append(raw, more...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return raw, err
 		}
--- a/pkg/relayer/events_test.go
+++ b/pkg/relayer/events_test.go
@@ -15,7 +15,7 @@
 func TestEventsAreCompleteOrAbsent(t *testing.T) {
 	long := strings.Repeat("x", 3*eventBufferBytes)
 	r := NewEventReader(strings.NewReader(
-		"id: 0\ndata: a\n\nx-version: 4\r\nid: 1\r\ndata: b\r\ndata: c\r\n\r\nid: 2\ndata: " + long + "\n\nid: 3\nda"))
+		"id: 0\ndata: a\n\nx-version: 4\r\nid: 1\r\ndata: b\r\ndata: c\r\n\r\nid: 2\ndata: "+long+"\n\nid: 3\nda"), nil)
 	e, err := r.Next()
 	require.NoError(t, err)
 	assert.Equal(t, int64(0), e.ID)
@@ -30,7 +30,7 @@
 	assert.Equal(t, long, string(e.Data))
 	_, err = r.Next()
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "an event without its closing empty line is truncated")
-	_, err = NewEventReader(strings.NewReader("data: a\n\n\n")).Next()
+	_, err = NewEventReader(strings.NewReader("data: a\n\n\n"), nil).Next()
 	require.NoError(t, err)
 }
 
@@ -39,7 +39,7 @@
 	f.Add([]byte("\n\n\n"))
 	f.Add([]byte("data"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r := NewEventReader(bytes.NewReader(b))
+		r := NewEventReader(bytes.NewReader(b), nil)
 		var all []byte
 		for {
 			e, err := r.Next()
@@ -54,7 +54,7 @@
 
 // TestCommentsAreNoProgress checks that what only keeps a connection open does not count as an event of the work.
 func TestCommentsAreNoProgress(t *testing.T) {
-	r := NewEventReader(strings.NewReader(": still here\n\n\nid: 0\n\ndata: a\n\n"))
+	r := NewEventReader(strings.NewReader(": still here\n\n\nid: 0\n\ndata: a\n\n"), nil)
 	for _, want := range []bool{false, false, true, true} {
 		e, err := r.Next()
 		require.NoError(t, err)
@@ -65,7 +65,7 @@
 // TestNegativeIDIsNone guards against an id that is taken for the one of no event, or for one before it.
 func TestNegativeIDIsNone(t *testing.T) {
 	for _, id := range []string{"-1", "-5"} {
-		e, err := NewEventReader(strings.NewReader("id: " + id + "\ndata: a\n\n")).Next()
+		e, err := NewEventReader(strings.NewReader("id: "+id+"\ndata: a\n\n"), nil).Next()
 		require.NoError(t, err)
 		assert.Equal(t, continuer.NoEvent, e.ID)
 	}
