--- a/crowd/vm_test.go
+++ b/crowd/vm_test.go
@@ -62,32 +62,45 @@
 	os.Exit(code)
 }
 
-// site is a store, two endpoints and one VM, which runs as a process.
+// site is a store, endpoints and one VM, which runs as a process.
 type site struct {
 	t    *testing.T
 	ip   netip.Addr
 	log  string
 	cmd  *exec.Cmd
 	done chan struct{}
+
+	store     *standin.Store
+	endpoints []*standin.Endpoint
+}
+
+// addEndpoint starts an endpoint of the service and announces it.
+func (s *site) addEndpoint(id, service string, adjust func(*standin.Endpoint)) {
+	e := standin.NewEndpoint(id, service, "syd-a")
+	adjust(e)
+	s.t.Cleanup(e.Close)
+	s.store.Put(platform.EndpointTable, "", e.ID, e.Entry("ready"))
+	s.endpoints = append(s.endpoints, e)
 }
 
-// newSite starts a site and waits until its VM is ready.
-func newSite(t *testing.T) *site {
+// newSite starts a site, after the adjustments, and waits until its VM is ready.
+func newSite(t *testing.T, adjust ...func(*site)) *site {
 	store := standin.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
+	s := &site{t: t, done: make(chan struct{}), store: store}
 	for _, service := range []string{"app", "llm"} {
-		e := standin.NewEndpoint("i-"+service, service, "syd-a")
-		e.Events, e.Step = bigEvents, 0
-		t.Cleanup(e.Close)
-		store.Put(platform.EndpointTable, "", e.ID, e.Entry("ready"))
+		s.addEndpoint("i-"+service, service, func(e *standin.Endpoint) { e.Events, e.Step = bigEvents, 0 })
+	}
+	for _, change := range adjust {
+		change(s)
 	}
 	store.Put(platform.OperatorTable, "", platform.ConfigKey, configuration())
 	n := lastIP.Add(1)
-	s := &site{t: t, ip: netip.AddrFrom4([4]byte{127, 12, byte(n >> 8), byte(n)}), done: make(chan struct{})}
+	s.ip = netip.AddrFrom4([4]byte{127, 12, byte(n >> 8), byte(n)})
 	s.start(server.Listener.Addr().String())
 	require.Eventually(t, s.isReady, waitTimeout, pollPause, "the VM is not ready")
 	return s
@@ -96,7 +109,8 @@
 func configuration() map[string]any {
 	route := func(kind, prefix, service string) map[string]any {
 		return map[string]any{
-			"name": "r-" + strings.Trim(prefix, "/"), "host": host, "pathPrefix": prefix, "kind": kind, "service": service,
+			"name": "r-" + strings.ReplaceAll(strings.Trim(prefix, "/"), "/", "-"), "host": host, "pathPrefix": prefix,
+			"kind": kind, "service": service,
 			"timeoutMs": 5000, "targetLatencyMs": 1000, "maxAttempts": 2, "dueMs": 18000, "maxWaitS": 60, "cap": 0,
 		}
 	}
@@ -104,10 +118,12 @@
 		"version": 3,
 		"routes": []any{
 			route("safe", "/status/", "app"), route("stream", "/note/", "llm"), route("batch_job", "/batch/", "llm"),
+			route("safe", "/faulty/status/", "faulty"), route("batch_job", "/faulty/batch/", "faulty"),
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "maxConns": 100, "engine": map[string]any{"slots": 8}},
 			map[string]any{"name": "app", "maxConns": 100},
+			map[string]any{"name": "faulty", "maxConns": 100, "engine": map[string]any{"slots": 8}},
 		},
 		"limits": map[string]any{
 			"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
@@ -211,20 +227,27 @@
 func (s *site) storeResults(job string, n int) {
 	status, text := s.call(http.MethodPost, "/batch/"+job, job, submission(n, 100))
 	require.Equal(s.t, http.StatusAccepted, status, text)
-	require.Eventually(s.t, func() bool {
-		_, text := s.call(http.MethodGet, "/lots/"+job+"?after="+fmt.Sprint(n-1), "read", "")
-		page := struct{ Next int }{}
-		return json.Unmarshal([]byte(text), &page) == nil && page.Next == n
-	}, waitTimeout, pollPause, "the job's items are not done")
+	require.Eventually(s.t, func() bool { return s.isDone(job, n) }, waitTimeout, pollPause, "the job's items are not done")
+}
+
+// isDone reports whether all n items of the job have a result.
+func (s *site) isDone(job string, n int) bool {
+	_, text := s.call(http.MethodGet, "/lots/"+job+"?after="+fmt.Sprint(n-1), "read", "")
+	page := struct{ Next int }{}
+	return json.Unmarshal([]byte(text), &page) == nil && page.Next == n
 }
 
 // submission returns the body of a submission of n items, each with a body of this many bytes.
-func submission(n, bodyBytes int) string {
+func submission(n, bodyBytes int) string { return submissionTo("/batch/", n, bodyBytes) }
+
+// submissionTo does what submission does for items below the prefix.
+func submissionTo(prefix string, n, bodyBytes int) string {
 	items := make([]map[string]any, 0, n)
 	for i := range n {
 		items = append(items, map[string]any{
-			"id": fmt.Sprintf("item-%d", i), "path": fmt.Sprintf("/batch/%d", i), "headers": map[string]string{"X-Token-Count": "540,400"},
-			"body": make([]byte, bodyBytes), "tokens": 940,
+			"id": fmt.Sprintf("item-%d", i), "path": fmt.Sprintf("%s%d", prefix, i),
+			"headers": map[string]string{"X-Token-Count": "540,400"},
+			"body":    make([]byte, bodyBytes), "tokens": 940,
 		})
 	}
 	text, err := json.Marshal(map[string]any{"items": items})
--- a/pkg/acceptor/limits.go
+++ b/pkg/acceptor/limits.go
@@ -12,10 +12,13 @@
 	// it. The difference is what clients can be given.
 	goShare   = 0.6
 	restBytes = 30 << 20
-	// bodyShare and connectionShare are the parts of the difference for what callers have sent and for their connections. The rest
-	// is for garbage that is not yet collected and for VMs and jobs.
+	// bodyShare and connectionShare are the parts of the difference for what callers have sent and for their connections. The
+	// rest is for garbage that is not yet collected, VMs and jobs; outputShare is the part for the outputs of batch items.
 	bodyShare       = 0.5
 	connectionShare = 0.25
+	outputShare     = 0.25
+	// minOutputBytes is the least for outputs: several of the longest that an item may have.
+	minOutputBytes = 8 << 20
 	// minBodyBytes is the least that callers get: a submission of 4 MiB with what is decoded from it fits into the share of large
 	// requests.
 	minBodyBytes = 24 << 20
@@ -48,6 +51,8 @@
 	Budget budgeter.Limits
 	// Connections bounds the connections of callers.
 	Connections int
+	// Outputs bounds the bytes of the outputs of batch items that the VM holds.
+	Outputs int64
 }
 
 // VM says what a VM has for its clients; what is 0 is not set.
@@ -78,5 +83,6 @@
 			ShedAfter: min(shedAfter, stall), StalledAfter: stall,
 		},
 		Connections: cmp.Or(v.Connections, max(minConnections, min(byDescriptors, byMemory))),
+		Outputs:     max(int64(outputShare*free), minOutputBytes),
 	}
 }
--- a/pkg/assembler/clients.go
+++ b/pkg/assembler/clients.go
@@ -37,7 +37,7 @@
 func (g *gateway) exportClients() error {
 	for name, value := range map[string]func() int64{
 		"client_bytes_held": g.Bodies.Held, "client_connections": g.Listener.Connections.Open.Load,
-		"vm_connections": g.PeerSyncer.Connections.Open.Load,
+		"vm_connections": g.PeerSyncer.Connections.Open.Load, "output_bytes_held": g.ItemRunner.OutputBytes,
 	} {
 		if err := g.Meter.Gauge(name, clientGauges[name], value); err != nil {
 			return err
@@ -66,6 +66,7 @@
 	"client_bytes_held":  "bytes of the budget that are held for callers",
 	"client_connections": "open connections of callers, readiness checks and the scraper",
 	"vm_connections":     "open connections of other VMs",
+	"output_bytes_held":  "bytes of outputs of batch items that have not ended or are not written yet",
 }
 
 // exportConnections exports the counters of ports; whose names their clients.
--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -289,12 +289,13 @@
 }
 
 func newItemRunner(
-	jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
+	s platform.Settings, jm *jobmanager.Manager, w *watcher.Watcher, g *gossiper.Gossiper, b *balancer.Balancer, p *dialer.Pool,
 	i *isolator.Isolator, c *confirmer.Confirmer, rs *resumer.Resumer, bodies *bodyreader.Reader, m *tracer.Meter,
 	log logrus.FieldLogger,
 ) *itemrunner.Runner {
 	r := itemrunner.New(platform.Headers(), jm, w.Current, b, p, i, c, rs.OnlySoftware, leavingNotifier(w, g), m, log)
 	r.SetBodies(bodies)
+	r.SetOutputLimit(clientLimits(s).Outputs)
 	return r
 }
 
@@ -535,6 +536,7 @@
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g.Bodies.SetLimits(clientLimits(s).Budget)
+	g.ItemRunner.SetOutputLimit(clientLimits(s).Outputs)
 	g.active.Store(&s)
 	g.Admitter.SetPolicy(revocation(s))
 	g.Log.Info("settings reloaded; changed addresses take effect at the next start")
--- a/pkg/assembler/reload_test.go
+++ b/pkg/assembler/reload_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/admitter"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
+	"github.com/dogwoodledge/dogwoodledge/pkg/itemrunner"
 	"github.com/dogwoodledge/dogwoodledge/platform"
 )
 
@@ -33,7 +34,8 @@
 	cfg.RequireKeys()
 	registry := func() *registrar.Registry { return registrar.NewRegistry(cfg, nil) }
 	a := admitter.New(admitter.Headers{}, revocation(first), registry, nil, nil, admitter.Unlimited{}, nil, log)
-	g := &gateway{gatewayParts: gatewayParts{Settings: first, Log: log, Admitter: a}}
+	items := itemrunner.New(platform.Headers(), nil, registry, nil, nil, nil, nil, nil, nil, nil, log)
+	g := &gateway{gatewayParts: gatewayParts{Settings: first, Log: log, Admitter: a, ItemRunner: items}}
 	g.active.Store(&first)
 
 	read := make(chan time.Duration)
--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -1,7 +1,6 @@
 package itemrunner
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"maps"
@@ -78,10 +77,12 @@
 
 func (o *itemOutput) unsavedBytes() int { return len(o.output) - o.savedBytes }
 
-// newCheckpoint returns a checkpoint of what is not saved of the item's output.
+// newCheckpoint returns a checkpoint of what is not saved of the item's output. It shares the output's bytes, which don't change:
+// an output only grows.
 func (o *itemOutput) newCheckpoint(item int) jobmanager.Checkpoint {
 	c := jobmanager.Checkpoint{
-		Item: item, OutputID: o.id, After: o.savedEvent, LastEvent: o.sequence.Last(), Output: bytes.Clone(o.output[o.savedBytes:]),
+		Item: item, OutputID: o.id, After: o.savedEvent, LastEvent: o.sequence.Last(),
+		Output: o.output[o.savedBytes:len(o.output):len(o.output)],
 	}
 	c.Software, _ = o.begun.Get()
 	if !o.hasSaved {
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -113,7 +113,8 @@
 		}
 		return "whole"
 	}
-	if !isCurrent || errors.Is(cause, errPreempted) || errors.Is(cause, errNotNeeded) || errors.Is(err, errNotNeeded) {
+	if !isCurrent || errors.Is(cause, errPreempted) || errors.Is(cause, errNotNeeded) || errors.Is(err, errNotNeeded) ||
+		errors.Is(err, errNoRoom) {
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "stopped"
 	}
@@ -297,6 +298,9 @@
 	if len(t.output)+len(e.Data) > maxOutputBytes {
 		return &OutputTooLongError{Limit: maxOutputBytes, Event: e.ID}
 	}
+	if !r.makeRoom(t, int64(len(e.Data))+1) {
+		return errNoRoom
+	}
 	if last := t.sequence.Last(); e.ID != continuer.NoEvent && last != continuer.NoEvent && e.ID != last+1 {
 		return &continuer.GapError{After: last, Event: e.ID}
 	}
@@ -306,11 +310,12 @@
 	if _, hasBegun := t.begun.Get(); !hasBegun {
 		t.begun = option.Some(run.endpoint.Software())
 	}
-	if e.Data != nil {
+	if before := len(t.output); e.Data != nil {
 		if t.hasOutput {
 			t.output = append(t.output, '\n')
 		}
 		t.output = append(t.output, e.Data...)
+		r.outputBytes += int64(len(t.output) - before)
 		t.hasOutput = true
 	}
 	return nil
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -75,6 +75,9 @@
 	plannedAt time.Time
 	isLeaving bool
 	ctx       context.Context
+	// outputBytes are those of the outputs that are held; it is exact after countOutputs, and too high between. outputLimit
+	// bounds them with those that are still to be written; 0 for no bound.
+	outputBytes, outputLimit int64
 }
 
 // jobState is a job that this VM runs.
@@ -315,7 +318,10 @@
 		),
 	}
 	if c, ok := j.saved[i]; ok {
-		t.itemOutput = continued(c)
+		if r.outputLimit == 0 || r.outputBytes+int64(len(c.Output)) <= r.outputLimit {
+			t.itemOutput = continued(c)
+			r.outputBytes += int64(len(c.Output))
+		}
 		delete(j.saved, i)
 	}
 	return t
@@ -440,6 +446,7 @@
 	r.planItems(now)
 	reg := r.registry()
 	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
+	hasRoom := r.hasRoomForItems()
 	for _, t := range r.boundFirst(r.waiting(now), reg) {
 		route, ok := t.job.route(reg)
 		if route.Kind == registrar.KindUnsupported {
@@ -454,6 +461,9 @@
 			r.abandonIfOverdue(t, route, verdict.Part, now)
 			continue
 		}
+		if !hasRoom {
+			continue
+		}
 		service := route.ServiceFor(t.item.ID)
 		served := reg.SoftwareOf(service)
 		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
@@ -553,6 +563,7 @@
 		return
 	}
 	r.plannedAt = now
+	r.countOutputs()
 	var items []scheduler.Item
 	tasks := map[string]*task{}
 	running := 0
