--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -132,7 +132,7 @@
 
 // saved returns the output that a VM would go on with which came to hold the job now.
 func (v *testVM) saved(ctx context.Context) string {
-	saved, err := v.runner.manager.Checkpoints(ctx, testJob)
+	saved, err := v.runner.manager.Checkpoints(ctx, testJob, 0)
 	require.NoError(v.t, err)
 	return string(saved[0].Output)
 }
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -332,9 +332,12 @@
 	var items []jobmanager.Item
 	var saved map[int]jobmanager.Checkpoint
 	account := ""
+	r.mu.Lock()
+	limit := r.outputLimit / 4
+	r.mu.Unlock()
 	err := recoverer.Call(func() (err error) {
 		if items, err = r.manager.Items(ctx, j.id, true); err == nil {
-			saved, err = r.manager.Checkpoints(ctx, j.id)
+			saved, err = r.manager.Checkpoints(ctx, j.id, limit)
 		}
 		if err == nil {
 			account, err = r.manager.AccountOf(ctx, j.id)
--- a/pkg/jobmanager/checkpoint.go
+++ b/pkg/jobmanager/checkpoint.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
@@ -118,30 +119,47 @@
 }
 
 // Checkpoints returns what is saved of an output of each item of the job: the events from the first one on without a gap. Of
-// several outputs, it takes the one that was begun last.
-func (m *Manager) Checkpoints(ctx context.Context, job string) (map[int]Checkpoint, error) {
-	rows, _, err := storer.ScanAll(ctx, m.store, rangeOf(checkpointTable, job))
-	if err != nil {
-		return nil, err
-	}
-	byItem := map[int]savedOutputs{}
-	for _, e := range rows {
-		c, err := decodeCheckpoint(e)
-		if err != nil {
-			m.log.WithError(err).WithField("job", job).Warn("could not decode a checkpoint; skipping it")
-			continue
+// several outputs, it takes the one that was begun last. All together have at most limit bytes, if that is not 0: what is saved
+// of further items is left out.
+func (m *Manager) Checkpoints(ctx context.Context, job string, limit int64) (map[int]Checkpoint, error) {
+	saved, outputs, item := map[int]Checkpoint{}, savedOutputs{}, 0
+	size, leftOut := int64(0), 0
+	endItem := func() {
+		c, ok := outputs.latest()
+		outputs = savedOutputs{}
+		if !ok {
+			return
 		}
-		m.recordCheckpoints(job, []storer.Entry{e}, []Checkpoint{c})
-		if byItem[c.Item] == nil {
-			byItem[c.Item] = savedOutputs{}
+		if limit > 0 && size+int64(len(c.Output)) > limit {
+			leftOut++
+			return
 		}
-		byItem[c.Item].add(c)
+		size += int64(len(c.Output))
+		saved[item] = c
 	}
-	saved := map[int]Checkpoint{}
-	for item, outputs := range byItem {
-		if c, ok := outputs.latest(); ok {
-			saved[item] = c
+	// The rows of an item follow each other, so that only those of a page and of one item are held.
+	err := storer.ScanPages(ctx, m.store, rangeOf(checkpointTable, job), func(page storer.Page) {
+		for _, e := range page.Entries {
+			c, err := decodeCheckpoint(e)
+			if err != nil {
+				m.log.WithError(err).WithField("job", job).Warn("could not decode a checkpoint; skipping it")
+				continue
+			}
+			m.recordCheckpoints(job, []storer.Entry{e}, []Checkpoint{c})
+			if c.Item != item {
+				endItem()
+				item = c.Item
+			}
+			outputs.add(c)
 		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	endItem()
+	if leftOut > 0 {
+		m.log.WithFields(logrus.Fields{"job": job, "items": leftOut, "bytes": size, "limit": limit}).
+			Warn("no room for the saved outputs of all items; the rest begin anew")
 	}
 	return saved, nil
 }
--- a/pkg/jobmanager/commit_test.go
+++ b/pkg/jobmanager/commit_test.go
@@ -105,8 +105,31 @@
 		n, err := m.Save(p.contexts[0], job, list)
 		require.NoError(t, err)
 		assert.Equal(t, len(list), n)
-		saved, err := m.Checkpoints(p.contexts[0], job)
+		saved, err := m.Checkpoints(p.contexts[0], job, 0)
 		require.NoError(t, err)
 		assert.Len(t, saved, len(list))
 	})
 }
+
+// TestCheckpointsOfManyItemsAreReadWithinTheLimit reads more bytes of outputs than a VM that takes a job over has room for.
+func TestCheckpointsOfManyItemsAreReadWithinTheLimit(t *testing.T) {
+	const items, bytesEach, limit = 40, 300, 3000
+	withJob(t, func(p *simulation, m *jobmanager.Manager, job string) {
+		var list []jobmanager.Checkpoint
+		for item := range items {
+			list = append(list, jobmanager.Checkpoint{
+				Item: item, After: -1, LastEvent: 40, OutputID: "o", Output: bytes.Repeat([]byte("x"), bytesEach),
+			})
+		}
+		n, err := m.Save(p.contexts[0], job, list)
+		require.NoError(t, err)
+		require.Equal(t, items, n)
+		saved, err := m.Checkpoints(p.contexts[0], job, limit)
+		require.NoError(t, err)
+		assert.Len(t, saved, limit/bytesEach)
+		for item, c := range saved {
+			assert.Equal(t, item, c.Item)
+			assert.Len(t, c.Output, bytesEach)
+		}
+	})
+}
--- a/pkg/storer/table.go
+++ b/pkg/storer/table.go
@@ -68,18 +68,29 @@
 func ScanAll(ctx context.Context, t Table, r Range) ([]Entry, int64, error) {
 	var entries []Entry
 	version := int64(0)
+	err := ScanPages(ctx, t, r, func(page Page) {
+		entries = append(entries, page.Entries...)
+		if version == 0 || page.Version < version {
+			version = page.Version
+		}
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return entries, version, nil
+}
+
+// ScanPages calls visit with each page of a complete range.
+func ScanPages(ctx context.Context, t Table, r Range, visit func(Page)) error {
 	r.Limit = scanPage
 	for {
 		page, err := t.Scan(ctx, r)
 		if err != nil {
-			return nil, 0, err
-		}
-		entries = append(entries, page.Entries...)
-		if version == 0 || page.Version < version {
-			version = page.Version
+			return err
 		}
+		visit(page)
 		if !page.HasMore || len(page.Entries) == 0 {
-			return entries, version, nil
+			return nil
 		}
 		r.From = page.Entries[len(page.Entries)-1].Key + "\x00"
 	}
