--- a/pkg/assembler/assembler.go
+++ b/pkg/assembler/assembler.go
@@ -144,8 +144,8 @@
 	return segmentrunner.New(cfg, a, g, f, p, random(), log)
 }
 
-func newPoller(f *Fleet, g *granter.Granter, shared *forwarder.SharedRouter) *poller.Poller {
-	return poller.New(f, poller.Handlers{Allocator: g.Submit, Router: shared.Handle})
+func newPoller(f *Fleet, g *granter.Granter, shared *forwarder.SharedRouter, log logrus.FieldLogger) *poller.Poller {
+	return poller.New(f, poller.Handlers{Allocator: g.Submit, Router: shared.Handle}, log)
 }
 
 func newSharedRouter(random func() *rand.Rand) *forwarder.SharedRouter {
--- a/pkg/poller/poller.go
+++ b/pkg/poller/poller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/allocator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/router"
@@ -20,8 +22,21 @@
 const (
 	pollInterval = time.Second
 	pollTimeout  = 800 * time.Millisecond
+	// maxAnswerBytes bounds an engine's answer: tens of thousands of cache events. maxHeadBytes bounds its head.
+	maxAnswerBytes = 1 << 20
+	maxHeadBytes   = 64 << 10
 )
 
+// AnswerTooLongError says that an engine's answer at the path has more than Limit bytes.
+type AnswerTooLongError struct {
+	Path  string
+	Limit int
+}
+
+func (e *AnswerTooLongError) Error() string {
+	return "engine's answer at " + e.Path + " has more than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
 // Fleet returns the endpoints whose slots this VM allocates.
 type Fleet interface {
 	AllocatedEndpoints() []declarer.Endpoint
@@ -49,6 +64,7 @@
 	fleet    Fleet
 	handlers Handlers
 	client   *http.Client
+	log      logrus.FieldLogger
 	// after holds the number of the last cache event by endpoint, lastAt the time of the last load report.
 	after  map[string]int64
 	lastAt map[string]time.Time
@@ -57,9 +73,11 @@
 }
 
 // New returns a poller that is not started; it calls the functions of h.
-func New(f Fleet, h Handlers) *Poller {
+func New(f Fleet, h Handlers, log logrus.FieldLogger) *Poller {
 	return &Poller{
-		fleet: f, handlers: h, client: &http.Client{Timeout: pollTimeout},
+		fleet: f, handlers: h, log: log, client: &http.Client{
+			Timeout: pollTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true},
+		},
 		after: map[string]int64{}, lastAt: map[string]time.Time{}, done: make(chan struct{}),
 	}
 }
@@ -113,7 +131,12 @@
 func (p *Poller) poll(ctx context.Context, e declarer.Endpoint, after int64) pollResult {
 	r := pollResult{endpoint: e.Name}
 	r.loadErr = p.get(ctx, e.Address, "/v1/load", &r.load)
-	_ = p.get(ctx, e.Address, "/v1/cache/events?after="+strconv.FormatInt(after, 10), &r.events)
+	eventsErr := p.get(ctx, e.Address, "/v1/cache/events?after="+strconv.FormatInt(after, 10), &r.events)
+	for _, err := range []error{r.loadErr, eventsErr} {
+		if tooLong := (*AnswerTooLongError)(nil); errors.As(err, &tooLong) {
+			p.log.WithError(err).WithField("endpoint", e.Name).Warn("answer of engine not read")
+		}
+	}
 	return r
 }
 
@@ -142,5 +165,10 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Errorf("engine answered status %d", res.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(res.Body).Decode(into), "decode engine's answer")
+	body := &io.LimitedReader{R: res.Body, N: maxAnswerBytes + 1}
+	err = json.NewDecoder(body).Decode(into)
+	if err != nil && body.N <= 0 {
+		return &AnswerTooLongError{Path: path, Limit: maxAnswerBytes}
+	}
+	return errors.Wrap(err, "decode engine's answer")
 }
