--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -17,6 +17,15 @@
 	return fmt.Sprintf("stream went from token %d to %d", e.Have, e.Got)
 }
 
+// AnswerTooLongError says that the text of an answer would have more than Limit bytes with token Token.
+type AnswerTooLongError struct {
+	Limit, Token int
+}
+
+func (e *AnswerTooLongError) Error() string {
+	return fmt.Sprintf("answer has more than %d bytes of text at token %d", e.Limit, e.Token)
+}
+
 // Answer collects the events of one engine's answer and reports whether it is complete.
 type Answer struct {
 	First        encoder.Chunk
@@ -30,7 +39,7 @@
 
 // Add adds an event and reports whether it was new, because a resumed stream may repeat events.
 //
-// Errors: *GapError.
+// Errors: *GapError, *AnswerTooLongError.
 func (a *Answer) Add(ev encoder.Event) (bool, error) {
 	if ev.IsDone {
 		a.IsDone = true
@@ -42,6 +51,13 @@
 	if a.Offset > 0 && ev.Offset != a.Offset+1 {
 		return false, &GapError{Have: a.Offset, Got: ev.Offset}
 	}
+	size := a.text.Len()
+	for _, c := range ev.Chunk.Choices {
+		size += len(c.Delta.Content)
+	}
+	if size > MaxServiceAnswerBytes {
+		return false, &AnswerTooLongError{Limit: MaxServiceAnswerBytes, Token: ev.Offset}
+	}
 	if a.Offset == 0 {
 		a.First = ev.Chunk
 	}
--- a/pkg/forwarder/pools.go
+++ b/pkg/forwarder/pools.go
@@ -11,6 +11,8 @@
 	maxIdlePerEndpoint    = 64
 	idleTimeout           = 90 * time.Second
 	responseHeaderTimeout = 2 * time.Minute
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Pools keep the connections of online and batch requests apart, so that batch requests never delay online ones.
@@ -31,12 +33,13 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:           dialer.DialContext,
-			MaxIdleConnsPerHost:   maxIdlePerEndpoint,
-			IdleConnTimeout:       idleTimeout,
-			ResponseHeaderTimeout: responseHeaderTimeout,
-			DisableKeepAlives:     isSingleUse,
-			DisableCompression:    true,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+			IdleConnTimeout:        idleTimeout,
+			ResponseHeaderTimeout:  responseHeaderTimeout,
+			DisableKeepAlives:      isSingleUse,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pkg/forwarder/service.go
+++ b/pkg/forwarder/service.go
@@ -18,7 +18,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 )
 
-// MaxServiceAnswerBytes bounds a plain service's answer.
+// MaxServiceAnswerBytes bounds a plain service's answer, and the text of an engine's.
 const MaxServiceAnswerBytes = 8 << 20
 
 // ServiceRequest is a call of a plain service.
