--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// limitWindow is the time over which requests to an endpoint with a rate limit are counted; a VM may exceed it for timeToPass.
+	// limitWindow is the time over which requests to an endpoint with a rate limit are counted; a VM may exceed it for
+	// timeToPass.
 	limitWindow = 4 * time.Second
 	timeToPass  = 500 * time.Millisecond
 	// crashingBody is the body of a request under which endpoints of the service app crash; they are back after restartTime.
@@ -61,7 +62,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	for _, apply := range []func(*injection){
 		s.limitEndpoint, s.repeatCrashingRequest, s.mixSoftware, s.repeatAnswers, s.killUnframed, s.nestRoute, s.removeRoute,
-		s.sendUnsignedVerdicts, s.sendCrowd,
+		s.sendUnsignedVerdicts, s.sendCrowd, s.sendEndlessAnswers,
 	} {
 		inj := &injection{
 			at: time.Duration(random.Int64N(int64(injectionWindow / 2))), duration: faultDurationSpan, n: random.IntN(1 << 20),
@@ -178,6 +179,23 @@
 	e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoEndpointFault })
 }
 
+// sendEndlessAnswers makes an endpoint answer half of its requests by bytes without end: in a head, as no answer at all, or in an
+// event.
+func (s *soak) sendEndlessAnswers(inj *injection) {
+	forms := []standin.EndpointFault{standin.EndlessHead, standin.EndlessGarbage, standin.EndlessBody}
+	e := s.fleet.addEndpoint(note.service, func(e *standin.Endpoint) {
+		e.SetFault(func(n int, _ *http.Request) standin.EndpointFault {
+			if n%2 == 0 {
+				return forms[(inj.n+n/2)%len(forms)]
+			}
+			return standin.NoEndpointFault
+		})
+	})
+	s.recordInjection(inj, "answers without end from "+e.ID)
+	time.Sleep(inj.duration)
+	e.SetFault(func(int, *http.Request) standin.EndpointFault { return standin.NoEndpointFault })
+}
+
 // killUnframed kills an endpoint whose streams have neither a length nor chunks.
 func (s *soak) killUnframed(inj *injection) {
 	e := s.fleet.addEndpoint(note.service, func(e *standin.Endpoint) { e.IsUnframed, e.Step = true, slowStep })
