--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// stallTimeout is the maximum time without an event from an endpoint; it is well over the pause after which a stream counts as
-	// late.
+	// stallTimeout is the maximum time without an event from an endpoint; it is well over the pause after which a stream counts
+	// as late.
 	stallTimeout = 2 * time.Second
 	// maxOutputBytes bounds the output of an item: a longer result could not be read in one answer, and an endpoint that sends
 	// events without end would fill the memory.
@@ -48,6 +48,17 @@
 // whole or not, and asking again won't tell.
 var errNoRest = errors.New("the rest of the output has no event and no marked end")
 
+// OutputTooLongError says that an item's output would have more than Limit bytes with the event. It is discarded: with it, no run
+// could complete the item.
+type OutputTooLongError struct {
+	Limit int
+	Event int64
+}
+
+func (e *OutputTooLongError) Error() string {
+	return "output of more than " + strconv.Itoa(e.Limit) + " bytes at event " + strconv.FormatInt(e.Event, 10) + ": discarded"
+}
+
 // AnswerError says that an endpoint's response carries no result; Detail is the start of its body, or what is wrong with it.
 type AnswerError struct {
 	Endpoint string
@@ -102,7 +113,8 @@
 		}
 		return "whole"
 	}
-	if !isCurrent || errors.Is(cause, errPreempted) || errors.Is(cause, errNotNeeded) || errors.Is(err, errNotNeeded) {
+	if !isCurrent || errors.Is(cause, errPreempted) || errors.Is(cause, errNotNeeded) || errors.Is(err, errNotNeeded) ||
+		errors.Is(err, errNoRoom) {
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "stopped"
 	}
@@ -112,7 +124,7 @@
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "panicked"
 	}
-	if errors.Is(err, errNoRest) {
+	if tooLong := (*OutputTooLongError)(nil); errors.Is(err, errNoRest) || errors.As(err, &tooLong) {
 		t.discardOutput()
 	}
 	how, outcome := placer.EndedFailed, "broken"
@@ -174,7 +186,8 @@
 // readOutput reads the events of an answer into the item's output; it returns nil once the output is complete. It resets stall at
 // each event.
 func (r *Runner) readOutput(ctx context.Context, x *dialer.Exchange, t *task, run *itemRun, stall *time.Timer) error {
-	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint))
+	events := relayer.NewEventReader(r.confirmer.BodyOf(ctx, x, run.endpoint), r.bodies)
+	defer events.Close()
 	for hasFirstEvent := false; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !hasFirstEvent {
@@ -253,7 +266,10 @@
 			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "not signed for this item"}
 		}
 		if kind := relayer.MediaTypeOf(res.Header); kind != "" && kind != eventStream {
-			return &AnswerError{Endpoint: run.endpoint.ID, Status: res.StatusCode, Detail: "type " + kind + " is no stream of events"}
+			return &AnswerError{
+				Endpoint: run.endpoint.ID, Status: res.StatusCode,
+				Detail: "type " + kind[:min(len(kind), maxDetail)] + " is no stream of events",
+			}
 		}
 		return nil
 	}
@@ -280,7 +296,10 @@
 		run.firstEvent = e.ID
 	}
 	if len(t.output)+len(e.Data) > maxOutputBytes {
-		return errors.Errorf("output of more than %d bytes at event %d", maxOutputBytes, e.ID)
+		return &OutputTooLongError{Limit: maxOutputBytes, Event: e.ID}
+	}
+	if !r.makeRoom(t, int64(len(e.Data))+1) {
+		return errNoRoom
 	}
 	if last := t.sequence.Last(); e.ID != continuer.NoEvent && last != continuer.NoEvent && e.ID != last+1 {
 		return &continuer.GapError{After: last, Event: e.ID}
@@ -291,11 +310,12 @@
 	if _, hasBegun := t.begun.Get(); !hasBegun {
 		t.begun = option.Some(run.endpoint.Software())
 	}
-	if e.Data != nil {
+	if before := len(t.output); e.Data != nil {
 		if t.hasOutput {
 			t.output = append(t.output, '\n')
 		}
 		t.output = append(t.output, e.Data...)
+		r.outputBytes += int64(len(t.output) - before)
 		t.hasOutput = true
 	}
 	return nil
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
@@ -63,6 +64,8 @@
 	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool)
 	metrics      Metrics
 	log          logrus.FieldLogger
+	// bodies is the budget within which events are held.
+	bodies *bodyreader.Reader
 
 	mu        sync.Mutex
 	jobs      map[string]*jobState
@@ -72,6 +75,9 @@
 	plannedAt time.Time
 	isLeaving bool
 	ctx       context.Context
+	// outputBytes are those of the outputs that are held; it is exact after countOutputs, and too high between. outputLimit
+	// bounds them with those that are still to be written; 0 for no bound.
+	outputBytes, outputLimit int64
 }
 
 // jobState is a job that this VM runs.
@@ -178,6 +184,9 @@
 	}
 }
 
+// SetBodies makes the runner hold events within a budget; without it there is none. It must be called before Start.
+func (r *Runner) SetBodies(b *bodyreader.Reader) { r.bodies = b }
+
 // Start runs items until ctx ends.
 func (r *Runner) Start(ctx context.Context) {
 	r.ctx = ctx
@@ -309,7 +318,10 @@
 		),
 	}
 	if c, ok := j.saved[i]; ok {
-		t.itemOutput = continued(c)
+		if r.outputLimit == 0 || r.outputBytes+int64(len(c.Output)) <= r.outputLimit {
+			t.itemOutput = continued(c)
+			r.outputBytes += int64(len(c.Output))
+		}
 		delete(j.saved, i)
 	}
 	return t
@@ -320,9 +332,12 @@
 	var items []jobmanager.Item
 	var saved map[int]jobmanager.Checkpoint
 	account := ""
+	r.mu.Lock()
+	limit := r.outputLimit / 4
+	r.mu.Unlock()
 	err := recoverer.Call(func() (err error) {
 		if items, err = r.manager.Items(ctx, j.id, true); err == nil {
-			saved, err = r.manager.Checkpoints(ctx, j.id)
+			saved, err = r.manager.Checkpoints(ctx, j.id, limit)
 		}
 		if err == nil {
 			account, err = r.manager.AccountOf(ctx, j.id)
@@ -434,6 +449,7 @@
 	r.planItems(now)
 	reg := r.registry()
 	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
+	hasRoom := r.hasRoomForItems()
 	for _, t := range r.boundFirst(r.waiting(now), reg) {
 		route, ok := t.job.route(reg)
 		if route.Kind == registrar.KindUnsupported {
@@ -448,6 +464,9 @@
 			r.abandonIfOverdue(t, route, verdict.Part, now)
 			continue
 		}
+		if !hasRoom {
+			continue
+		}
 		service := route.ServiceFor(t.item.ID)
 		served := reg.SoftwareOf(service)
 		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
@@ -547,6 +566,7 @@
 		return
 	}
 	r.plannedAt = now
+	r.countOutputs()
 	var items []scheduler.Item
 	tasks := map[string]*task{}
 	running := 0
