--- a/pkg/core/delegator/chooser_test.go
+++ b/pkg/core/delegator/chooser_test.go
@@ -239,3 +239,20 @@
 		}
 	})
 }
+
+// TestPausesStayBounded lets a peer fail a thousand times in a row: it is asked again after the longest pause each time, and not
+// sooner once the pause has that length.
+func TestPausesStayBounded(t *testing.T) {
+	for how, longest := range map[Ending]time.Duration{Refused: longestRefusalPause, Failed: longestFailurePause} {
+		c, peers, now := New(rand.New(rand.NewPCG(1, 1)), "a"), newPeers(1, "a", true), scripter.Epoch
+		for n := range 1000 {
+			c.Begin(peers[0].VM)
+			c.End(now, peers[0].VM, how)
+			_, ok := c.Choose(now.Add(longest-1), peers, nil)
+			require.Equal(t, n < 4, ok, "setback %d", n)
+			now = now.Add(longest)
+			_, ok = c.Choose(now, peers, nil)
+			require.True(t, ok, "setback %d", n)
+		}
+	}
+}
--- a/pkg/delegator/delegator_test.go
+++ b/pkg/delegator/delegator_test.go
@@ -73,6 +73,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes says that the connection is closed after the answer.
+	closes bool
 }
 
 func (a answer) isNotRun() bool { return a.header.Get(testHeaders.NotExecuted) != "" }
@@ -87,7 +89,7 @@
 	defer x.Close()
 	body, err := io.ReadAll(x)
 	assert.NoError(v.t, err, r.ID)
-	return answer{status: x.Response.StatusCode, header: x.Response.Header, body: string(body)}
+	return answer{status: x.Response.StatusCode, header: x.Response.Header, body: string(body), closes: x.Response.Close}
 }
 
 // sign adds to the answer what shows that it comes from an endpoint.
@@ -374,12 +376,11 @@
 		got := v.call(r)
 		assert.Equal(t, tt.isAccepted, got.status == http.StatusOK, "timeout %q: status %d", tt.timeout, got.status)
 		assert.Equal(t, !tt.isAccepted, got.isNotRun(), "timeout %q", tt.timeout)
+		assert.True(t, got.closes, "the connection of a VM that stops must be closed after the answer")
 		if !tt.isAccepted {
 			assert.Equal(t, http.StatusServiceUnavailable, got.status)
 		}
 	}
-	require.Eventually(t, func() bool { return v.Connections.Open.Load() == 0 }, maxWait, time.Millisecond,
-		"connections must be closed after the answers of a VM that stops")
 }
 
 // TestStopCutsNoRequestOff closes a VM while it serves a request: further ones are refused, on new and on kept connections, and
--- a/pkg/delegator/marker.go
+++ b/pkg/delegator/marker.go
@@ -29,10 +29,21 @@
 
 // Write writes a part of the body, after the head of a complete answer if none was written.
 func (m *marker) Write(p []byte) (int, error) {
+	m.begin()
+	return m.ResponseWriter.Write(p)
+}
+
+// FlushError sends what was written, after the head of a complete answer if none was written.
+func (m *marker) FlushError() error {
+	m.begin()
+	return http.NewResponseController(m.ResponseWriter).Flush()
+}
+
+// begin writes the head of a complete answer if none was written.
+func (m *marker) begin() {
 	if !m.hasHead {
 		m.WriteHeader(http.StatusOK)
 	}
-	return m.ResponseWriter.Write(p)
 }
 
 // Unwrap returns the server's writer, for http.ResponseController.
--- a/pkg/delegator/server.go
+++ b/pkg/delegator/server.go
@@ -76,6 +76,7 @@
 		return
 	}
 	d.handler.ServeHTTP(m, r)
+	m.begin()
 }
 
 // check returns the status, and why, if the request must be refused; 0 if not. n is the number of requests in flight.
