--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -8,6 +8,7 @@
 	"os"
 	"reflect"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -301,12 +302,12 @@
 
 func newListener(
 	s platform.Settings, w *watcher.Watcher, g *gossiper.Gossiper, rl *relayer.Relayer, jm *jobmanager.Manager,
-	bodies *bodyreader.Reader, sc *scout.Scout, t *tracer.Tracer, log logrus.FieldLogger,
+	bodies *bodyreader.Reader, sc *scout.Scout, d *delegator.Delegator, t *tracer.Tracer, log logrus.FieldLogger,
 ) *listener.Listener {
 	return listener.New(listener.Config{
 		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Metrics: netip.AddrPortFrom(s.IP, metricsPort), MetricsPath: metricsPath,
-		HasPeers: g.HasVMList, IsAway: isAway(sc, g), Limits: clientLimits(s), Bodies: bodies,
+		HasPeers: g.HasVMList, IsAway: isAway(sc, d), Limits: clientLimits(s), Bodies: bodies,
 	}, w.Current, rl, jm, t.Handler(), log)
 }
 
@@ -495,8 +496,10 @@
 	g.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	go g.Delegator.Stop(ctx)
+	var ports sync.WaitGroup
+	ports.Go(func() { g.Delegator.Stop(ctx) })
 	g.Listener.Stop(ctx)
+	ports.Wait()
 	g.LogQueue.Close(closeTimeout)
 	return nil
 }
--- a/pkg/assembler/partition.go
+++ b/pkg/assembler/partition.go
@@ -135,18 +135,8 @@
 }
 
 // isAway reports whether callers should go to other VMs, since this one reaches no endpoint and one of its region does.
-func isAway(sc *scout.Scout, g *gossiper.Gossiper) func() bool {
-	return func() bool {
-		if !sc.IsPartitioned() {
-			return false
-		}
-		for _, p := range g.PeersInTouch() {
-			if p.IsNear {
-				return true
-			}
-		}
-		return false
-	}
+func isAway(sc *scout.Scout, d *delegator.Delegator) func() bool {
+	return func() bool { return sc.IsPartitioned() && d.HasNearPeers() }
 }
 
 // linksChanged passes a change of the links to the endpoints on to all that go by it.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -64,10 +64,9 @@
 	offers map[string][]offer
 	// preempt is the number of batch items to stop at each endpoint.
 	preempt map[placer.Key]int
-	// witness is nil if all failures are the endpoints'; doubts holds those that are not settled, failedAt is when the last one was.
-	witness  Witness
-	doubts   []doubt
-	failedAt time.Time
+	// witness is nil if all failures are the endpoints'; doubts holds those that are not settled.
+	witness Witness
+	doubts  []doubt
 
 	// hosting signals that VMs use an assigner of this VM, changed that counts changed, slotsChanged that a slot was offered to a
 	// batch item or has to be freed.
@@ -118,13 +117,14 @@
 	}
 }
 
-// observe keeps an observation for the next report, a failure once it is known to be the endpoint's; the lock is held.
-func (b *Balancer) observe(o option.Option[placer.Observation]) {
+// observe keeps an observation for the next report, a failure once it is known to be the endpoint's; hasAnswered says that the
+// endpoint itself told. The lock is held.
+func (b *Balancer) observe(o option.Option[placer.Observation], hasAnswered bool) {
 	seen, ok := o.Get()
 	if !ok {
 		return
 	}
-	if seen.HasFailed {
+	if seen.HasFailed && !hasAnswered {
 		b.observeFailure(time.Now(), seen)
 		return
 	}
@@ -189,7 +189,7 @@
 func (b *Balancer) FirstByte(t *placer.Ticket, wasQueued bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.observe(b.placer.FirstByte(time.Now(), t, wasQueued))
+	b.observe(b.placer.FirstByte(time.Now(), t, wasQueued), true)
 }
 
 // End removes a request from the counts and records how it ended.
@@ -204,7 +204,7 @@
 	if t.HasEnded() {
 		return
 	}
-	b.observe(b.placer.End(now, t, how))
+	b.observe(b.placer.End(now, t, how), how == placer.EndedFull)
 	k := t.Key()
 	if t.IsBatch() && b.preempt[k] > 0 {
 		// The end of any batch item frees the slot that was asked for.
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -137,7 +137,7 @@
 			r.Loads[k] = placer.Load{Online: l.Online, Batch: max(l.Batch-b.preempt[k], 0)}
 		}
 	}
-	if !b.isInDoubt(now) {
+	if !b.isInDoubt() {
 		b.reportFaults(now, g, &r)
 	}
 	waiting, bound := b.waiting[g.Service], b.bound[g.Service]
--- a/pkg/balancer/witness.go
+++ b/pkg/balancer/witness.go
@@ -47,7 +47,6 @@
 
 // observeFailure keeps a failure until it is known whose it is; the lock is held.
 func (b *Balancer) observeFailure(now time.Time, seen placer.Observation) {
-	b.failedAt = now
 	if b.witness == nil {
 		b.keep(seen)
 		return
@@ -69,10 +68,7 @@
 	})
 }
 
-// isInDoubt reports whether what this VM saw fail may be its own links; the lock is held.
-func (b *Balancer) isInDoubt(now time.Time) bool {
-	if b.witness == nil {
-		return false
-	}
-	return b.witness.IsPartitioned() || now.Sub(b.failedAt) < doubtTime && !b.witness.HasHeardSince(b.failedAt.Add(arrivalTime))
+// isInDoubt reports whether what this VM saw fail may be its own links; settleDoubts comes before it. The lock is held.
+func (b *Balancer) isInDoubt() bool {
+	return b.witness != nil && (b.witness.IsPartitioned() || len(b.doubts) > 0)
 }
--- a/pkg/core/surveyor/surveyor.go
+++ b/pkg/core/surveyor/surveyor.go
@@ -123,8 +123,8 @@
 	case Partitioned:
 		return s.wakePartitioned(now, in)
 	case Returning:
-		if in.Endpoints >= minReached && len(s.failures) >= minDoubt {
-			return s.change(now, State{Phase: Partitioned, IsSilent: !s.hasHeard()})
+		if in.Endpoints >= minReached && len(s.failures) >= minDoubt && now.Sub(s.connectedAt) >= ProbeTimeout {
+			return s.change(now, State{Phase: Partitioned, IsSilent: s.isSilent(now)})
 		}
 		if now.Sub(s.since) >= returnTime {
 			return s.change(now, State{})
@@ -140,12 +140,12 @@
 		// A lost link can't be told from the end of the only endpoint.
 		return nil
 	}
-	isSilent := !s.hasHeard()
+	isSilent := s.isSilent(now)
 	needed := minRefused
 	if isSilent {
 		needed = minFailures
 	}
-	if len(s.failures) >= min(needed, in.Endpoints) {
+	if len(s.failures) >= min(needed, in.Endpoints) && now.Sub(s.connectedAt) >= ProbeTimeout {
 		if now.Sub(s.confirmedAt) < answerTime {
 			return s.change(now, State{Phase: Partitioned, IsSilent: isSilent})
 		}
@@ -193,6 +193,12 @@
 	return len(s.failures) == 0
 }
 
+// isSilent reports whether nothing was heard for a time, and since the first failure that counts. Endpoints that are overloaded
+// reset connections while others answer.
+func (s *Surveyor) isSilent(now time.Time) bool {
+	return !s.hasHeard() && now.Sub(s.heardAt) >= ProbeTimeout
+}
+
 // isQuiet reports whether, with requests in flight, no endpoint has shown life for the time d.
 func (s *Surveyor) isQuiet(now time.Time, in Woken, d time.Duration) bool {
 	if in.InFlight == 0 {
--- a/pkg/delegator/delegator.go
+++ b/pkg/delegator/delegator.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,10 @@
 // and endpoints don't get it.
 const Header = "Dogwoodledge-Delegated-By"
 
+// UnavailableHeader marks the refusals of a VM that takes no requests of other VMs at the time, whatever they are: it stops, has
+// too many of them in flight, or is partitioned from the endpoints as well.
+const UnavailableHeader = "Dogwoodledge-Unavailable"
+
 // Headers names the headers that the delegator reads and sets.
 type Headers struct {
 	// RequestID is repeated in every answer. Timeout holds the milliseconds that are left.
@@ -113,6 +118,11 @@
 // HasPeers reports whether any other VM is in touch with the endpoints.
 func (d *Delegator) HasPeers() bool { return len(d.peers()) > 0 }
 
+// HasNearPeers reports whether a VM of this one's region is in touch with the endpoints.
+func (d *Delegator) HasNearPeers() bool {
+	return slices.ContainsFunc(d.peers(), func(p core.Peer) bool { return p.IsNear })
+}
+
 // End records how the request ended at the peer; only the first call counts.
 func (g *Delegation) End(how core.Ending) {
 	if g.isEnded.Swap(true) {
--- a/pkg/delegator/marker.go
+++ b/pkg/delegator/marker.go
@@ -86,6 +86,7 @@
 func refuse(w http.ResponseWriter, status int, detail string) {
 	h := w.Header()
 	if status == http.StatusServiceUnavailable {
+		h.Set(UnavailableHeader, "1")
 		h.Set("Retry-After", strconv.FormatFloat(refusalRetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/pkg/relayer/delegate.go
+++ b/pkg/relayer/delegate.go
@@ -43,9 +43,6 @@
 // SetHandover makes the relayer hand requests over while this VM reaches no endpoint; it must be called before the first request.
 func (l *Relayer) SetHandover(h Handover) { l.handover = &h }
 
-// attemptsLeft is the header with the number of endpoints that may still run a request that is handed over.
-const attemptsLeft = "Dogwoodledge-Attempts-Left"
-
 // delegatedRetryAfter is the Retry-After for a request that no VM in touch with the endpoints has room for.
 const delegatedRetryAfter = 200 * time.Millisecond
 
@@ -55,6 +52,7 @@
 	if !q.isDelegated() || q.handover == nil || q.handover.Links.ServesLocally() {
 		return false
 	}
+	q.w.Header().Set(delegator.UnavailableHeader, "1")
 	q.refuse(placer.Refuse{Reason: "this VM reaches no endpoint"})
 	return true
 }
@@ -76,7 +74,8 @@
 	}
 	q.triedVMs[p.VM] = true
 	q.endsAtClose, q.firstEvent = false, continuer.NoEvent
-	q.endpoint, q.decision, q.estimate = "VM "+p.VM, "delegate", q.route.Objective
+	// The other VM may make the request wait for a slot up to the objective.
+	q.endpoint, q.decision, q.estimate = "VM "+p.VM, "delegate", 2*q.route.Objective
 	q.atPeer = true
 	isOver, how := q.exchangeWithPeer(p)
 	q.atPeer = false
@@ -107,16 +106,16 @@
 		return q.endUnlessRetryable(err), q.failedAtPeer()
 	}
 	defer x.Close()
-	if x.Response.Header.Get(q.headers.NotExecuted) == "" && !q.headers.IsSigned(x.Response, q.id) {
-		// The other VM has tried what may be tried.
-		q.runs = max(q.runs, q.route.MaxAttempts+q.cutOff)
+	if x.Response.Header.Get(delegator.UnavailableHeader) != "" {
+		// It tells nothing about the room at the endpoints, so it doesn't count as their refusal.
+		q.runs--
+		q.cause = errors.Errorf("VM %s takes no requests: status %d", p.VM, x.Response.StatusCode)
+		x.Drain()
+		return false, core.Refused
 	}
 	refusals := q.refusals
 	isOver, ending := q.handleAnswer(x, nil, placer.Send{Endpoint: registrar.Endpoint{ID: q.endpoint}})
-	switch {
-	case q.refusals > refusals:
-		return isOver, core.Refused
-	case ending == placer.EndedComplete:
+	if q.refusals > refusals || ending == placer.EndedComplete {
 		return isOver, core.Served
 	}
 	return isOver, q.failedAtPeer()
@@ -136,7 +135,6 @@
 	h := ForwardHeader(q.r.Header)
 	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	h[delegator.Header] = []string{p.From}
-	h[attemptsLeft] = []string{strconv.Itoa(max(q.route.MaxAttempts-q.runs+q.cutOff+1, 1))}
 	if last := q.sequence.Last(); last != continuer.NoEvent {
 		h[q.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
 		if q.headers.Resumes != "" {
@@ -149,10 +147,10 @@
 	}
 }
 
-// limitAttempts bounds the endpoints that may run a request that another VM handed over, by what that VM has left for it.
+// limitAttempts lets one endpoint at most run a request that another VM handed over: that VM counts it as one of its attempts.
 func (q *request) limitAttempts() {
-	if n, err := strconv.Atoi(q.r.Header.Get(attemptsLeft)); err == nil && q.isDelegated() {
-		q.route.MaxAttempts = max(1, min(n, q.route.MaxAttempts))
+	if q.isDelegated() {
+		q.route.MaxAttempts = 1
 	}
 }
 
@@ -162,8 +160,13 @@
 	if q.handover == nil {
 		return func() {}
 	}
+	silenced := q.handover.Links.Silenced()
+	if silenced.Err() != nil {
+		// No other VM is in touch either, and this one serves as well as it can.
+		return func() {}
+	}
 	mayRepeat := q.route.IsIdempotent() && !q.isDelegated()
-	stop := context.AfterFunc(q.handover.Links.Silenced(), func() {
+	stop := context.AfterFunc(silenced, func() {
 		q.balancer.End(ticket, placer.EndedLocally)
 		if mayRepeat {
 			cancel(scout.ErrPartitioned)
--- a/pkg/relayer/place.go
+++ b/pkg/relayer/place.go
@@ -22,6 +22,9 @@
 	if v.Part != "" && !v.IsProbeDue && !q.isProbe(v.Part) {
 		return refuseQuarantined(v), nil
 	}
+	if !q.knowsBeginning() {
+		return placer.Refuse{Reason: "it is not known which software version began the stream"}, nil
+	}
 	candidates := continuer.Candidates(q.begun, reg.EndpointsOf(route.ServiceFor(q.stream)))
 	if _, isBound := q.begun.Get(); isBound && len(candidates) == 0 {
 		return placer.Refuse{Reason: "no endpoint of the software version that began the stream accepts requests"}, nil
@@ -45,6 +48,17 @@
 	return d, ticket
 }
 
+// knowsBeginning finds which software version began the stream, if another VM has brought its first events; it returns false if
+// that can't be told.
+func (q *request) knowsBeginning() bool {
+	if _, ok := q.begun.Get(); ok || q.sequence.Last() == continuer.NoEvent {
+		return true
+	}
+	q.begun = q.resumer.SoftwareOf(q.ctx, q.r.Host, q.r.URL.Path, q.stream)
+	_, ok := q.begun.Get()
+	return ok
+}
+
 func refuseQuarantined(v quarantiner.Verdict) placer.Refuse {
 	if quarantiner.IsRequest(v.Part) {
 		return placer.Refuse{Reason: "this request crashes endpoints", RetryAfter: v.Left}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -389,6 +389,13 @@
 		// The endpoint began to drain, or left, while the connection was opened.
 		return false, false
 	}
+	if q.refuseDelegated() {
+		return false, true
+	}
+	if q.mayDelegate() {
+		// The links were lost while the request was placed.
+		return false, false
+	}
 	return q.checkTime(left)
 }
 
@@ -429,7 +436,6 @@
 func (q *request) outgoing(e registrar.Endpoint, left time.Duration) dialer.Request {
 	h := ForwardHeader(q.r.Header)
 	delete(h, delegator.Header)
-	delete(h, attemptsLeft)
 	q.setAccount(h)
 	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	h[q.headers.ExpectInstance] = []string{e.ID}
