--- a/pkg/core/jobrecorder/job.go
+++ b/pkg/core/jobrecorder/job.go
@@ -46,12 +46,12 @@
 	Failures map[int]int `json:"failures,omitempty"`
 	// IsEnded reports that the caller ended the job and wants no further results.
 	IsEnded bool `json:"isEnded,omitempty"`
-	// Holder is the VM that runs the items. PreviousHolder is the holder before it, which handed the job over while stopping and
-	// still runs the items in Kept.
+	// Holder is the VM that runs the items. PreviousHolder is the holder before it, which handed the job over, since it stops or is
+	// partitioned from the endpoints, and still runs the items in Kept.
 	Holder         VMRef `json:"holder"`
 	PreviousHolder VMRef `json:"leaver,omitzero"`
 	Kept           []int `json:"kept,omitempty"`
-	// Earlier lists the holders before PreviousHolder that handed the job over while stopping and still run items.
+	// Earlier lists the holders before PreviousHolder that handed the job over and still run items. The present holder can be one.
 	Earlier []KeptItems `json:"earlier,omitempty"`
 }
 
@@ -109,6 +109,46 @@
 	return slices.ContainsFunc(j.kept(), func(k KeptItems) bool { return k.By == vm })
 }
 
+// KeptBy returns the items without a result that the VM keeps as a former holder; none if it is the holder, whose items all are.
+func (j Job) KeptBy(vm VMRef) []int {
+	if j.Holder == vm || j.IsOver() || (len(j.Kept) == 0 && len(j.Earlier) == 0) {
+		return nil
+	}
+	var items []int
+	for _, k := range j.kept() {
+		if k.By != vm {
+			continue
+		}
+		for _, i := range k.Items {
+			if !j.IsDone(i) && !slices.Contains(items, i) {
+				items = append(items, i)
+			}
+		}
+	}
+	return items
+}
+
+// Release returns the job without these items among those that the VM keeps, so that they are the holder's to run, and whether
+// there was one.
+func (j Job) Release(by VMRef, items []int) (Job, bool) {
+	isReleased := false
+	without := func(kept []int) []int {
+		left := slices.DeleteFunc(slices.Clone(kept), func(i int) bool { return slices.Contains(items, i) })
+		isReleased = isReleased || len(left) < len(kept)
+		return left
+	}
+	if j.PreviousHolder == by {
+		j.Kept = without(j.Kept)
+	}
+	j.Earlier = slices.Clone(j.Earlier)
+	for n, k := range j.Earlier {
+		if k.By == by {
+			j.Earlier[n].Items = without(k.Items)
+		}
+	}
+	return j, isReleased
+}
+
 // Total returns the number of items.
 func (j Job) Total() int { return len(j.Tokens) }
 
@@ -215,7 +255,7 @@
 }
 
 // Runnable returns the items that the holder should run. isGone says that a former holder has stopped, so that the items that
-// it kept are the holder's to run, too.
+// it kept are the holder's to run, too, as are those that the holder kept before it got the job back.
 func (j Job) Runnable(isGone func(VMRef) bool) []int {
 	if j.IsOver() {
 		return nil
@@ -225,7 +265,7 @@
 		isTaken[i] = true
 	}
 	for _, k := range j.kept() {
-		if len(k.Items) == 0 || isGone(k.By) {
+		if len(k.Items) == 0 || k.By == j.Holder || isGone(k.By) {
 			continue
 		}
 		for _, i := range k.Items {
--- a/pkg/core/jobrecorder/job_test.go
+++ b/pkg/core/jobrecorder/job_test.go
@@ -118,6 +118,71 @@
 	assert.Empty(t, job.End().Runnable(gone(a, b)))
 }
 
+// TestItemsOfFormerHoldersAreReleased has VMs hand a job over and become ordinary again, as after a partition, while they go on
+// with what they run, break it off and release it: no two run an item, and what nobody runs or keeps is the holder's.
+func TestItemsOfFormerHoldersAreReleased(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []VMRef{{VM: "a"}, {VM: "b"}, {VM: "c"}}
+		job := Job{ID: "j", Tokens: make([]int64, rapid.IntRange(1, 6).Draw(t, "items")), Holder: vms[0]}
+		running, isAway := map[VMRef][]int{}, map[VMRef]bool{}
+		noneIsGone := func(VMRef) bool { return false }
+		release := func(vm VMRef) {
+			idle := slices.DeleteFunc(job.KeptBy(vm), func(i int) bool { return slices.Contains(running[vm], i) })
+			released, isChanged := job.Release(vm, idle)
+			assert.Equal(t, len(idle) > 0, isChanged)
+			job = released
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			holder, vm := job.Holder, rapid.SampledFrom(vms).Draw(t, "vm")
+			switch rapid.SampledFrom([]string{"start", "finish", "break", "handOver", "return", "release"}).Draw(t, "step") {
+			case "start":
+				for _, i := range job.Runnable(noneIsGone) {
+					if !isAway[holder] && !slices.Contains(running[holder], i) && rapid.Bool().Draw(t, "starts") {
+						running[holder] = append(running[holder], i)
+					}
+				}
+			case "finish":
+				if len(running[vm]) > 0 {
+					job, _ = job.Append(running[vm][:1])
+					running[vm] = running[vm][1:]
+				}
+			case "break":
+				if len(running[vm]) > 0 {
+					running[vm] = running[vm][1:]
+				}
+			case "handOver":
+				isAway[holder] = true
+				job = job.HandOver(rapid.SampledFrom(vms).Filter(func(vm VMRef) bool { return vm != holder }).Draw(t, "to"), running[holder])
+			case "return":
+				isAway[vm] = false
+			case "release":
+				release(vm)
+			}
+			assert.NoError(t, job.Check())
+			seen := map[int]VMRef{}
+			for vm, items := range running {
+				assert.True(t, len(items) == 0 || vm == job.Holder || job.IsKeptBy(vm), "%v has to stop its items", vm)
+				for _, i := range items {
+					assert.NotContains(t, seen, i, "two VMs run an item")
+					seen[i] = vm
+				}
+			}
+		}
+		for _, vm := range vms {
+			release(vm)
+		}
+		open := job.Runnable(noneIsGone)
+		for _, vm := range vms {
+			if vm != job.Holder {
+				open = append(open, running[vm]...)
+			}
+		}
+		for i := range job.Tokens {
+			assert.True(t, job.IsOver() || job.IsDone(i) != slices.Contains(open, i), "item %d is nobody's, or runs with a result", i)
+		}
+	})
+}
+
 // TestItemsAreRunByOneHolderOfAChain hands a job from VM to VM, back to stopping ones too, while each finishes what it runs.
 func TestItemsAreRunByOneHolderOfAChain(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/itemrunner/checkpoint.go
+++ b/pkg/itemrunner/checkpoint.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dogwoodledge/dogwoodledge/pkg/jobmanager"
 	"github.com/dogwoodledge/dogwoodledge/pkg/recoverer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
@@ -48,21 +50,32 @@
 }
 
 func (r *Runner) checkpointJob(ctx context.Context, id string) error {
-	c := r.newJobCheckpoint(id)
+	return r.saveEvents(ctx, id, minCheckpointEvents)
+}
+
+// saveEvents saves the job's outputs that have at least minEvents new events.
+func (r *Runner) saveEvents(ctx context.Context, id string, minEvents int64) error {
+	select {
+	case r.checkpointing <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for another checkpoint")
+	}
+	defer func() { <-r.checkpointing }()
+	c := r.newJobCheckpoint(id, minEvents)
 	n, err := r.manager.Save(ctx, id, c.list)
 	r.markSaved(c, n)
 	return err
 }
 
-// newJobCheckpoint returns the checkpoints of the job's outputs that are to be saved. It changes nothing.
-func (r *Runner) newJobCheckpoint(id string) jobCheckpoint {
+// newJobCheckpoint returns the checkpoints of the job's outputs that have at least minEvents new events. It changes nothing.
+func (r *Runner) newJobCheckpoint(id string, minEvents int64) jobCheckpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := jobCheckpoint{}
 	var due []int
 	if j, ok := r.jobs[id]; ok {
 		for i, t := range j.tasks {
-			if !t.isOver && t.sequence.CanResume() && t.sequence.Last() >= t.savedEvent+minCheckpointEvents {
+			if !t.isOver && t.sequence.CanResume() && t.sequence.Last() >= t.savedEvent+minEvents {
 				due = append(due, i)
 			}
 		}
@@ -91,7 +104,7 @@
 	return c
 }
 
-// markSaved records how much of the first n outputs is saved; only checkpoint changes that.
+// markSaved records how much of the first n outputs is saved; only saveEvents changes that.
 func (r *Runner) markSaved(c jobCheckpoint, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/itemrunner/checkpoint_test.go
+++ b/pkg/itemrunner/checkpoint_test.go
@@ -37,6 +37,7 @@
 
 func (liveMembers) StateOf(string, int64) gossiper.State { return gossiper.Live }
 func (liveMembers) LiveVMs() []gossiper.VMIncarnation    { return nil }
+func (liveMembers) VMsInTouch() []gossiper.VMIncarnation { return nil }
 func (liveMembers) HasStoreElsewhere() bool              { return true }
 
 // oneItem is a codec of jobs with one item.
@@ -64,6 +65,13 @@
 
 // newTestVMs returns VMs that share a store with one job; it is called within a bubble of synctest.
 func newTestVMs(ctx context.Context, t *testing.T, n int) ([]*testVM, *standin.Store) {
+	return newTestVMsAmong(ctx, t, n, func(string) jobmanager.Members { return liveMembers{} })
+}
+
+// newTestVMsAmong is newTestVMs with the membership that each VM observes.
+func newTestVMsAmong(
+	ctx context.Context, t *testing.T, n int, members func(vm string) jobmanager.Members,
+) ([]*testVM, *standin.Store) {
 	store := standin.NewStore()
 	store.Put("job", testPartition(), testJob, jobrecorder.Job{ID: testJob, Tokens: []int64{1}, ItemRows: 1})
 	store.Put("item", testPartition(), testJob+"/000", []byte("{}"))
@@ -75,7 +83,7 @@
 		client := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"), name, platform.WithTransport(store.Transport()))
 		m := jobmanager.New(
 			jobmanager.Config{VM: name, Incarnation: 1, RowBytes: 1 << 16, KeepFor: time.Hour}, client, oneItem{},
-			func() *registrar.Registry { return nil }, liveMembers{}, log,
+			func() *registrar.Registry { return nil }, members(name), log,
 		)
 		m.Start(ctx)
 		v := &testVM{t: t, runner: New(platform.Headers(), m, nil, nil, nil, nil, nil, nil, nil, nil, log), begun: &begun}
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -39,6 +39,8 @@
 	errNotNeeded = errors.New("item need not run on this VM")
 	errPreempted = errors.New("item preempted by online requests")
 	errStalled   = errors.New("endpoint sent no event within the stall timeout")
+	// errPartitioned ends the runs of a VM that reaches no endpoint.
+	errPartitioned = errors.New("this VM is partitioned from the endpoints")
 )
 
 // errNoEvent says that an answer is complete and brought nothing, though each item has at least one event.
@@ -142,6 +144,9 @@
 		case slices.Contains(refusals, answer.Status):
 			how, outcome = placer.EndedFull, "refused"
 		}
+	} else if r.isPartitioned {
+		// The break says nothing about the endpoint.
+		how, outcome = placer.EndedLocally, "partitioned"
 	}
 	r.balancer.End(run.ticket, how)
 	return outcome
--- a/pkg/itemrunner/progress.go
+++ b/pkg/itemrunner/progress.go
@@ -15,12 +15,16 @@
 	}
 }
 
-// recordBreak records that the run broke off at its endpoint, unless this VM ended it.
+// recordBreak records that the run broke off at its endpoint, unless this VM ended it or reaches no endpoint.
 func (r *Runner) recordBreak(ctx context.Context, t *task, run *itemRun, hadAnswer bool) {
 	if ctx.Err() != nil {
 		return
 	}
 	r.mu.Lock()
+	if r.isPartitioned {
+		r.mu.Unlock()
+		return
+	}
 	strike := quarantiner.Strike{HadAnswer: hadAnswer, Events: int(t.sequence.Last() + 1)}
 	switch {
 	case run.progress.IsSound() && (!run.isProbe || run.isResumed):
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -74,7 +74,11 @@
 	plan      []*task
 	plannedAt time.Time
 	isLeaving bool
-	ctx       context.Context
+	// isPartitioned says that this VM reaches no endpoint, isSilent that its open connections are silent, too.
+	isPartitioned, isSilent bool
+	// checkpointing has room for the one goroutine that may write checkpoints.
+	checkpointing chan struct{}
+	ctx           context.Context
 	// outputBytes are those of the outputs that are held; it is exact after countOutputs, and too high between. outputLimit
 	// bounds them with those that are still to be written; 0 for no bound.
 	outputBytes, outputLimit int64
@@ -122,6 +126,8 @@
 	// isLate says that the item is planned after all items that can still meet their due time.
 	isLate bool
 	isOver bool
+	// isHere says that the item is this VM's to run, and not only kept until its run ends, or its job being handed over.
+	isHere bool
 }
 
 // itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
@@ -180,7 +186,7 @@
 	return &Runner{
 		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, confirmer: c, onlySoftware: onlySoftware,
 		onLeaving: onLeaving, metrics: m, log: log,
-		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(),
+		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(), checkpointing: make(chan struct{}, 1),
 	}
 }
 
@@ -192,6 +198,7 @@
 	r.ctx = ctx
 	go r.run(ctx)
 	go r.runCheckpoint(ctx)
+	go r.runRelease(ctx)
 }
 
 // Leave stops the start of further items and hands the jobs over to other VMs; running items continue.
@@ -261,8 +268,9 @@
 	defer r.mu.Unlock()
 	r.syncJobs(ctx, now)
 	r.stopUnneededRuns()
+	r.dropMoved()
 	r.preempt(now)
-	if !r.isLeaving {
+	if !r.isLeaving && !r.isPartitioned {
 		r.startItems(ctx, now)
 	}
 }
@@ -287,6 +295,9 @@
 		}
 	}
 	for id, j := range r.jobs {
+		for i, t := range j.tasks {
+			_, t.isHere = slices.BinarySearch(runnable[id], i)
+		}
 		maps.DeleteFunc(j.loaded, func(i int, _ bool) bool { return !slices.Contains(runnable[id], i) })
 	}
 }
@@ -575,7 +586,7 @@
 			continue
 		}
 		for i, t := range j.tasks {
-			if t.isOver || r.manager.IsFinished(id, i) {
+			if t.isOver || (!t.isHere && t.run == nil) || r.manager.IsFinished(id, i) {
 				continue
 			}
 			runTime := t.runTime
@@ -603,7 +614,7 @@
 func (r *Runner) waiting(now time.Time) []*task {
 	var waiting []*task
 	for _, t := range r.plan {
-		if t.run == nil && !t.isOver && !now.Before(t.notBefore) && !r.manager.IsFinished(t.job.id, t.index) {
+		if t.run == nil && t.isHere && !t.isOver && !now.Before(t.notBefore) && !r.manager.IsFinished(t.job.id, t.index) {
 			waiting = append(waiting, t)
 		}
 	}
--- a/pkg/jobmanager/adopt.go
+++ b/pkg/jobmanager/adopt.go
@@ -24,17 +24,17 @@
 	Items []int
 }
 
-// Held returns the jobs that this VM holds and that are not over; none while it is leaving.
+// Held returns the jobs that this VM holds, does not hand over, and that are not over; none while it is leaving or partitioned.
 func (m *Manager) Held() []HeldJob {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.isLeaving {
+	if m.isAway() {
 		return nil
 	}
 	isLost := func(vm jobrecorder.VMRef) bool { return m.members.StateOf(vm.VM, vm.Incarnation) == gossiper.Lost }
 	var held []HeldJob
-	for _, r := range m.jobs {
-		if r.job.Holder == m.self() && !r.job.IsOver() {
+	for id, r := range m.jobs {
+		if r.job.Holder == m.self() && !r.job.IsOver() && !m.handingOver[id] {
 			held = append(held, HeldJob{Job: r.job, Items: r.job.Runnable(isLost)})
 		}
 	}
@@ -62,7 +62,11 @@
 	sleeper.Every(ctx, adoptEvery, func(time.Time) { m.adoptLost(ctx) })
 }
 
-// adoptLost takes over the jobs whose holder is lost and whose successor is this VM. All VMs choose the same successor.
+// isAway reports whether this VM hands its jobs over; the caller holds the lock.
+func (m *Manager) isAway() bool { return m.isLeaving || m.isPartitioned }
+
+// adoptLost takes over the jobs whose holder is lost and whose successor is this VM. All VMs choose the same successor: one that
+// is in touch with the endpoints, if there is one.
 func (m *Manager) adoptLost(ctx context.Context) {
 	m.mu.Lock()
 	var candidates []jobrecorder.Job
@@ -72,7 +76,10 @@
 		}
 	}
 	m.mu.Unlock()
-	live := m.members.LiveVMs()
+	live := m.members.VMsInTouch()
+	if len(live) == 0 {
+		live = m.members.LiveVMs()
+	}
 	for _, j := range candidates {
 		if m.members.StateOf(j.Holder.VM, j.Holder.Incarnation) != gossiper.Lost {
 			continue
@@ -110,16 +117,27 @@
 	return m.isLeaving
 }
 
-// peerFor returns the other live VM that is to run the job; false if there is none.
+func (m *Manager) isAwayNow() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isAway()
+}
+
+// peerFor returns the other VM that is to run the job: one in touch with the endpoints or, if there is none and this VM is
+// leaving, any that is live. It returns false if there is none.
 func (m *Manager) peerFor(job string) (jobrecorder.VMRef, bool) {
-	peers := slices.DeleteFunc(m.members.LiveVMs(), func(vm gossiper.VMIncarnation) bool { return vm.Name == m.cfg.VM })
+	isSelf := func(vm gossiper.VMIncarnation) bool { return vm.Name == m.cfg.VM }
+	peers := slices.DeleteFunc(m.members.VMsInTouch(), isSelf)
+	if len(peers) == 0 && m.isLeavingNow() {
+		peers = slices.DeleteFunc(m.members.LiveVMs(), isSelf)
+	}
 	peer, ok := gossiper.Assign(job, peers)
 	return jobrecorder.VMRef{VM: peer.Name, Incarnation: peer.Incarnation}, ok
 }
 
-// holderOf returns the VM that is to run a new job: this one, or another one if this one is leaving.
+// holderOf returns the VM that is to run a new job: this one, or another one if this one is leaving or partitioned.
 func (m *Manager) holderOf(job string) jobrecorder.VMRef {
-	if m.isLeavingNow() {
+	if m.isAwayNow() {
 		if peer, ok := m.peerFor(job); ok {
 			return peer
 		}
@@ -131,21 +149,30 @@
 // running returns the items of a job that this VM still finishes.
 func (m *Manager) HandOver(ctx context.Context, running func(job string) []int) {
 	m.mu.Lock()
-	wasLeaving := m.isLeaving
 	m.isLeaving = true
+	m.notifyWaiters()
 	m.mu.Unlock()
-	if !wasLeaving {
-		go m.runHandOver(ctx, running)
+	m.startHandOver(ctx, ItemRuns{Running: running})
+}
+
+// startHandOver starts runHandOver, which ends with ctx, unless it runs.
+func (m *Manager) startHandOver(ctx context.Context, runs ItemRuns) {
+	m.mu.Lock()
+	hadHandOver := m.hasHandOver
+	m.hasHandOver = true
+	m.mu.Unlock()
+	if !hadHandOver {
+		go m.runHandOver(ctx, runs)
 	}
 }
 
-// runHandOver starts the hand-over of each job as soon as this VM holds it. A job can come late: from a submission that was in
-// flight, from a takeover, or from a VM that did not know that this one is leaving.
-func (m *Manager) runHandOver(ctx context.Context, running func(job string) []int) {
+// runHandOver starts the hand-over of each job as soon as this VM holds it while it is leaving or partitioned. A job can come
+// late: from a submission that was in flight, from a takeover, or from a VM that did not know the state of this one.
+func (m *Manager) runHandOver(ctx context.Context, runs ItemRuns) {
 	for {
 		jobs, changed := m.jobsToHandOver()
 		for _, id := range jobs {
-			go m.runJobHandOver(ctx, id, running)
+			go m.runJobHandOver(ctx, id, runs)
 		}
 		select {
 		case <-ctx.Done():
@@ -160,6 +187,9 @@
 func (m *Manager) jobsToHandOver() ([]string, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.isAway() {
+		return nil, m.nextChange
+	}
 	var jobs []string
 	for id, r := range m.jobs {
 		if r.job.Holder == m.self() && !r.job.IsOver() && !m.handingOver[id] {
@@ -170,12 +200,15 @@
 	return jobs, m.nextChange
 }
 
-// runJobHandOver hands the job over, also if it comes back at once. It retries until ctx ends, each time with the VM that is
-// then to run the job.
-func (m *Manager) runJobHandOver(ctx context.Context, id string, running func(job string) []int) {
+// runJobHandOver hands the job over, also if it comes back at once. It retries until ctx or the partition ends, each time with
+// the VM that is then to run the job.
+func (m *Manager) runJobHandOver(ctx context.Context, id string, runs ItemRuns) {
 	hasFailed := false
 	for m.isToHandOver(id) {
-		err := m.handOver(ctx, id, running)
+		if runs.Save != nil && !m.isLeavingNow() {
+			runs.Save(ctx, id)
+		}
+		err := m.handOver(ctx, id, runs.Running)
 		if err == nil {
 			continue
 		}
@@ -190,19 +223,19 @@
 	}
 }
 
-// isToHandOver reports whether this VM still holds the job; if not, the hand-over of the job has ended.
+// isToHandOver reports whether this VM still holds the job and is to hand it over; if not, the hand-over of the job has ended.
 func (m *Manager) isToHandOver(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if r, ok := m.jobs[id]; ok && r.job.Holder == m.self() && !r.job.IsOver() {
+	if r, ok := m.jobs[id]; ok && r.job.Holder == m.self() && !r.job.IsOver() && m.isAway() {
 		return true
 	}
 	delete(m.handingOver, id)
 	return false
 }
 
-// errNoPeer reports that no other VM is live.
-var errNoPeer = errors.New("no other VM is live")
+// errNoPeer reports that no other VM is to run this VM's jobs.
+var errNoPeer = errors.New("no other VM is live and in touch with the endpoints")
 
 // handOver tries once to hand the job over.
 func (m *Manager) handOver(ctx context.Context, id string, running func(job string) []int) error {
@@ -211,11 +244,13 @@
 		return errNoPeer
 	}
 	var kept []int
+	isHandedOver := false
 	err := m.writeTransition(ctx, id, func(j jobrecorder.Job) (storer.Change, jobrecorder.Job, bool) {
 		kept = m.withUnwritten(id, running(id))
-		return storer.Change{}, j.HandOver(to, kept), j.Holder == m.self() && !j.IsOver()
+		isHandedOver = j.Holder == m.self() && !j.IsOver() && m.isAwayNow()
+		return storer.Change{}, j.HandOver(to, kept), isHandedOver
 	})
-	if err == nil {
+	if err == nil && isHandedOver {
 		m.log.WithFields(logrus.Fields{"job": id, "to": to.VM, "kept": len(kept)}).Info("job handed over")
 	}
 	return err
--- a/pkg/jobmanager/linear_test.go
+++ b/pkg/jobmanager/linear_test.go
@@ -61,6 +61,12 @@
 	IsWritesOnly bool
 }
 
+// cutPeriod is a period in which a VM reaches no endpoint.
+type cutPeriod struct {
+	From, For time.Duration
+	VM        int
+}
+
 // plan is what happens in one run.
 type plan struct {
 	Actions []action
@@ -71,6 +77,8 @@
 	// learn it after newsDelay.
 	Leaves    map[int]time.Duration
 	newsDelay time.Duration
+	// Cuts are the periods in which VMs are partitioned from the endpoints. Their peers learn it, and the end, after newsDelay.
+	Cuts []cutPeriod
 	// HistoryDrops are the times at which the store drops its history of changes, so that feeds must read all rows again.
 	HistoryDrops []time.Duration
 	// MaxWaitingTokens bounds the waiting tokens of the route; 0 means no bound.
@@ -106,6 +114,9 @@
 			p.Leaves[vm] = times.Draw(t, "leave")
 		}
 	}
+	p.Cuts = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) cutPeriod {
+		return cutPeriod{From: times.Draw(t, "from"), For: times.Draw(t, "for"), VM: rapid.IntRange(0, vmCount-1).Draw(t, "vm")}
+	}), 0, 5).Draw(t, "cuts")
 	p.newsDelay = time.Duration(rapid.IntRange(0, 1000).Draw(t, "news delay")) * time.Millisecond
 	p.HistoryDrops = rapid.SliceOfN(times, 0, 2).Draw(t, "history drops")
 	p.MaxWaitingTokens = int64(rapid.SampledFrom([]int{0, jobItems * itemTokens}).Draw(t, "max waiting tokens"))
@@ -285,7 +296,7 @@
 	return json.Marshal(texts)
 }
 
-// simulation is one run of a plan; it is also the membership that its VMs observe.
+// simulation is one run of a plan. It is also the membership that its VMs observe, but for what each knows of itself.
 type simulation struct {
 	plan    plan
 	history *history
@@ -362,6 +373,38 @@
 
 func (p *simulation) HasStoreElsewhere() bool { return true }
 
+// isCut reports whether the VM was partitioned from the endpoints at a time since the start of the run.
+func (p *simulation) isCut(vm int, at time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.plan.Cuts, func(c cutPeriod) bool { return c.VM == vm && at >= c.From && at < c.From+c.For })
+}
+
+// setPartitioned tells the VM whether it is partitioned now.
+func (p *simulation) setPartitioned(vm int) {
+	if p.contexts[vm].Err() == nil {
+		runs := jobmanager.ItemRuns{Running: func(string) []int { return nil }}
+		p.vms[vm].SetPartitioned(p.contexts[vm], p.isCut(vm, time.Since(p.start)), runs)
+	}
+}
+
+// membersOf is the membership that one VM observes.
+type membersOf struct {
+	*simulation
+	vm int
+}
+
+// VMsInTouch returns the live VMs but this one, if it is partitioned, and those of which it knows that they are.
+func (m membersOf) VMsInTouch() []gossiper.VMIncarnation {
+	now := time.Since(m.start)
+	return slices.DeleteFunc(m.LiveVMs(), func(vm gossiper.VMIncarnation) bool {
+		if vm.Name == vmName(m.vm) {
+			return m.isCut(m.vm, now)
+		}
+		return m.isCut(int(vm.Name[1]-'0'), now-m.plan.newsDelay)
+	})
+}
+
 func vmName(n int) string { return "v" + strconv.Itoa(n) }
 
 func jobName(n int) string { return "j" + strconv.Itoa(n) }
@@ -401,7 +444,7 @@
 		client := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"), vmName(n), platform.WithTransport(p.store.Transport()))
 		m := jobmanager.New(
 			jobmanager.Config{VM: vmName(n), Incarnation: 1, RowBytes: 4096, KeepFor: keepFor},
-			client, testCodec{}, func() *registrar.Registry { return reg }, p, log,
+			client, testCodec{}, func() *registrar.Registry { return reg }, membersOf{simulation: p, vm: n}, log,
 		)
 		vmCtx, stopVM := context.WithCancel(ctx)
 		if at, ok := pl.Stops[n]; ok {
@@ -417,6 +460,10 @@
 	for n, at := range pl.Leaves {
 		time.AfterFunc(at, func() { p.leave(p.contexts[n], n) })
 	}
+	for _, c := range pl.Cuts {
+		time.AfterFunc(c.From, func() { p.setPartitioned(c.VM) })
+		time.AfterFunc(c.From+c.For, func() { p.setPartitioned(c.VM) })
+	}
 	for _, a := range pl.Actions {
 		time.AfterFunc(a.At, func() { p.run(a) })
 	}
@@ -429,7 +476,7 @@
 	}
 }
 
-// isHeld reports whether a VM that neither leaves nor has stopped would run the items of the job.
+// isHeld reports whether a VM that neither leaves nor is partitioned nor has stopped would run the items of the job.
 func (p *simulation) isHeld(job string) bool {
 	for n, m := range p.vms {
 		if p.contexts[n].Err() == nil && slices.ContainsFunc(m.Held(), func(h jobmanager.HeldJob) bool { return h.Job.ID == job }) {
@@ -517,9 +564,9 @@
 	return out
 }
 
-// TestJobsAreLinearizable has callers submit, read and end jobs at three VMs. Meanwhile the VMs finish items, hand jobs over
-// and stop, and the store refuses calls, loses answers, executes writes late and drops its history. The operations must be
-// linearizable: a refused job never exists, and a result keeps its position and content.
+// TestJobsAreLinearizable has callers submit, read and end jobs at three VMs. Meanwhile the VMs finish items, are partitioned
+// from the endpoints, hand jobs over and stop, and the store refuses calls, loses answers, executes writes late and drops its
+// history. The operations must be linearizable: a refused job never exists, and a result keeps its position and content.
 func TestJobsAreLinearizable(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		p := drawPlan(rt)
--- a/pkg/jobmanager/manager.go
+++ b/pkg/jobmanager/manager.go
@@ -36,6 +36,8 @@
 	StateOf(vm string, incarnation int64) gossiper.State
 	// LiveVMs returns the VMs that are live.
 	LiveVMs() []gossiper.VMIncarnation
+	// VMsInTouch returns those of them that don't say that they are partitioned from the endpoints.
+	VMsInTouch() []gossiper.VMIncarnation
 	// HasStoreElsewhere reports whether another VM reaches the store.
 	HasStoreElsewhere() bool
 }
@@ -70,6 +72,10 @@
 	// changed receives a value after jobs changed, for the item runner.
 	changed   chan struct{}
 	isLeaving bool
+	// isPartitioned says that this VM reaches no endpoint.
+	isPartitioned bool
+	// hasHandOver says that runHandOver was started.
+	hasHandOver bool
 	// adopting holds the ids of the jobs that are being taken over.
 	adopting map[string]bool
 	// handingOver holds the ids of the jobs that are being handed over.
