--- a/pkg/assembler/partition.go
+++ b/pkg/assembler/partition.go
@@ -144,6 +144,5 @@
 	isPartitioned := s.Phase != surveyor.InTouch
 	g.Balancer.ForgetFailures()
 	g.Gossiper.AnnouncePartitioned(isPartitioned)
-	// g.JobManager.SetPartitioned(isPartitioned)
-	// g.ItemRunner.SetPartitioned(isPartitioned, s.IsSilent)
+	g.ItemRunner.SetPartitioned(isPartitioned, s.IsSilent)
 }
