--- a/pkg/itemrunner/partition_test.go
+++ b/pkg/itemrunner/partition_test.go
@@ -72,11 +72,7 @@
 func (f *fleet) settle(ctx context.Context) {
 	for range 3 {
 		for _, v := range f.vms {
-			v.runner.mu.Lock()
-			v.runner.syncJobs(ctx, time.Now())
-			v.runner.stopUnneededRuns()
-			v.runner.dropMoved()
-			v.runner.mu.Unlock()
+			v.runner.step(ctx, time.Now())
 		}
 		time.Sleep(feedDelay)
 	}
@@ -227,6 +223,7 @@
 		require.NotNil(t, run)
 		f.cutOff(0, true, true)
 		r := f.vms[0].runner
+		r.plannedAt = time.Time{}
 		r.step(ctx, time.Now())
 		assert.Zero(t, r.plannedAt)
 		assert.Nil(t, f.vms[0].begin(ctx, 1))
--- a/pkg/jobmanager/partition_test.go
+++ b/pkg/jobmanager/partition_test.go
@@ -97,6 +97,21 @@
 	}
 }
 
+// TestSecondPartitionHandsOverToo has a VM hold a job after a first partition, when a second one begins.
+func TestSecondPartitionHandsOverToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, stop := newSimulation(t, plan{
+			Actions: []action{{At: 3 * time.Second, VM: 0, Do: "submit"}},
+			Cuts:    []cutPeriod{{VM: 0, From: time.Second, For: time.Second}, {VM: 0, From: 5 * time.Second, For: time.Hour}},
+		}, &history{})
+		defer stop()
+		time.Sleep(4 * time.Second)
+		assert.NotEmpty(t, p.itemsAt(0, jobName(0)))
+		time.Sleep(time.Second + maxIdle)
+		assert.True(t, p.isHeld(jobName(0)), "the job waits until the partition ends")
+	})
+}
+
 // TestJobsOfLostVMsGoToVMsInTouch stops the holder while another VM is cut off, for good or until later.
 func TestJobsOfLostVMsGoToVMsInTouch(t *testing.T) {
 	for job := range 8 {
