--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -30,6 +30,7 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/resumer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 	"github.com/dogwoodledge/dogwoodledge/platform"
 	"github.com/dogwoodledge/dogwoodledge/platform/standin"
 )
@@ -57,6 +58,9 @@
 	jobStatus   time.Duration
 	// grace is the grace period of the VMs that are added.
 	grace time.Duration
+	// region and storeAddr are those of the VMs that are added; storeAddr is the store's own if it is not valid.
+	region    string
+	storeAddr netip.AddrPort
 	// isPartitionable makes the VMs that are added have partitions.
 	isPartitionable bool
 	// addresses holds those of the endpoints.
@@ -73,6 +77,7 @@
 	// rateSharer is that of the VM's app.
 	rateSharer *ratesharer.Sharer
 	endpoints  *peersyncer.Table
+	watcher    *watcher.Watcher
 	// partition is between the VM and all endpoints, if the fleet is partitionable.
 	partition *partition
 }
@@ -103,7 +108,9 @@
 // ready.
 func newFleet(t *testing.T, n int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: standin.NewStore(), routes: defaultRoutes(), jobStatus: 2 * time.Minute, grace: 8 * time.Second}
+	f := &testFleet{
+		t: t, store: standin.NewStore(), routes: defaultRoutes(), jobStatus: 2 * time.Minute, grace: 8 * time.Second, region: "syd",
+	}
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		f.server.CloseClientConnections()
@@ -233,11 +240,15 @@
 	n := lastIP.Add(1)
 	// Each test process has addresses of its own, so that several can run at once.
 	ip := netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(n >> 8), byte(n)})
+	storeAddr := f.storeAddr
+	if !storeAddr.IsValid() {
+		storeAddr = netip.MustParseAddrPort(f.server.Listener.Addr().String())
+	}
 	return platform.Settings{
-		VM: loader.VMSettings{ID: name, Region: "syd", AvailabilityZone: "syd-a"}, IP: ip,
+		VM: loader.VMSettings{ID: name, Region: f.region, AvailabilityZone: f.region + "-a"}, IP: ip,
 		Callers: netip.AddrPortFrom(ip, 18144), Ready: netip.AddrPortFrom(ip, 18140), FirstPort: 17660, LastPort: 17670,
-		Store: netip.MustParseAddrPort(f.server.Listener.Addr().String()), RowBytes: 65536,
-		Regions: map[string]string{"syd-a": "syd"}, EndpointHeartbeat: time.Second, Drain: 2500 * time.Millisecond,
+		Store: storeAddr, RowBytes: 65536,
+		Regions: map[string]string{"syd-a": "syd", "norr-a": "norr"}, EndpointHeartbeat: time.Second, Drain: 2500 * time.Millisecond,
 		Grace: f.grace, ConfigApply: 2500 * time.Millisecond, JobStatus: f.jobStatus,
 		MemoryBytes: 4 << 30, FileDescriptors: 8000, IsRevocationStrict: f.revokeAfter > 0, RevokeAfter: f.revokeAfter,
 	}
@@ -248,7 +259,7 @@
 	s := f.settings(fmt.Sprintf("front-%d", len(f.vms)+1))
 	vm := &testVM{name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String()}
 	opts := []fx.Option{
-		fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.rateSharer, &vm.endpoints),
+		fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.rateSharer, &vm.endpoints, &vm.watcher),
 	}
 	if f.isPartitionable {
 		vm.partition = f.newPartition()
