--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -448,11 +448,17 @@
 			return err
 		}
 	}
-	if err := g.Meter.CountBy("store_bytes", "bytes of rows read from the store, by table", "table", g.Store.BytesRead); err != nil {
-		return err
-	}
-	if err := g.Meter.CountBy("store_rows", "rows read from the store, by table", "table", g.Store.RowsRead); err != nil {
-		return err
+	for _, c := range []struct {
+		name, description string
+		values            func() map[string]int64
+	}{
+		{"store_bytes", "bytes of rows read from the store, by table", g.Store.BytesRead},
+		{"store_rows", "rows read from the store, by table", g.Store.RowsRead},
+		{"store_bytes_abandoned", "bytes of answers of the store that did not arrive whole, by table", g.Store.BytesAbandoned},
+	} {
+		if err := g.Meter.CountBy(c.name, c.description, "table", c.values); err != nil {
+			return err
+		}
 	}
 	return g.Meter.GaugeBy("endpoints_age_ms",
 		"ms since which changes of endpoints may be unknown, by the source: a peer, or store", "source", g.endpointsAge)
--- a/pkg/storer/errors.go
+++ b/pkg/storer/errors.go
@@ -30,6 +30,8 @@
 	Operation string
 	// After is the maximum wait for the answer.
 	After time.Duration
+	// Received is the number of bytes of the answer's body that had arrived.
+	Received int
 	// MayHaveRun is set when the operation may have taken effect although no answer arrived.
 	MayHaveRun bool
 	Cause      error
@@ -37,6 +39,9 @@
 
 // Error names the operation, the maximum wait and the cause.
 func (e *UnavailableError) Error() string {
+	if e.Received > 0 {
+		return fmt.Sprintf("platform gave %d bytes of an answer to %s within %s: %v", e.Received, e.Operation, e.After, e.Cause)
+	}
 	return fmt.Sprintf("platform gave no answer to %s within %s: %v", e.Operation, e.After, e.Cause)
 }
 
