Watcher: an answer that a peer has sent, or that is on its way, is not asked for again

A VM that had the configuration from a peer went on watching from before it: the feed now goes on after that row (TestConfigurationOfAPeerIsNotReadAgain; before, the watch asked after version 5 and got the row of version 60 again). A read for callers that wait ended after 0.3 s in the middle of its answer: the limit holds for the beginning of the answer now, and the read ends after 2 s. Retries of VMs that fail together are spread over half of their pause.

--- a/pkg/watchdog/watchdog.go
+++ b/pkg/watchdog/watchdog.go
@@ -51,8 +51,18 @@
 	bytes int64
 }
 
+type answerKey struct{}
+
+// LimitAnswer returns a context whose calls wait at most d for the beginning of their answers; a large answer may take longer.
+func LimitAnswer(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, answerKey{}, d)
+}
+
 // Start returns a context for a call that begins now. Stop is to be called at the call's end.
 func Start(ctx context.Context, l Limits) (context.Context, *Watchdog) {
+	if d, ok := ctx.Value(answerKey{}).(time.Duration); ok {
+		l.Answer = min(l.Answer, d)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &Watchdog{limits: l, cancel: cancel, endsAt: time.Now().Add(l.Total)}
 	w.mu.Lock()
--- a/pkg/watchdog/watchdog_test.go
+++ b/pkg/watchdog/watchdog_test.go
@@ -87,3 +87,19 @@
 		assert.ErrorIs(t, context.Cause(ctx), context.Canceled)
 	})
 }
+
+// TestCallersMayLimitTheWaitForAnAnswer checks that a caller's limit ends a call without an answer, and no other.
+func TestCallersMayLimitTheWaitForAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w := Start(LimitAnswer(t.Context(), time.Second), testLimits)
+		defer w.Stop()
+		time.Sleep(900 * time.Millisecond)
+		w.Received(1)
+		time.Sleep(400 * time.Millisecond)
+		assert.NoError(t, ctx.Err())
+		ctx, w = Start(LimitAnswer(t.Context(), time.Second), testLimits)
+		defer w.Stop()
+		time.Sleep(1100 * time.Millisecond)
+		assert.Error(t, ctx.Err())
+	})
+}
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,13 +154,24 @@
 			}
 			continue
 		}
-		if !sleeper.Sleep(ctx, pause) {
+		// VMs that fail together don't retry together.
+		if !sleeper.Sleep(ctx, pause/2+rand.N(pause/2)) {
 			return
 		}
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// Advance makes the feed go on after the version, all earlier changes of which are known from elsewhere or no longer matter.
+func (f *Feed) Advance(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isSynced && version > f.version {
+		f.version = version
+		f.knownVersion.Store(version)
+	}
+}
+
 // IsLost reports whether the feed's last calls to the store failed.
 func (f *Feed) IsLost() bool { return f.isLost.Load() }
 
--- a/pkg/watcher/feed_test.go
+++ b/pkg/watcher/feed_test.go
@@ -68,3 +68,33 @@
 	assert.GreaterOrEqual(t, table.scans, 2, "the first loss is followed by a scan at once")
 	assert.Less(t, table.scans, 8)
 }
+
+// askedTable has one row in each table and records after which versions it is watched.
+type askedTable struct {
+	storer.Table
+	asked []int64
+}
+
+func (t *askedTable) Scan(_ context.Context, r storer.Range) (storer.Page, error) {
+	return storer.Page{Entries: []storer.Entry{{Table: r.Table, Key: "c", Value: []byte{1}, Version: 5}}, Version: 5}, nil
+}
+
+func (t *askedTable) Watch(_ context.Context, _ string, after int64, _ time.Duration) (storer.Page, error) {
+	t.asked = append(t.asked, after)
+	return storer.Page{Version: after}, nil
+}
+
+// TestConfigurationOfAPeerIsNotReadAgain guards against a watch that asks the store for the row that a peer has sent.
+func TestConfigurationOfAPeerIsNotReadAgain(t *testing.T) {
+	w, _ := newWorkWatcher(1)
+	table := &askedTable{}
+	w.config.store = table
+	for range 2 {
+		assert.NoError(t, w.config.step(t.Context()))
+	}
+	w.ApplyPeerRows([]storer.Entry{{Table: "config", Key: "c", Value: []byte{2}, Version: 60}})
+	assert.NoError(t, w.config.step(t.Context()))
+	w.ApplyPeerRows([]storer.Entry{{Table: "config", Key: "c", Value: []byte{1}, Version: 50}})
+	assert.NoError(t, w.config.step(t.Context()))
+	assert.Equal(t, []int64{5, 60, 60}, table.asked)
+}
--- a/pkg/watcher/refresh.go
+++ b/pkg/watcher/refresh.go
@@ -8,10 +8,15 @@
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watchdog"
 )
 
-// refreshTimeout bounds a read for callers that wait; it leaves room for a slow store.
-const refreshTimeout = 300 * time.Millisecond
+const (
+	// refreshTimeout bounds the wait for the beginning of an answer, for callers that wait; it leaves room for a slow store.
+	refreshTimeout = 300 * time.Millisecond
+	// refreshLimit bounds a read, so that a large answer is not ended midway and sent anew for the next caller.
+	refreshLimit = 2 * time.Second
+)
 
 // refreshes are the reads of a feed for callers that wait: one at a time, for all that were waiting when it began.
 type refreshes struct {
@@ -63,8 +68,8 @@
 
 func (f *Feed) runRefreshes() {
 	for r, ok := f.takeRefresh(); ok; r, ok = f.takeRefresh() {
-		ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
-		r.err = f.refresh(ctx)
+		ctx, cancel := context.WithTimeout(context.Background(), refreshLimit)
+		r.err = f.refresh(watchdog.LimitAnswer(ctx, refreshTimeout))
 		cancel()
 		close(r.done)
 	}
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -206,6 +206,12 @@
 
 // ApplyPeerRows applies those rows received from another VM that are newer than the rows known here.
 func (w *Watcher) ApplyPeerRows(entries []storer.Entry) {
+	// The feed's next watch must not ask for the configuration again; a row replaces all earlier ones.
+	w.config.Advance(w.applyPeerRows(entries))
+}
+
+// applyPeerRows returns the version of the row of the active configuration.
+func (w *Watcher) applyPeerRows(entries []storer.Entry) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -222,6 +228,7 @@
 		}
 	}
 	w.publish()
+	return w.configRow.Version
 }
 
 func (w *Watcher) applyConfigUpdate(u Update) {
