A few VMs of each region read the configuration, and pass it on with the age of their knowledge

Cause: each VM watched the configuration's table itself, so each change crossed the link between regions once a VM, 12.6 MB for 34 VMs on a link of 7.5 MB/s; and the proof that keys are still valid came with the same answers. The cost grew with the VMs times the size.

An answer states how old the knowledge of its VM is, as of the call's arrival, so a VM can tell as of when it knows the configuration, whoever it hears it from; VMs cut off from the store together get stale together (TestNoVMProvesItsAgeByAnother). Calls between VMs are bounded by their progress. Smaller regions, and all else, are as before.

--- a/pkg/assembler/gateway.go
+++ b/pkg/assembler/gateway.go
@@ -89,6 +89,7 @@
 	Gossiper   *gossiper.Gossiper
 	PeerSyncer *peersyncer.Syncer
 	Endpoints  *peersyncer.Table
+	Config     configTable
 	Prober     *prober.Prober
 	Pool       *dialer.Pool
 	Isolator   *isolator.Isolator
@@ -123,7 +124,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			newRandom, newHangUps, newLogQueue, newGatewayLog, newGatewayTracer, tracer.NewMeter, newStore, newTable, newEndpointTable,
-			newWatcher, newBalancer, newGossiper, newBodies, newPeerSyncer, newProber, newPool, newIsolator, newConfirmer, newResumer,
+			newConfigTable, newWatcher, newBalancer, newGossiper, newBodies, newPeerSyncer, newProber, newPool, newIsolator,
+			newConfirmer, newResumer,
 			newRateSharer, newAdmitter, newRelayer, newJobManager, newItemRunner, newListener, newScout, newDelegator, newPeerPool,
 		),
 		fx.Invoke(runGateway),
@@ -154,11 +156,22 @@
 ) *peersyncer.Table {
 	return peersyncer.NewTable(peersyncer.TableConfig{
 		Name: platform.EndpointTable, Zone: s.VM.AvailabilityZone, IsLarge: g.HasManyEndpoints(), OnLarge: g.SetManyEndpoints,
-	}, t, g, &peersyncer.Connections{}, log)
+	}, t, g, peersyncer.NewConnections(), log)
+}
+
+// configTable is the store with the configuration read from other VMs in a region of many VMs.
+type configTable struct{ *peersyncer.Table }
+
+func newConfigTable(
+	s platform.Settings, t *peersyncer.Table, g *gossiper.Gossiper, log logrus.FieldLogger,
+) configTable {
+	return configTable{peersyncer.NewTable(peersyncer.TableConfig{
+		Name: platform.OperatorTable, Zone: s.VM.AvailabilityZone, HasLargeRow: true,
+	}, t, g, peersyncer.NewConfigConnections(), log)}
 }
 
 func newWatcher(
-	t *peersyncer.Table, b *balancer.Balancer, g *gossiper.Gossiper, rs *resumer.Resumer, log logrus.FieldLogger,
+	t *peersyncer.Table, c configTable, b *balancer.Balancer, g *gossiper.Gossiper, rs *resumer.Resumer, log logrus.FieldLogger,
 ) *watcher.Watcher {
 	onChange := func(r *registrar.Registry) {
 		rs.Observe(r)
@@ -166,7 +179,7 @@
 		g.AnnounceConfig(r.ConfigRow.Version)
 		t.ObserveRows(len(r.Endpoints))
 	}
-	return watcher.New(t, watcher.Decoder{
+	return watcher.New(c, watcher.Decoder{
 		ConfigTable: platform.OperatorTable, ConfigKey: platform.ConfigKey, EndpointTable: platform.EndpointTable,
 		Config: platform.DecodeConfig, Endpoint: platform.DecodeEndpoint,
 	}, onChange, log)
@@ -204,11 +217,12 @@
 }
 
 func newPeerSyncer(
-	s platform.Settings, w *watcher.Watcher, t *peersyncer.Table, g *gossiper.Gossiper, i *isolator.Isolator,
+	s platform.Settings, w *watcher.Watcher, t *peersyncer.Table, c configTable, g *gossiper.Gossiper, i *isolator.Isolator,
 	log logrus.FieldLogger,
 ) *peersyncer.Syncer {
 	p := peersyncer.New(netip.AddrPortFrom(s.IP, s.FirstPort), w, g, log, i)
 	p.PassOn(t, s.VM.AvailabilityZone)
+	p.PassConfigOn(c.Table, s.VM.AvailabilityZone)
 	return p
 }
 
@@ -430,7 +444,7 @@
 
 // exportReads exports the counters of what this VM reads from the store and from other VMs.
 func (g *gateway) exportReads() error {
-	p, e := &g.PeerSyncer.Counters, &g.Endpoints.Counters
+	p, e, cfg := &g.PeerSyncer.Counters, &g.Endpoints.Counters, &g.Config.Counters
 	for _, c := range []struct {
 		name, description string
 		counter           *atomic.Int64
@@ -442,6 +456,11 @@
 		{"endpoints_peer_bytes", "bytes of rows of endpoints read from peers", &e.PeerBytes},
 		{"endpoints_peer_rows", "rows of endpoints read from peers", &e.PeerRows},
 		{"endpoints_peer_failures", "calls to peers for the table of endpoints that failed, or whose answer was old", &e.PeerFailures},
+		{"config_store_calls", "calls to the store for the configuration", &cfg.StoreCalls},
+		{"config_peer_calls", "calls to peers for the configuration that brought an answer", &cfg.PeerCalls},
+		{"config_peer_bytes", "bytes of configurations read from peers", &cfg.PeerBytes},
+		{"config_peer_failures", "calls to peers for the configuration that failed, or whose answer was old", &cfg.PeerFailures},
+		{"config_source_changes", "changes of the peer that the configuration is read from", &cfg.SourceChanges},
 		{"endpoints_source_changes", "changes of the peer that the table of endpoints is read from", &e.SourceChanges},
 	} {
 		if err := g.Meter.Count(c.name, c.description, c.counter.Load); err != nil {
--- a/pkg/assembler/gateway_large_config_known_red_test.go
+++ b/pkg/assembler/gateway_large_config_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package assembler_test
 
 import (
@@ -116,8 +114,9 @@
 	}
 }
 
-// TestLargeConfigurationCrossesTheLinkBetweenRegions adds 1,400 routes, and changes this configuration again at once and later,
-// while VMs reach the store over a link with a rate: it is in force in time, keys remain valid, and the load ends with its cause.
+// TestLargeConfigurationCrossesTheLinkBetweenRegions adds 1,400 routes, and changes this configuration again at once and
+// later, while VMs reach the store over a link with a rate: it is in force in time, keys remain valid, and the load ends with
+// its cause.
 func TestLargeConfigurationCrossesTheLinkBetweenRegions(t *testing.T) {
 	t.Parallel()
 	f, link := newRegionFleet(t, 24)
--- a/pkg/core/authenticator/freshness.go
+++ b/pkg/core/authenticator/freshness.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// ObserveAge records a call to another VM, whose knowledge was of this age when the call reached it; the age is negative if it is
+// newer than that.
+func (f *Freshness) ObserveAge(sentAt, age time.Duration) {
+	if bound := sentAt - age; !f.isKnown || bound > f.asOf {
+		f.isKnown, f.asOf = true, bound
+	}
+}
+
 // boundOf returns the lower bound of the local time for which the time of the store's clock stands.
 func (f *Freshness) boundOf(store, sentAt, receivedAt time.Duration) time.Duration {
 	sample := sentAt - store - clockResolution
--- a/pkg/peersyncer/follow.go
+++ b/pkg/peersyncer/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -11,11 +12,12 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/distributor"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
-	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
 const (
 	followMethod = "Follow"
+	// followConfigMethod is followMethod for the configuration.
+	followConfigMethod = "FollowConfig"
 	// maxFollowCalls bounds the open calls of followers: several times the average, so that those of lost sources find room.
 	maxFollowCalls = 32
 	// maxFollowWait bounds the wait that a caller may ask for.
@@ -42,7 +44,8 @@
 	Version int64
 	// IsLost says that changes after the version asked for may be missing: all rows have to be read.
 	IsLost bool
-	// AgeMs is how long before the answer the store said that there are no other changes.
+	// AgeMs is how long before the answer the store said that there are no other changes; for the configuration, how long before
+	// the call arrived, and negative if it was later.
 	AgeMs int64
 	// Zone is the availability zone of the VM that answers.
 	Zone string
@@ -64,15 +67,17 @@
 	IsRemoved bool
 }
 
-// follows answers the calls of followers.
+// follows answers the calls of followers of a table.
 type follows struct {
-	watcher *watcher.Watcher
-	table   *Table
-	zone    string
-	open    chan struct{}
+	content content
+	// isFromArrival says that ages are stated as of the arrival of a call: who calls knows when it was sent, but not how long
+	// the answer was on its way.
+	isFromArrival bool
+	zone          string
+	open          chan struct{}
 
 	mu sync.Mutex
-	// packed holds encoded changes by the version that they follow, all up to packedVersion.
+	// packed holds encoded changes by the version that they follow, all of the state whose last change was packedVersion.
 	packed        map[int64][]byte
 	packedVersion int64
 	// snapshot is the encoded whole table at snapshotVersion.
@@ -81,14 +86,13 @@
 	snapshotAt      time.Time
 }
 
-func newFollows(w *watcher.Watcher, t *Table, zone string) *follows {
-	return &follows{
-		watcher: w, table: t, zone: zone, open: make(chan struct{}, maxFollowCalls), packed: map[int64][]byte{},
-	}
+func newFollows(c content, zone string) *follows {
+	return &follows{content: c, zone: zone, open: make(chan struct{}, maxFollowCalls), packed: map[int64][]byte{}}
 }
 
 // follow answers with what the VM asks for as soon as there is any, or with no rows after the wait.
 func (f *follows) follow(ctx context.Context, q FollowRequest) (FollowReply, error) {
+	arrivedAt := time.Now()
 	select {
 	case f.open <- struct{}{}:
 		defer func() { <-f.open }()
@@ -98,8 +102,8 @@
 	limit := time.NewTimer(min(time.Duration(max(q.WaitMs, 0))*time.Millisecond, maxFollowWait))
 	defer limit.Stop()
 	for {
-		updated := f.watcher.EndpointsUpdated()
-		if reply, ok, err := f.next(q, false); ok || err != nil {
+		updated := f.content.Updated()
+		if reply, ok, err := f.next(q, arrivedAt, false); ok || err != nil {
 			return reply, err
 		}
 		select {
@@ -107,7 +111,7 @@
 		case <-ctx.Done():
 			return FollowReply{}, ctx.Err()
 		case <-limit.C:
-			reply, ok, err := f.next(q, true)
+			reply, ok, err := f.next(q, arrivedAt, true)
 			if !ok && err == nil {
 				err = status.Error(codes.Unavailable, "this VM has not read the table lately")
 			}
@@ -116,38 +120,45 @@
 	}
 }
 
-// next returns the reply to the request; false if there are no rows, if they are too old, or if none changed and isLast is false.
-func (f *follows) next(q FollowRequest, isLast bool) (FollowReply, bool, error) {
-	age := f.table.Age(time.Now())
-	complete := f.watcher.EndpointsComplete()
+// next returns the reply to the request; false if there are no rows, if they are too old, or if none changed and isLast is
+// false.
+func (f *follows) next(q FollowRequest, arrivedAt time.Time, isLast bool) (FollowReply, bool, error) {
+	held := time.Since(arrivedAt)
+	age := f.content.Age()
+	complete := f.content.Complete()
 	if complete.Until == 0 || age > distributor.MaxAge {
 		return FollowReply{}, false, nil
 	}
-	r := FollowReply{AgeMs: age.Milliseconds(), Zone: f.zone, Version: complete.Until}
+	if f.isFromArrival {
+		age -= held
+	}
+	r := FollowReply{AgeMs: roundUp(age).Milliseconds(), Zone: f.zone, Version: complete.Until}
 	switch {
 	case q.IsFull:
-		packed, version, err := f.packSnapshot()
-		r.Packed, r.Version = packed, version
+		packed, version, since, err := f.packSnapshot()
+		r.Packed, r.Version, r.AgeMs = packed, version, roundUp(age+since).Milliseconds()
 		return r, true, err
 	case q.After < complete.Since:
 		r.IsLost = true
 		return r, true, nil
-	case complete.Until <= q.After:
+	case complete.Changed <= q.After:
 		return r, isLast, nil
 	}
-	packed, err := f.packChanges(q.After, complete.Until)
+	packed, err := f.packChanges(q.After, complete.Changed)
 	r.Packed = packed
 	return r, true, err
 }
 
-func (f *follows) packSnapshot() ([]byte, int64, error) {
+// packSnapshot returns the encoded whole table, its version, and the time since it was read.
+func (f *follows) packSnapshot() ([]byte, int64, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	complete := f.watcher.EndpointsComplete()
+	complete := f.content.Complete()
 	if f.snapshot != nil && time.Since(f.snapshotAt) < snapshotReuse && f.snapshotVersion >= complete.Since {
-		return f.snapshot, f.snapshotVersion, nil
+		return f.snapshot, f.snapshotVersion, time.Since(f.snapshotAt), nil
 	}
-	c := f.watcher.EndpointsAfter(-1)
+	at := time.Now()
+	c := f.content.After(-1)
 	rows := make([]FollowRow, 0, len(c.Entries))
 	for _, e := range c.Entries {
 		if !e.IsRemoved {
@@ -156,10 +167,10 @@
 	}
 	b, err := encodeMessage(rows)
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
-	f.snapshot, f.snapshotVersion, f.snapshotAt = b, c.Version, time.Now()
-	return b, c.Version, nil
+	f.snapshot, f.snapshotVersion, f.snapshotAt = b, c.Version, at
+	return b, c.Version, time.Since(at), nil
 }
 
 // packChanges returns the rows that changed after a version, up to another one.
@@ -173,7 +184,7 @@
 		return b, nil
 	}
 	rows := []FollowRow{}
-	for _, e := range f.watcher.EndpointsAfter(after).Entries {
+	for _, e := range f.content.After(after).Entries {
 		if e.Version <= until {
 			rows = append(rows, rowOf(e))
 		}
@@ -185,6 +196,11 @@
 	return b, err
 }
 
+// roundUp returns the age in whole milliseconds: no VM may believe that it knows more than it does.
+func roundUp(age time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(age)/float64(time.Millisecond))) * time.Millisecond
+}
+
 func rowOf(e storer.Entry) FollowRow {
 	return FollowRow{Key: e.Key, Value: e.Value, Version: e.Version, IsRemoved: e.IsRemoved}
 }
--- a/pkg/peersyncer/follow_call_test.go
+++ b/pkg/peersyncer/follow_call_test.go
@@ -33,7 +33,7 @@
 	t.Helper()
 	log, _ := logtest.NewNullLogger()
 	table := NewTable(TableConfig{Name: "endpoints", Zone: "a", IsLarge: true, OnLarge: func(bool) {}}, store, pair{},
-		&Connections{}, log)
+		NewConnections(), log)
 	addr := freeAddress(t)
 	s := New(addr, newTestWatcher(t, table), onePeer{}, log)
 	s.PassOn(table, "a")
@@ -48,7 +48,7 @@
 	link := newProxy(t, addr)
 	log, _ := logtest.NewNullLogger()
 	table := NewTable(TableConfig{Name: "endpoints", Zone: "a", IsLarge: true, OnLarge: func(bool) {}}, store, pair{link.addr},
-		&Connections{}, log)
+		NewConnections(), log)
 	own := newTestWatcher(t, table)
 	waitFor(t, "VM has the endpoints", func() bool { return len(own.Current().Endpoints) == manyEndpoints })
 	whole := link.bytes.Load()
@@ -70,7 +70,7 @@
 	follow := func(addr netip.AddrPort, q FollowRequest) (FollowReply, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		return (&Connections{}).Follow(ctx, addr, q)
+		return NewConnections().Follow(ctx, addr, q)
 	}
 	_, err := follow(newEarlierPeer(t, newTestWatcher(t, store)), FollowRequest{})
 	assert.Equal(t, codes.Unimplemented, status.Code(err), "an earlier build")
--- a/pkg/peersyncer/region_test.go
+++ b/pkg/peersyncer/region_test.go
@@ -15,22 +15,28 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/distributor"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watchdog"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
 const (
-	// callTime is the time that the store takes for a call, regionDelay that of a message to the other region, zoneDelay within one.
+	// callTime is the time that the store takes for a call, regionDelay that of a message to the other region, zoneDelay within
+	// one.
 	callTime    = 4 * time.Millisecond
 	regionDelay = 40 * time.Millisecond
 	zoneDelay   = time.Millisecond
-	// storeTimeout bounds a call of the store, or what a watch takes beyond its wait.
+	// storeTimeout bounds the wait for an answer of the store, watchSlack what a watch takes beyond its wait and the time between
+	// two parts of an answer, storeLimit a whole call.
 	storeTimeout = 1500 * time.Millisecond
 	watchSlack   = 700 * time.Millisecond
+	storeLimit   = 15 * time.Second
 	// pageRows is the largest page of the store, rowOverhead what a row has on the wire besides its value.
 	pageRows    = 500
 	rowOverhead = 90
@@ -68,6 +74,9 @@
 		w.bytes.Add(int64(n))
 		time.Sleep(time.Duration(float64(n) * 8 / w.bitsPerSecond * float64(time.Second)))
 		<-w.turn
+		if dog := watchdog.Of(ctx); dog != nil {
+			dog.Received(n)
+		}
 		bytes -= n
 	}
 	return ctx.Err()
@@ -161,14 +170,20 @@
 	zone   string
 	region int
 	// wire is the VM's own link.
-	wire     *wire
-	table    *Table
-	watcher  *watcher.Watcher
-	follows  *follows
-	configAt map[int64]time.Time
-	mu       sync.Mutex
+	wire    *wire
+	table   *Table
+	watcher *watcher.Watcher
+	follows *follows
+	// config is the table of the configuration, configFollows its followers.
+	config        *Table
+	configFollows *follows
+	configAt      map[int64]time.Time
+	mu            sync.Mutex
 	// isDown refuses the calls of others, isFrozen does not answer them, isCutOff fails all calls of the VM itself.
-	isDown, isFrozen, isCutOff atomic.Bool
+	// isCutOffFromStore fails its calls to the store.
+	isDown, isFrozen, isCutOff, isCutOffFromStore atomic.Bool
+	// isEarlier makes it a VM of a build that passes no configuration on.
+	isEarlier atomic.Bool
 }
 
 // testFleet is VMs that follow the tables of a store in region 0, in one process.
@@ -177,8 +192,13 @@
 	// link is the link between the regions.
 	link *wire
 	vms  []*testVM
+	// startedAt is the beginning of the clock since boot.
+	startedAt time.Time
 }
 
+// now returns the time since boot.
+func (f *testFleet) now() time.Duration { return time.Since(f.startedAt) + time.Hour }
+
 // storeOf is the store as a VM reaches it.
 type storeOf struct {
 	storer.Table
@@ -186,8 +206,8 @@
 }
 
 func (s storeOf) Scan(ctx context.Context, r storer.Range) (storer.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
+	ctx, dog := watchdog.Start(ctx, watchdog.Limits{Answer: storeTimeout, Stall: watchSlack, Total: storeLimit})
+	defer dog.Stop()
 	if err := s.vm.travel(ctx); err != nil {
 		return storer.Page{}, err
 	}
@@ -196,8 +216,8 @@
 }
 
 func (s storeOf) Watch(ctx context.Context, table string, after int64, wait time.Duration) (storer.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
+	ctx, dog := watchdog.Start(ctx, watchdog.Limits{Answer: wait + watchSlack, Stall: watchSlack, Total: storeLimit})
+	defer dog.Stop()
 	if err := s.vm.travel(ctx); err != nil {
 		return storer.Page{}, err
 	}
@@ -220,7 +240,7 @@
 
 // travel waits until a call has reached the store.
 func (v *testVM) travel(ctx context.Context) error {
-	if v.isCutOff.Load() {
+	if v.isCutOff.Load() || v.isCutOffFromStore.Load() {
 		return &storer.UnavailableError{Operation: "call", Cause: errors.New("cut off")}
 	}
 	if !sleeper.Sleep(ctx, callTime+v.storeDelay()) {
@@ -273,6 +293,22 @@
 // Follow implements Caller.
 func (v *testVM) Follow(ctx context.Context, addr netip.AddrPort, q FollowRequest) (FollowReply, error) {
 	o := v.fleet.vms[addr.Port()-1]
+	return v.follow(ctx, o, o.follows, q)
+}
+
+// configCaller calls Follow for the configuration.
+type configCaller struct{ vm *testVM }
+
+func (c configCaller) Follow(ctx context.Context, addr netip.AddrPort, q FollowRequest) (FollowReply, error) {
+	o := c.vm.fleet.vms[addr.Port()-1]
+	if o.isEarlier.Load() {
+		return FollowReply{}, status.Error(codes.Unimplemented, "unknown method")
+	}
+	return c.vm.follow(ctx, o, o.configFollows, q)
+}
+
+// follow calls another VM, which answers from what it passes on.
+func (v *testVM) follow(ctx context.Context, o *testVM, f *follows, q FollowRequest) (FollowReply, error) {
 	if o.isDown.Load() || v.isCutOff.Load() {
 		return FollowReply{}, errors.New("connection refused")
 	}
@@ -280,7 +316,7 @@
 		<-ctx.Done()
 		return FollowReply{}, ctx.Err()
 	}
-	r, err := o.follows.follow(ctx, q)
+	r, err := f.follow(ctx, q)
 	if err != nil {
 		return r, err
 	}
@@ -314,7 +350,7 @@
 // newTestFleet returns VMs in two regions; links of 22 to 600 Mbit/s and zones alternate. Without readers, each VM reads the
 // store.
 func newTestFleet(store *versionedStore, perRegion [2]int, hasReaders bool) *testFleet {
-	f := &testFleet{store: store, link: newWire(60e6, inTurns)}
+	f := &testFleet{store: store, link: newWire(60e6, inTurns), startedAt: time.Now()}
 	rates := []float64{22e6, 60e6, 150e6, 600e6}
 	for region, n := range perRegion {
 		for i := range n {
@@ -330,11 +366,19 @@
 				v.table = NewTable(c, table, v, v, quietLog())
 				table = v.table
 			}
+			if hasReaders {
+				c := TableConfig{Name: "config", Zone: v.zone, HasLargeRow: true}
+				v.config = NewTable(c, table, v, configCaller{v}, quietLog())
+				table = v.config
+			}
 			v.watcher = watcher.New(table, watcher.Decoder{
 				ConfigTable: "config", ConfigKey: "c", EndpointTable: "endpoints",
 				Config: decodeTestConfig, Endpoint: decodeTestEndpoint,
 			}, v.observe, quietLog())
-			v.follows = newFollows(v.watcher, v.table, v.zone)
+			v.watcher.SetClock(f.now)
+			v.follows = newFollows(endpoints{v.watcher, v.table}, v.zone)
+			v.configFollows = newFollows(configuration{v.watcher, f.now}, v.zone)
+			v.configFollows.isFromArrival = true
 		}
 	}
 	return f
--- a/pkg/peersyncer/service.go
+++ b/pkg/peersyncer/service.go
@@ -28,8 +28,8 @@
 	watcher *watcher.Watcher
 	// sources holds the watcher, too.
 	sources []Source
-	// follows is nil if this VM passes no table on.
-	follows *follows
+	// follows and configFollows are nil if this VM passes no table, or no configuration, on.
+	follows, configFollows *follows
 }
 
 // serviceDesc returns the gRPC service description. Requests are empty or opaque bytes and replies opaque bytes, so that no
@@ -50,6 +50,7 @@
 			},
 			method(newsMethod, compressed, (*Server).news),
 			method(followMethod, plain, (*Server).follow),
+			method(followConfigMethod, plain, (*Server).followConfig),
 		},
 	}
 }
@@ -113,3 +114,10 @@
 	}
 	return s.follows.follow(ctx, q)
 }
+
+func (s *Server) followConfig(ctx context.Context, q FollowRequest) (FollowReply, error) {
+	if s.configFollows == nil {
+		return FollowReply{}, status.Error(codes.Unimplemented, "this VM passes no configuration on")
+	}
+	return s.configFollows.follow(ctx, q)
+}
--- a/pkg/peersyncer/syncer.go
+++ b/pkg/peersyncer/syncer.go
@@ -11,15 +11,16 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/emptypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/acceptor"
+	"github.com/dogwoodledge/dogwoodledge/pkg/clocker"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watchdog"
 	"github.com/dogwoodledge/dogwoodledge/pkg/watcher"
 )
 
@@ -27,9 +28,14 @@
 	// fetchInterval is the time between two fetches from a peer while the store is lost: several fit into the time within
 	// which a new configuration has to become active.
 	fetchInterval = 500 * time.Millisecond
-	fetchTimeout  = 400 * time.Millisecond
-	// watchLead is how long a VM waits for its own watch once it has learned that a peer has a newer configuration.
-	watchLead = 150 * time.Millisecond
+	// fetchTimeout bounds the wait for the beginning of a peer's answer, and the time between two parts of it; fetchLimit bounds
+	// all.
+	fetchTimeout = 400 * time.Millisecond
+	fetchLimit   = 5 * time.Second
+	// watchLead is how long a VM waits for its own watch once it has learned that a peer has a newer configuration, sharedLead if
+	// other VMs pass the configuration on: it takes a step from VM to VM, and another one if a source is silent.
+	watchLead  = 150 * time.Millisecond
+	sharedLead = 800 * time.Millisecond
 	// MaxConnections bounds the connections of other VMs: the VMs of a region that read a large table from this one keep one each.
 	// maxPerVM bounds those of one address.
 	MaxConnections = 256
@@ -38,8 +44,8 @@
 	maxCallBytes = 4 << 10
 	maxHeadBytes = 8 << 10
 	maxCalls     = 4
-	// handshakeTimeout is how long a new connection may take to open its first call's connection; idleTimeout closes those without a
-	// call, and ageLimit those that stay.
+	// handshakeTimeout is how long a new connection may take to open its first call's connection; idleTimeout closes those
+	// without a call, and ageLimit those that stay.
 	handshakeTimeout = 3 * time.Second
 	idleTimeout      = 5 * time.Second
 	ageLimit         = 30 * time.Second
@@ -78,9 +84,12 @@
 	watcher *watcher.Watcher
 	sources []Source
 	follows *follows
-	peers   Peers
-	log     logrus.FieldLogger
-	server  *grpc.Server
+	// config is the table of the configuration if it may be passed on, configFollows its followers.
+	config        *Table
+	configFollows *follows
+	peers         Peers
+	log           logrus.FieldLogger
+	server        *grpc.Server
 	// Connections counts what happened to other VMs' connections.
 	Connections acceptor.Counters
 	// heardVersion is the version up to which peers sent the changes of the endpoints.
@@ -103,7 +112,13 @@
 }
 
 // PassOn makes the syncer pass the table on to VMs that follow it, as one in the availability zone; call it before Start.
-func (s *Syncer) PassOn(t *Table, zone string) { s.follows = newFollows(s.watcher, t, zone) }
+func (s *Syncer) PassOn(t *Table, zone string) { s.follows = newFollows(endpoints{s.watcher, t}, zone) }
+
+// PassConfigOn makes the syncer pass the configuration on to VMs that follow it; call it before Start.
+func (s *Syncer) PassConfigOn(t *Table, zone string) {
+	s.config, s.configFollows = t, newFollows(configuration{s.watcher, clocker.Now}, zone)
+	s.configFollows.isFromArrival = true
+}
 
 // Start serves peers, and fetches from them while the store is lost, until ctx ends. It returns an error if it can't listen.
 func (s *Syncer) Start(ctx context.Context) error {
@@ -118,7 +133,9 @@
 			MaxConnectionIdle: idleTimeout, MaxConnectionAge: ageLimit, MaxConnectionAgeGrace: snapshotTimeout,
 		}),
 	)
-	s.server.RegisterService(serviceDesc(), &Server{watcher: s.watcher, sources: s.sources, follows: s.follows})
+	s.server.RegisterService(serviceDesc(), &Server{
+		watcher: s.watcher, sources: s.sources, follows: s.follows, configFollows: s.configFollows,
+	})
 	go s.runServer(acceptor.New(
 		socket, acceptor.Config{Name: "vms", Connections: MaxConnections, PerAddress: maxPerVM}, &s.Connections, s.log))
 	go s.runFetch(ctx)
@@ -171,7 +188,11 @@
 }
 
 func (s *Syncer) fetchNewer(ctx context.Context, n newerConfig) {
-	if !sleeper.Sleep(ctx, watchLead) {
+	lead := watchLead
+	if s.config != nil && s.config.isShared() {
+		lead = sharedLead
+	}
+	if !sleeper.Sleep(ctx, lead) {
 		return
 	}
 	known := s.watcher.Current().ConfigRow.Version
@@ -229,11 +250,11 @@
 
 // fetch asks the peer for news and applies them. A peer of a build without this call sends all rows.
 func (s *Syncer) fetch(ctx context.Context, peer netip.AddrPort, q newsRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	conn, err := grpc.NewClient(peer.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	ctx, dog := watchdog.Start(ctx, watchdog.Limits{Answer: fetchTimeout, Stall: fetchTimeout, Total: fetchLimit})
+	defer dog.Stop()
+	conn, err := dial(peer, func() *watchdog.Watchdog { return dog })
 	if err != nil {
-		return errors.Wrap(err, "create gRPC client")
+		return err
 	}
 	defer func() { _ = conn.Close() }()
 	reply := newsReply{}
--- a/pkg/peersyncer/table.go
+++ b/pkg/peersyncer/table.go
@@ -12,8 +12,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/distributor"
+	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 	"github.com/dogwoodledge/dogwoodledge/pkg/storer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/watchdog"
 )
 
 const (
@@ -23,9 +25,12 @@
 	smallRows = 400
 	// followWait bounds the wait of a call for changes, to the store or a peer, so that the age of what a VM knows stays low.
 	followWait = 300 * time.Millisecond
-	// followSlack is added to the wait: a round trip within a region, and a source that is busy.
+	// followSlack is added to the wait: a round trip within a region, and a source that is busy. It also bounds the time between
+	// two parts of the answer, and followLimit a whole call.
 	followSlack = 400 * time.Millisecond
-	// snapshotWait is how long a source may take to read the table itself before it passes it on, snapshotTimeout bounds the call.
+	followLimit = 5 * time.Second
+	// snapshotWait is how long a source may take to read the table itself before it passes it on, snapshotTimeout how long the
+	// beginning of its answer may take.
 	snapshotWait    = 1500 * time.Millisecond
 	snapshotTimeout = 2500 * time.Millisecond
 	// probeWait is the wait up to which a call asks whether the store is there, which no peer can answer.
@@ -44,20 +49,22 @@
 	AddressOf(vm string) (netip.AddrPort, bool)
 }
 
-// Caller calls Follow at another VM.
+// Caller calls Follow at another VM. The watchdog of the context, if any, learns of the answer's progress.
 type Caller interface {
 	Follow(ctx context.Context, addr netip.AddrPort, q FollowRequest) (FollowReply, error)
 }
 
-// Table is a table service in which one table is read from other VMs while it has many rows.
+// Table is a table service in which one table is read from other VMs while it has many rows, or while the region has many VMs.
 //
-// It passes all other calls to the store as they are, and all calls while that table has few rows.
+// It passes all other calls to the store as they are, and all calls while neither holds.
 type Table struct {
 	storer.Table
-	name   string
-	fleet  Fleet
-	caller Caller
-	log    logrus.FieldLogger
+	name string
+	// hasLargeRow says that the number of VMs decides, and not the number of rows.
+	hasLargeRow bool
+	fleet       Fleet
+	caller      Caller
+	log         logrus.FieldLogger
 
 	isLarge atomic.Bool
 	// onLarge is called when isLarge changes.
@@ -81,6 +88,9 @@
 type TableConfig struct {
 	// Name is the table's name, Zone this VM's availability zone.
 	Name, Zone string
+	// HasLargeRow says that the table has a row that is large: it is read from other VMs if the region has many of them, and the
+	// fields below are not used.
+	HasLargeRow bool
 	// IsLarge says that the table was large for an earlier process of this VM.
 	IsLarge bool
 	// OnLarge is called when the table becomes large or small; it must not block.
@@ -90,7 +100,7 @@
 // NewTable returns a table service on top of the store.
 func NewTable(c TableConfig, store storer.Table, fleet Fleet, caller Caller, log logrus.FieldLogger) *Table {
 	t := &Table{
-		Table: store, name: c.Name, fleet: fleet, caller: caller, onLarge: c.OnLarge,
+		Table: store, name: c.Name, hasLargeRow: c.HasLargeRow, fleet: fleet, caller: caller, onLarge: c.OnLarge,
 		log: log.WithField("table", c.Name), follower: distributor.NewFollower(c.Zone),
 	}
 	t.isLarge.Store(c.IsLarge)
@@ -98,7 +108,21 @@
 }
 
 // Direct returns the store itself, for reads that must not be of an older state than the store's.
-func (t *Table) Direct() storer.Table { return t.Table }
+func (t *Table) Direct() storer.Table {
+	if inner, ok := t.Table.(*Table); ok {
+		return inner.Direct()
+	}
+	return t.Table
+}
+
+// isShared reports whether the table is read from other VMs.
+func (t *Table) isShared() bool {
+	if !t.hasLargeRow {
+		return t.isLarge.Load()
+	}
+	place, ok := t.fleet.Place()
+	return ok && place.IsCrowded()
+}
 
 // ObserveRows tells how many rows the table has.
 func (t *Table) ObserveRows(n int) {
@@ -118,8 +142,8 @@
 	t.onLarge(isLarge)
 }
 
-// Age returns the time since which changes acknowledged by the store may be unknown, or the maximum duration if the table was not
-// read yet.
+// Age returns the time since which changes acknowledged by the store may be unknown, or the maximum duration if the table was
+// not read yet.
 func (t *Table) Age(now time.Time) time.Duration {
 	at := t.asOf.Load()
 	if at == nil {
@@ -150,9 +174,12 @@
 	if r.From != "" {
 		return t.scanStore(ctx, r)
 	}
-	if !t.isLarge.Load() {
+	if t.hasLargeRow {
+		t.awaitPlace(ctx)
+	}
+	if !t.isShared() {
 		page, err := t.scanStore(ctx, r)
-		if err != nil || !page.HasMore {
+		if err != nil || !page.HasMore || t.hasLargeRow {
 			return page, err
 		}
 		t.setLarge(true)
@@ -197,7 +224,7 @@
 	if !ok {
 		return storer.Page{}, false
 	}
-	return storer.Page{Entries: t.entriesOf(reply), Version: reply.Version}, true
+	return t.pageOf(reply), true
 }
 
 // awaitPlace waits until the list of VMs is known, at most for listWait.
@@ -214,7 +241,7 @@
 	if table != t.name {
 		return t.Table.Watch(ctx, table, after, wait)
 	}
-	if !t.isLarge.Load() || wait <= probeWait {
+	if !t.isShared() || wait <= probeWait {
 		return t.watchStore(ctx, after, wait)
 	}
 	wait = min(wait, followWait)
@@ -225,7 +252,7 @@
 	if reply.IsLost {
 		return storer.Page{}, &storer.HistoryLostError{Table: table, After: after}
 	}
-	return storer.Page{Entries: t.entriesOf(reply), Version: reply.Version}, nil
+	return t.pageOf(reply), nil
 }
 
 func (t *Table) watchStore(ctx context.Context, after int64, wait time.Duration) (storer.Page, error) {
@@ -313,9 +340,19 @@
 	if !ok {
 		return FollowReply{}, errors.New("its address is unknown")
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return t.caller.Follow(ctx, addr, q)
+	ctx, dog := watchdog.Start(ctx, watchdog.Limits{Answer: timeout, Stall: followSlack, Total: followLimit})
+	defer dog.Stop()
+	reply, err := t.caller.Follow(ctx, addr, q)
+	if err != nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return reply, err
+}
+
+// pageOf returns the page that another VM passed on.
+func (t *Table) pageOf(r FollowReply) storer.Page {
+	age := time.Duration(r.AgeMs) * time.Millisecond
+	return storer.Page{Entries: t.entriesOf(r), Version: r.Version, Age: option.Some(age)}
 }
 
 func (t *Table) entriesOf(r FollowReply) []storer.Entry {
--- a/pkg/storer/table.go
+++ b/pkg/storer/table.go
@@ -33,6 +33,9 @@
 	HasMore bool
 	// Clock is the time of the store's steady clock when it answered; none if it did not say.
 	Clock option.Option[time.Duration]
+	// Age is how old the page's knowledge was when the call reached the VM that passed it on, negative if it is newer than that;
+	// none if the store answered itself.
+	Age option.Option[time.Duration]
 }
 
 // Change is a set of writes that takes effect together, or not at all when a row of Expect has another version.
--- a/pkg/watchdog/watchdog.go
+++ b/pkg/watchdog/watchdog.go
@@ -18,8 +18,8 @@
 	Total time.Duration
 }
 
-// StallError says that a call made no progress for the time After, or took longer than its total limit, once it had brought Bytes
-// bytes of its answer.
+// StallError says that a call made no progress for the time After, or took longer than its total limit, once it had brought
+// Bytes bytes of its answer.
 type StallError struct {
 	After time.Duration
 	Bytes int64
@@ -51,7 +51,10 @@
 	bytes int64
 }
 
-type answerKey struct{}
+type (
+	answerKey struct{}
+	ownKey    struct{}
+)
 
 // LimitAnswer returns a context whose calls wait at most d for the beginning of their answers; a large answer may take longer.
 func LimitAnswer(ctx context.Context, d time.Duration) context.Context {
@@ -69,7 +72,13 @@
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(l.Answer, w.expire)
 	w.wait(l.Answer)
-	return ctx, w
+	return context.WithValue(ctx, ownKey{}, w), w
+}
+
+// Of returns the watchdog of the call that the context is for; nil if it has none.
+func Of(ctx context.Context) *Watchdog {
+	w, _ := ctx.Value(ownKey{}).(*Watchdog)
+	return w
 }
 
 // wait sets the time at which the call ends without further progress; the lock is held.
--- a/pkg/watchdog/watchdog_test.go
+++ b/pkg/watchdog/watchdog_test.go
@@ -23,12 +23,17 @@
 	}{
 		{"no answer", nil, nil, 2 * time.Second, StallError{After: 2 * time.Second}},
 		{
-			"no answer to a request that took long", []time.Duration{1500 * time.Millisecond, 1500 * time.Millisecond}, nil,
-			5 * time.Second, StallError{After: 2 * time.Second},
+			"no answer to a request that took long",
+			[]time.Duration{1500 * time.Millisecond, 1500 * time.Millisecond},
+			nil,
+			5 * time.Second,
+			StallError{After: 2 * time.Second},
 		},
 		{
-			"an answer that stops", nil, []time.Duration{time.Second, 400 * time.Millisecond, 400 * time.Millisecond},
-			2300 * time.Millisecond, StallError{After: 500 * time.Millisecond, Bytes: 3},
+			"an answer that stops", nil,
+			[]time.Duration{time.Second, 400 * time.Millisecond, 400 * time.Millisecond},
+			2300 * time.Millisecond,
+			StallError{After: 500 * time.Millisecond, Bytes: 3},
 		},
 		{
 			"an answer without end", nil, repeat(450*time.Millisecond, 30), 10 * time.Second,
--- a/pkg/watcher/feed.go
+++ b/pkg/watcher/feed.go
@@ -37,6 +37,8 @@
 	Version int64
 	// IsFull says that Entries holds all rows of the table: any other row does not exist. Changes before it may have been missed.
 	IsFull bool
+	// IsFromPeer says that another VM passed the rows on.
+	IsFromPeer bool
 	// StoreBackAt is the time at which the store first answered again after the last failed call; it is zero if none failed.
 	StoreBackAt time.Time
 }
@@ -88,28 +90,40 @@
 // SetMaxWatch sets the function that bounds the wait of each watch, unless it returns 0; call it before Start.
 func (f *Feed) SetMaxWatch(limit func() time.Duration) { f.maxWatch = limit }
 
-// AsOf returns the time since boot as of which all changes of the table are received, as the store's answers to watches prove it;
-// false if none has.
+// SetClock sets the function that returns the time since boot; call it before Start.
+func (f *Feed) SetClock(now func() time.Duration) { f.now = now }
+
+// AsOf returns the time since boot as of which all changes of the table are received, as the store's answers to watches prove
+// it; false if none has.
 func (f *Feed) AsOf() (time.Duration, bool) {
 	asOf := f.asOf.Load()
 	return time.Duration(asOf), asOf != 0
 }
 
-// watch calls the store's watch. The function that it returns records how new the rows are; it is to be called with the lock held
-// once the page's rows are passed on.
+// watch calls the store's watch. The function that it returns records how new the rows are; it is to be called with the lock
+// held once the page's rows are passed on.
 func (f *Feed) watch(
 	ctx context.Context, store storer.Table, version int64, wait time.Duration,
 ) (storer.Page, func(), error) {
 	sentAt := f.now()
 	page, err := store.Watch(ctx, f.table, version, wait)
-	receivedAt := f.now()
-	return page, func() {
-		if err == nil && !page.HasMore {
+	if err != nil || page.HasMore {
+		return page, func() {}, err
+	}
+	return page, f.observer(sentAt, f.now(), page), nil
+}
+
+// observer returns a function that records how new the rows are once a page, which completes them, is passed on.
+func (f *Feed) observer(sentAt, receivedAt time.Duration, page storer.Page) func() {
+	return func() {
+		if age, ok := page.Age.Get(); ok {
+			f.freshness.ObserveAge(sentAt, age)
+		} else {
 			f.freshness.Observe(sentAt, receivedAt, page.Clock)
-			asOf, _ := f.freshness.AsOf()
-			f.asOf.Store(int64(asOf))
 		}
-	}, err
+		asOf, _ := f.freshness.AsOf()
+		f.asOf.Store(int64(asOf))
+	}
 }
 
 // watchWait returns the wait of the next watch; the lock is held.
@@ -185,8 +199,8 @@
 	}
 	f.mu.Unlock()
 	if !isSynced {
-		u, err := f.scan(ctx, f.store)
-		return f.handleResult(ctx, u, func() {}, err)
+		u, observe, err := f.scan(ctx, f.store)
+		return f.handleResult(ctx, u, observe, err)
 	}
 	page, observe, err := f.watch(ctx, f.store, version, wait)
 	lost := (*storer.HistoryLostError)(nil)
@@ -201,7 +215,7 @@
 	if err == nil {
 		f.historyLosses = 0
 	}
-	return f.handleResult(ctx, Update{Entries: page.Entries, Version: page.Version}, observe, err)
+	return f.handleResult(ctx, updateOf(page), observe, err)
 }
 
 func (f *Feed) handleLostHistory(version int64) {
@@ -211,20 +225,35 @@
 	f.isSynced = false
 }
 
-// scan reads all partitions; the update has the lowest of their versions, so that no change is missed.
-func (f *Feed) scan(ctx context.Context, store storer.Table) (Update, error) {
-	u := Update{IsFull: true}
+// scan reads all partitions; the update has the lowest of their versions, so that no change is missed. The function that it
+// returns records how new the rows are, if they were read at one moment.
+func (f *Feed) scan(ctx context.Context, store storer.Table) (Update, func(), error) {
+	u, observe := Update{IsFull: true}, func() {}
 	for n, p := range f.partitions {
-		entries, version, err := storer.ScanAll(ctx, store, storer.Range{Table: f.table, Partition: p})
+		isFirst, sentAt := n == 0, f.now()
+		err := storer.ScanPages(ctx, store, storer.Range{Table: f.table, Partition: p}, func(page storer.Page) {
+			u.Entries = append(u.Entries, page.Entries...)
+			if _, isFromPeer := page.Age.Get(); isFromPeer {
+				u.IsFromPeer = true
+			}
+			if isFirst && len(f.partitions) == 1 && !page.HasMore {
+				observe = f.observer(sentAt, f.now(), page)
+			}
+			if isFirst || page.Version < u.Version {
+				u.Version, isFirst = page.Version, false
+			}
+		})
 		if err != nil {
-			return u, err
-		}
-		u.Entries = append(u.Entries, entries...)
-		if n == 0 || version < u.Version {
-			u.Version = version
+			return u, func() {}, err
 		}
 	}
-	return u, nil
+	return u, observe, nil
+}
+
+// updateOf returns the update of a page of changes.
+func updateOf(page storer.Page) Update {
+	_, isFromPeer := page.Age.Get()
+	return Update{Entries: page.Entries, Version: page.Version, IsFromPeer: isFromPeer}
 }
 
 // handleResult passes on the update of a successful call and then calls observe, or records the failure and returns err.
--- a/pkg/watcher/refresh.go
+++ b/pkg/watcher/refresh.go
@@ -90,16 +90,16 @@
 		if err != nil {
 			return err
 		}
-		f.pass(Update{Entries: page.Entries, Version: page.Version}, observe)
+		f.pass(updateOf(page), observe)
 		if version = page.Version; !page.HasMore {
 			return nil
 		}
 	}
-	u, err := f.scan(ctx, store)
+	u, observe, err := f.scan(ctx, store)
 	if err != nil {
 		return err
 	}
-	f.pass(u, func() {})
+	f.pass(u, observe)
 	return nil
 }
 
--- a/pkg/watcher/watcher.go
+++ b/pkg/watcher/watcher.go
@@ -56,8 +56,10 @@
 	endpointsVersion, fullVersion int64
 	// keptFrom is the lowest version of the rows that are kept around an outage; 0 if there are none.
 	keptFrom int64
-	// updated is closed, and replaced, when endpointsVersion or keptFrom changes.
-	updated      chan struct{}
+	// updated is closed, and replaced, when endpointsVersion or keptFrom changes, configUpdated when configRow does.
+	updated, configUpdated chan struct{}
+	// rejectedRow is the version of the newest row of the configuration that can't be decoded.
+	rejectedRow  int64
 	configRow    storer.Entry
 	configSource registrar.ConfigRow
 	cfg          *registrar.Config
@@ -80,7 +82,7 @@
 ) *Watcher {
 	w := &Watcher{
 		decoder: d, log: log, onChange: onChange, rows: map[string]endpointRow{}, leaving: registrar.Leaving{},
-		updated: make(chan struct{}),
+		updated: make(chan struct{}), configUpdated: make(chan struct{}),
 	}
 	w.config = NewFeed(store, d.ConfigTable, []string{""}, w.applyConfigUpdate, log)
 	w.endpoints = NewFeed(store, d.EndpointTable, []string{""}, w.applyEndpointUpdate, log)
@@ -96,8 +98,11 @@
 // before Start.
 func (w *Watcher) SetMaxConfigWatch(limit func() time.Duration) { w.config.SetMaxWatch(limit) }
 
-// ConfigAsOf returns the time since boot as of which the store's configuration is known here; false if it never was. What a peer
-// passes on does not renew it.
+// SetClock sets the function that returns the time since boot, for the configuration; call it before Start.
+func (w *Watcher) SetClock(now func() time.Duration) { w.config.SetClock(now) }
+
+// ConfigAsOf returns the time since boot as of which the store's configuration is known here; false if it never was. A row
+// that a peer sends does not renew it; the answers of a VM that passes the configuration on do, by the age that they state.
 func (w *Watcher) ConfigAsOf() (time.Duration, bool) { return w.config.AsOf() }
 
 // Start follows both tables until ctx ends.
@@ -128,8 +133,8 @@
 // EndpointsVersion returns the store's version up to which the feed has brought all changes of the endpoints.
 func (w *Watcher) EndpointsVersion() int64 { return w.endpoints.Version() }
 
-// EndpointChanges holds rows of endpoints for another VM.
-type EndpointChanges struct {
+// Changes holds rows of a table for another VM.
+type Changes struct {
 	Entries []storer.Entry
 	// Version is the version up to which the changes are complete.
 	Version int64
@@ -139,6 +144,8 @@
 type Complete struct {
 	// Since is the version of the last full read; Until is 0 before the first one.
 	Since, Until int64
+	// Changed is the version up to which rows may have changed: there is none between it and Until.
+	Changed int64
 }
 
 // EndpointsComplete returns the versions of which all changes of the endpoints may be passed on.
@@ -149,6 +156,7 @@
 	if w.keptFrom > 0 {
 		c.Until = min(c.Until, w.keptFrom-1)
 	}
+	c.Changed = c.Until
 	return c
 }
 
@@ -167,10 +175,10 @@
 
 // EndpointsAfter returns the rows of endpoints, including removed ones, whose versions are later. Those of endpoints that are
 // kept around an outage are left out, and the changes are complete only up to the first of these.
-func (w *Watcher) EndpointsAfter(after int64) EndpointChanges {
+func (w *Watcher) EndpointsAfter(after int64) Changes {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c := EndpointChanges{Version: w.endpointsVersion}
+	c := Changes{Version: w.endpointsVersion}
 	for id, row := range w.rows {
 		switch {
 		case !row.expires.IsZero():
@@ -231,11 +239,44 @@
 	return w.configRow.Version
 }
 
+// ConfigComplete returns the versions of which the configuration may be passed on. There is no gap: a row replaces all earlier
+// ones.
+func (w *Watcher) ConfigComplete() Complete {
+	known := w.config.Version()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.configRow.Version == 0 || w.rejectedRow > w.configRow.Version {
+		return Complete{}
+	}
+	return Complete{Until: max(known, w.configRow.Version), Changed: w.configRow.Version}
+}
+
+// ConfigUpdated returns a channel that is closed when another row of the configuration becomes active.
+func (w *Watcher) ConfigUpdated() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.configUpdated
+}
+
+// ConfigAfter returns the row of the active configuration if its version is later.
+func (w *Watcher) ConfigAfter(after int64) Changes {
+	c := Changes{Version: w.ConfigComplete().Until}
+	if e := w.ConfigEntry(); e.Version > after {
+		c.Entries, c.Version = []storer.Entry{e}, max(c.Version, e.Version)
+	}
+	return c
+}
+
 func (w *Watcher) applyConfigUpdate(u Update) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range u.Entries {
-		if e.Key == w.decoder.ConfigKey {
+		if e.Key != w.decoder.ConfigKey {
+			continue
+		}
+		if u.IsFromPeer {
+			w.applyConfig(e, sourcePeer)
+		} else {
 			w.applyConfig(e, sourceStore)
 		}
 	}
@@ -254,6 +295,7 @@
 	}
 	cfg, err := w.decoder.Config(e.Value)
 	if err != nil {
+		w.rejectedRow = e.Version
 		w.log.WithError(err).WithField("row", e.Version).Error("configuration row rejected; the active configuration stays")
 		return
 	}
@@ -263,6 +305,8 @@
 		return
 	}
 	w.configRow, w.cfg = e, cfg
+	close(w.configUpdated)
+	w.configUpdated = make(chan struct{})
 	w.configSource = registrar.ConfigRow{Version: e.Version, Source: source, ActiveSince: time.Now()}
 	w.log.WithFields(logrus.Fields{"version": cfg.Version, "row": e.Version, "routes": len(cfg.Routes), "source": source}).
 		Info("configuration in force")
@@ -358,8 +402,8 @@
 	return row
 }
 
-// applyEndpoint applies a row unless a newer one is known. An endpoint that is removed before keepUntil stays usable until then,
-// because it may only have to register again. The lock is held.
+// applyEndpoint applies a row unless a newer one is known. An endpoint that is removed before keepUntil stays usable until
+// then, because it may only have to register again. The lock is held.
 func (w *Watcher) applyEndpoint(row decodedRow, now, keepUntil time.Time) {
 	e := row.entry
 	old := w.rows[e.Key]
