scout: a VM with sound links says so though an endpoint has ended

TestQuestionsAreAnswered/an_unknown_one failed in 6 of 40 runs: the answer to another VM's question said that nothing is known. Traced: the question names an endpoint that is not registered, so the VM tries one other to learn whether its own links are sound, drawn at random, and the test has one of six that has ended. The test is right, the answer was wrong: one ended endpoint hid the links of a VM that reaches five others, so a VM that asked after the end of an endpoint learned less than its peers knew.

Up to three others are tried at once, and one that takes the connection is enough.

--- a/pkg/scout/peers.go
+++ b/pkg/scout/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/surveyor"
 	"github.com/dogwoodledge/dogwoodledge/pkg/sleeper"
 )
@@ -15,6 +16,8 @@
 	answerTimeout = 2*surveyor.ProbeTimeout + 50*time.Millisecond
 	// maxAnswering bounds the questions of other VMs that this VM answers at a time. Others remain without an answer.
 	maxAnswering = 32
+	// maxOthers is the number of endpoints that are tried to learn whether this VM's links are sound: a single one may have ended.
+	maxOthers = 3
 )
 
 // Peers reaches other VMs.
@@ -128,16 +131,23 @@
 
 // reachesAny reports whether a connection to any of the endpoints can be opened.
 func (s *Scout) reachesAny(ctx context.Context, ids []string) bool {
-	endpoints := s.registry().Endpoints
-	results := make(chan bool, len(ids))
-	asked := 0
+	registered := s.registry().Endpoints
+	var endpoints []registrar.Endpoint
 	for _, id := range ids {
-		if e, ok := endpoints[id]; ok {
-			asked++
-			go func() { results <- s.probe(ctx, e) }()
+		if e, ok := registered[id]; ok {
+			endpoints = append(endpoints, e)
 		}
 	}
-	for range asked {
+	return s.probeAny(ctx, endpoints)
+}
+
+// probeAny opens connections to the endpoints at once, and reports whether one of them is established.
+func (s *Scout) probeAny(ctx context.Context, endpoints []registrar.Endpoint) bool {
+	results := make(chan bool, len(endpoints))
+	for _, e := range endpoints {
+		go func() { results <- s.probe(ctx, e) }()
+	}
+	for range endpoints {
 		if <-results {
 			return true
 		}
@@ -145,7 +155,7 @@
 	return false
 }
 
-// hearsOther reports whether an endpoint has shown life since the time, or another one than these does when it is asked.
+// hearsOther reports whether an endpoint has shown life since the time, or one of some others than these does when it is asked.
 func (s *Scout) hearsOther(ctx context.Context, since time.Time, asked []string) bool {
 	if s.HasHeardSince(since) {
 		return true
@@ -155,9 +165,9 @@
 		avoid[id] = true
 	}
 	s.mu.Lock()
-	chosen := s.choose(s.registry().Endpoints, surveyor.Probe{Count: 1, Avoid: avoid})
+	chosen := s.choose(s.registry().Endpoints, surveyor.Probe{Count: maxOthers, Avoid: avoid})
 	s.mu.Unlock()
-	return len(chosen) > 0 && s.probe(ctx, chosen[0])
+	return s.probeAny(ctx, chosen)
 }
 
 // Vouches reports whether what failed at the endpoint since the time was the endpoint's failure: another endpoint has shown life
--- a/pkg/scout/scout_test.go
+++ b/pkg/scout/scout_test.go
@@ -186,6 +186,18 @@
 	}
 }
 
+// TestEndedEndpointHidesNoSoundLinks guards against an answer that tells nothing because the one other endpoint that was tried has
+// ended, though the VM reaches all the rest.
+func TestEndedEndpointHidesNoSoundLinks(t *testing.T) {
+	for range 60 {
+		l := newTestLinks(t, "e0")
+		assert.True(t, l.scout.hearsOther(t.Context(), time.Now(), []string{"other"}))
+		assert.LessOrEqual(t, l.dials.Load(), int64(maxOthers))
+	}
+	l := newTestLinks(t, "e0", "e1", "e2", "e3", "e4", "e5")
+	assert.False(t, l.scout.hearsOther(t.Context(), time.Now(), []string{"other"}))
+}
+
 // replies collects what a VM sends.
 type replies struct{ payloads chan []byte }
 
