--- a/pkg/commander/session.go
+++ b/pkg/commander/session.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, failed(errors.Wrapf(err, "reach VM at %s", addr))
 	}
-	if res.StatusCode < http.StatusBadRequest {
+	if res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusBadRequest {
 		return res, nil
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/pkg/dialer/errors.go
+++ b/pkg/dialer/errors.go
@@ -42,6 +42,15 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
 
+// StatusError says that an answer has a status that none may have.
+type StatusError struct {
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the answer has the status %03d, which is none", e.Status)
+}
+
 // UnnamedAnswerError says that an answer names no request, on a connection that has carried earlier ones. Whatever it states may
 // be about one of them.
 type UnnamedAnswerError struct {
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -18,6 +18,9 @@
 	maxStrays = 2
 	// maxStrayBytes is the size limit of a skipped answer.
 	maxStrayBytes = 1 << 20
+	// minStatus and maxStatus bound the statuses that an answer may have.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // Request holds what is sent to an endpoint.
@@ -115,7 +118,10 @@
 		if err != nil {
 			return nil, shorten(err)
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
+		if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+			return nil, &StatusError{Status: res.StatusCode}
+		}
+		if res.StatusCode < http.StatusOK {
 			if informational++; informational > maxInformational {
 				return nil, errors.Errorf("more than %d informational answers, the last one with status %d", maxInformational, res.StatusCode)
 			}
--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -36,6 +37,12 @@
 	isLeaving bool
 }
 
+// The statuses that an answer may have.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // send sends the request. Once mayBeSent is set, the outcome is NotRun only if the endpoint's response says so.
 func (x *exchange) send(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.mayBeSent.Store(true) }}
@@ -53,10 +60,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+		_ = res.Body.Close()
+		return nil, &StatusError{Status: res.StatusCode}
+	}
 	x.isLeaving = res.Header.Get(leavingHeader) != ""
 	return res, nil
 }
 
+// StatusError says that an answer has a status that none may have.
+type StatusError struct {
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the answer has the status %03d, which is none", e.Status)
+}
+
 // failureOutcome returns the outcome of an exchange that got no response.
 func (x *exchange) failureOutcome(err error) outcome.Outcome {
 	if x.mayBeSent.Load() {
--- /dev/null
+++ b/pkg/forwarder/mixed_test.go
@@ -0,0 +1,23 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+)
+
+// TestServiceAnswerNeedsAStatus guards against an answer whose status is none that is passed on.
+func TestServiceAnswerNeedsAStatus(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "099", "600"} {
+		d := newCuttingDispatcher(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 2\r\n\r\nok", false)
+		call := Call{Serves: testModel, Deadline: time.Now().Add(5 * time.Second)}
+		reply, err := d.Service(t.Context(), NewPools(), call, ServiceRequest{Method: http.MethodPost, Path: "/", Header: http.Header{}})
+		noStatus := (*StatusError)(nil)
+		assert.True(t, errors.As(err, &noStatus), "status %s: %v", status, err)
+		assert.Empty(t, reply.Body)
+	}
+}
