An answer that ends with its connection during the upload is whole only if the upload was

At such an end the dialer waits for the write of the request, and an error of it is an error of the answer (UploadBrokenError); so does the forwarder for plain services on the product's own interface. An endpoint that ends its answer early and reads on is served as before (TestAnswerThatEndsDuringTheUploadIsWhole). Batch items, streams, probes and the port between VMs read through the same exchange.

--- a/pkg/dialer/errors.go
+++ b/pkg/dialer/errors.go
@@ -51,6 +51,18 @@
 	return fmt.Sprintf("the answer has the status %03d, which is none", e.Status)
 }
 
+// UploadBrokenError says that an answer that ends with its connection ended before the request was written: the connection may
+// have been reset, and the answer a part.
+//
+// It does not wrap its cause, which may be io.EOF.
+type UploadBrokenError struct {
+	Cause error
+}
+
+func (e *UploadBrokenError) Error() string {
+	return "the connection ended before the request was written: " + e.Cause.Error()
+}
+
 // UnnamedAnswerError says that an answer names no request, on a connection that has carried earlier ones. Whatever it states may
 // be about one of them.
 type UnnamedAnswerError struct {
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -43,8 +43,9 @@
 	conn     *Conn
 	// stop keeps the end of the context from closing the connection; it returns false if that has begun already.
 	stop func() bool
-	// written receives the result of writing the request.
-	written    chan error
+	// written is closed once the request is written, or can't be: writeErr tells which.
+	written    chan struct{}
+	writeErr   error
 	isComplete bool
 	isClosed   bool
 }
@@ -54,7 +55,7 @@
 // When ctx ends, the connection is closed, which signals the endpoint to stop.
 func (p *Pool) Do(ctx context.Context, c *Conn, r Request) (*Exchange, error) {
 	start := time.Now()
-	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
+	x := &Exchange{pool: p, conn: c, written: make(chan struct{})}
 	p.observer.Exchanges(1)
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(step string, err error) (*Exchange, error) {
@@ -68,7 +69,7 @@
 		if err := writeRequest(c, r); err != nil {
 			return fail("write request", err)
 		}
-		x.written <- nil
+		close(x.written)
 	} else {
 		go x.runWrite(r)
 	}
@@ -87,7 +88,8 @@
 }
 
 func (x *Exchange) runWrite(r Request) {
-	x.written <- writeRequest(x.conn, r)
+	x.writeErr = writeRequest(x.conn, r)
+	close(x.written)
 }
 
 func writeRequest(w io.Writer, r Request) error {
@@ -151,10 +153,27 @@
 // Read reads the answer's body; io.EOF says that it is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
-	if err == io.EOF {
-		x.isComplete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
-	return n, err
+	if x.EndsAtClose() {
+		if err := x.checkUpload(); err != nil {
+			return n, err
+		}
+	}
+	x.isComplete = true
+	return n, io.EOF
+}
+
+// checkUpload returns an error if the request, whose answer ended with its connection, was not written whole.
+//
+// The kernel reports a reset once: if the write of the request gets the error, the read sees an end of the connection.
+func (x *Exchange) checkUpload() error {
+	<-x.written
+	if x.writeErr != nil {
+		return &UploadBrokenError{Cause: x.writeErr}
+	}
+	return nil
 }
 
 // EndsAtClose reports whether the answer has neither a length nor chunks, so that the end of its connection is its end.
@@ -184,8 +203,8 @@
 		return
 	}
 	select {
-	case err := <-x.written:
-		if err != nil {
+	case <-x.written:
+		if x.writeErr != nil {
 			_ = x.conn.Close()
 			return
 		}
--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -35,6 +35,8 @@
 	client    *http.Client
 	mayBeSent atomic.Bool
 	isLeaving bool
+	// written receives the result of writing the request.
+	written chan error
 }
 
 // The statuses that an answer may have.
@@ -45,7 +47,16 @@
 
 // send sends the request. Once mayBeSent is set, the outcome is NotRun only if the endpoint's response says so.
 func (x *exchange) send(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.mayBeSent.Store(true) }}
+	x.written = make(chan error, 1)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { x.mayBeSent.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case x.written <- info.Err:
+			default:
+			}
+		},
+	}
 	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
@@ -68,6 +79,18 @@
 	return res, nil
 }
 
+// awaitWritten returns an error unless the request was written whole.
+//
+// The kernel reports a reset once: if the write of the request gets the error, the read of the answer sees an end.
+func (x *exchange) awaitWritten(ctx context.Context) error {
+	select {
+	case err := <-x.written:
+		return errors.Wrap(err, "write request")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // StatusError says that an answer has a status that none may have.
 type StatusError struct {
 	Status int
--- a/pkg/forwarder/cut_test.go
+++ b/pkg/forwarder/cut_test.go
@@ -23,6 +23,28 @@
 // newCuttingDispatcher returns a dispatcher with one endpoint, which writes the answer to each request and closes or resets the
 // connection.
 func newCuttingDispatcher(t *testing.T, answer string, isReset bool) *Dispatcher {
+	t.Helper()
+	return newRawDispatcher(t, func(c net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, answer)
+		if isReset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+}
+
+// newEarlyDispatcher returns a dispatcher with one endpoint, which answers before it has read the body of a request, and then
+// closes the connection.
+func newEarlyDispatcher(t *testing.T, answer string) *Dispatcher {
+	t.Helper()
+	return newRawDispatcher(t, func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, answer)
+		time.Sleep(20 * time.Millisecond)
+	})
+}
+
+// newRawDispatcher returns a dispatcher with one endpoint, for which the function answers on each connection.
+func newRawDispatcher(t *testing.T, answer func(c net.Conn, r *http.Request)) *Dispatcher {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -39,11 +61,7 @@
 				if err != nil {
 					return
 				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, answer)
-				if isReset {
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
+				answer(c, r)
 			}()
 		}
 	}()
--- a/pkg/forwarder/service.go
+++ b/pkg/forwarder/service.go
@@ -81,7 +81,9 @@
 		err = errors.Errorf("answer is longer than %d bytes", MaxServiceAnswerBytes)
 	}
 	if err == nil && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
-		err = confirmer.AwaitOpen(ctx, t.Endpoint.Address)
+		if err = x.awaitWritten(ctx); err == nil {
+			err = confirmer.AwaitOpen(ctx, t.Endpoint.Address)
+		}
 	}
 	if err != nil {
 		return outcome.Unknown{Reason: err.Error()}, errors.Wrap(err, "read service's answer")
--- a/pkg/scout/scout_test.go
+++ b/pkg/scout/scout_test.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestEndedEndpointHidesNoSoundLinks guards against an answer that tells nothing because the one other endpoint that was tried has
-// ended, though the VM reaches all the rest.
+// TestEndedEndpointHidesNoSoundLinks guards against an answer that tells nothing because the one other endpoint that was tried
+// has ended, though the VM reaches all the rest.
 func TestEndedEndpointHidesNoSoundLinks(t *testing.T) {
 	for range 60 {
 		l := newTestLinks(t, "e0")
