--- a/pkg/dialer/errors.go
+++ b/pkg/dialer/errors.go
@@ -51,6 +51,14 @@
 	return fmt.Sprintf("the answer has the status %03d, which is none", e.Status)
 }
 
+// CheckStatus returns a *StatusError if the status is none that an answer may have.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return &StatusError{Status: status}
+	}
+	return nil
+}
+
 // UploadBrokenError says that an answer that ends with its connection ended before the request was written: the connection may
 // have been reset, and the answer a part.
 //
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -120,8 +120,8 @@
 		if err != nil {
 			return nil, shorten(err)
 		}
-		if res.StatusCode < minStatus || res.StatusCode > maxStatus {
-			return nil, &StatusError{Status: res.StatusCode}
+		if err := CheckStatus(res.StatusCode); err != nil {
+			return nil, err
 		}
 		if res.StatusCode < http.StatusOK {
 			if informational++; informational > maxInformational {
--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -18,6 +17,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/outcome"
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 )
 
 const (
@@ -39,12 +39,6 @@
 	written chan error
 }
 
-// The statuses that an answer may have.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 // send sends the request. Once mayBeSent is set, the outcome is NotRun only if the endpoint's response says so.
 func (x *exchange) send(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
 	x.written = make(chan error, 1)
@@ -71,9 +65,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+	if err := dialer.CheckStatus(res.StatusCode); err != nil {
 		_ = res.Body.Close()
-		return nil, &StatusError{Status: res.StatusCode}
+		return nil, err
 	}
 	x.isLeaving = res.Header.Get(leavingHeader) != ""
 	return res, nil
@@ -91,15 +85,6 @@
 	}
 }
 
-// StatusError says that an answer has a status that none may have.
-type StatusError struct {
-	Status int
-}
-
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("the answer has the status %03d, which is none", e.Status)
-}
-
 // failureOutcome returns the outcome of an exchange that got no response.
 func (x *exchange) failureOutcome(err error) outcome.Outcome {
 	if x.mayBeSent.Load() {
--- a/pkg/forwarder/mixed_test.go
+++ b/pkg/forwarder/mixed_test.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 )
 
 // TestServiceAnswerNeedsAStatus guards against an answer whose status is none that is passed on.
@@ -19,7 +21,7 @@
 		call := Call{Serves: testModel, Deadline: time.Now().Add(5 * time.Second)}
 		reply, err := d.Service(t.Context(), NewPools(), call,
 			ServiceRequest{Method: http.MethodPost, Path: "/", Header: http.Header{}})
-		noStatus := (*StatusError)(nil)
+		noStatus := (*dialer.StatusError)(nil)
 		assert.True(t, errors.As(err, &noStatus), "status %s: %v", status, err)
 		assert.Empty(t, reply.Body)
 	}
