itemrunner: a VM without a configuration starts no items

A VM that has just started may hold jobs before it knows any configuration. That was possible before; since most VMs of a large region read the configuration from other VMs it takes longer, up to 2.5 s if a source is silent, and so it happens.

--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -457,8 +457,11 @@
 
 // startItems starts waiting items, in the order of the plan, in the slots that were offered to them; the lock is held.
 func (r *Runner) startItems(ctx context.Context, now time.Time) {
-	r.planItems(now)
 	reg := r.registry()
+	if reg.Config == nil {
+		return
+	}
+	r.planItems(now)
 	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
 	hasRoom := r.hasRoomForItems()
 	for _, t := range r.boundFirst(r.waiting(now), reg) {
--- a/pkg/peersyncer/table.go
+++ b/pkg/peersyncer/table.go
@@ -219,8 +219,12 @@
 // snapshot reads all rows from a peer; false if the store is to be read.
 func (t *Table) snapshot(ctx context.Context) (storer.Page, bool) {
 	t.awaitPlace(ctx)
-	q := FollowRequest{IsFull: true, WaitMs: snapshotWait.Milliseconds()}
-	reply, ok := t.ask(ctx, q, snapshotTimeout)
+	wait, timeout := snapshotWait, snapshotTimeout
+	if t.hasLargeRow {
+		// A VM serves nobody before it has the row, and a source that is silent must not keep it long.
+		wait, timeout = followWait, followWait+followSlack
+	}
+	reply, ok := t.ask(ctx, FollowRequest{IsFull: true, WaitMs: wait.Milliseconds()}, timeout)
 	if !ok {
 		return storer.Page{}, false
 	}
