--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -8,14 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/balancer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
-	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
-	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -84,98 +81,6 @@
 	outputBytes, outputLimit int64
 }
 
-// jobState is a job that this VM runs.
-type jobState struct {
-	id  string
-	due time.Time
-	// host is the Host header of the items' requests; with pathPrefix it identifies the route that accepted the job.
-	host       string
-	pathPrefix string
-	// account is the name of the account that submitted the job; empty if it has none. It is set before the items are.
-	account string
-	items   []jobmanager.Item
-	tasks   map[int]*task
-	// saved holds the saved output of each item that had a checkpoint when the job was last loaded. loaded holds the items that
-	// were this VM's to run since before then: the output of any other may have been saved since.
-	saved     map[int]jobmanager.Checkpoint
-	loaded    map[int]bool
-	isLoading bool
-	retryLoad time.Time
-}
-
-// route returns the route that accepted the job, as it is configured now; false if it was removed.
-func (j *jobState) route(reg *registrar.Registry) (registrar.Route, bool) {
-	return reg.Config.Route(j.host, j.pathPrefix)
-}
-
-// task is an item of a held job, with the state of its runs on this VM.
-type task struct {
-	job   *jobState
-	index int
-	item  jobmanager.Item
-	// parts holds the ids of the shared parts of the item's prompt, and the part that stands for the item's whole request.
-	parts []string
-
-	*itemOutput
-	// idleSince is when its last run ended, or when this VM got the item.
-	idleSince time.Time
-	notBefore time.Time
-	run       *itemRun
-	// runTime is the total time of the earlier runs.
-	runTime time.Duration
-	// isLate says that the item is planned after all items that can still meet their due time.
-	isLate bool
-	isOver bool
-	// isHere says that the item is this VM's to run, and not only kept until its run ends, or its job being handed over.
-	isHere bool
-}
-
-// itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
-// reset, so that a checkpoint which is being written can't be taken for one of the next output.
-type itemOutput struct {
-	id string
-	// continues is the id of the saved output that this one goes on with; empty if it began with the first event.
-	continues string
-	// sequence is that of the events received.
-	sequence  continuer.Sequence
-	output    []byte
-	hasOutput bool
-	// begun is the software version that began the output; none while there is none.
-	begun option.Option[registrar.Software]
-	// savedBytes of the output, up to the event savedEvent, are in checkpoints.
-	savedBytes int
-	savedEvent int64
-	// hasSaved says that this VM has saved a checkpoint of the output.
-	hasSaved bool
-}
-
-func newItemOutput() *itemOutput {
-	return &itemOutput{id: uuid.NewString(), sequence: continuer.NewSequence(continuer.NoEvent), savedEvent: continuer.NoEvent}
-}
-
-// continued returns an output that goes on after what was saved of another one.
-func continued(c jobmanager.Checkpoint) *itemOutput {
-	return &itemOutput{
-		id: uuid.NewString(), continues: c.OutputID, sequence: continuer.NewSequence(c.LastEvent), output: c.Output, hasOutput: true,
-		begun: option.Some(c.Software), savedBytes: len(c.Output), savedEvent: c.LastEvent,
-	}
-}
-
-// itemRun is one run of an item at an endpoint.
-type itemRun struct {
-	endpoint registrar.Endpoint
-	ticket   *placer.Ticket
-	cancel   context.CancelCauseFunc
-	started  time.Time
-	// isProbe says that the run probes a quarantined part, isResumed that the endpoint was asked for the rest of an output.
-	isProbe, isResumed bool
-	progress           quarantiner.Progress
-	// firstEvent is the id of the run's first event, continuer.NoEvent before it; endsAtClose says that its answer has neither a
-	// length nor chunks. Both are for the log.
-	firstEvent  int64
-	endsAtClose bool
-}
-
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
@@ -455,122 +360,6 @@
 	t.run, t.idleSince = nil, time.Now()
 }
 
-// startItems starts waiting items, in the order of the plan, in the slots that were offered to them; the lock is held.
-func (r *Runner) startItems(ctx context.Context, now time.Time) {
-	reg := r.registry()
-	if reg.Config == nil {
-		return
-	}
-	r.planItems(now)
-	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
-	hasRoom := r.hasRoomForItems()
-	for _, t := range r.boundFirst(r.waiting(now), reg) {
-		route, ok := t.job.route(reg)
-		if route.Kind == registrar.KindUnsupported {
-			continue
-		}
-		if !ok || route.Kind != registrar.KindBatch {
-			r.abandonIfGone(t, reg)
-			continue
-		}
-		verdict := r.isolator.Check(t.parts)
-		if verdict.Part != "" && !verdict.IsProbeDue {
-			r.abandonIfOverdue(t, route, verdict.Part, now)
-			continue
-		}
-		if !hasRoom {
-			continue
-		}
-		service := route.ServiceFor(t.item.ID)
-		served := reg.SoftwareOf(service)
-		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
-			if verdict.Part != "" {
-				t.run.isProbe = r.isolator.BeginProbe(verdict.Part)
-			}
-			continue
-		}
-		due := t.job.due
-		if t.isLate {
-			due = now.Add(lateUrgency)
-		}
-		waiting[service] = append(waiting[service], due)
-		if bound, ok := continuer.BoundTo(t.begun, served).Get(); ok {
-			// Missing entries before this one are those of items that any version may run.
-			software := make([]registrar.Software, len(waiting[service]))
-			copy(software, boundTo[service])
-			software[len(software)-1] = bound
-			boundTo[service] = software
-		}
-	}
-	r.balancer.SetBound(boundTo)
-	r.balancer.SetWaiting(waiting)
-}
-
-// boundFirst returns the items with those first that only one of several software versions may run, so that no other item takes a
-// slot that was offered to them; the lock is held.
-func (r *Runner) boundFirst(list []*task, reg *registrar.Registry) []*task {
-	if !reg.IsMixed() {
-		return list
-	}
-	var bound, free []*task
-	for _, t := range list {
-		route, ok := t.job.route(reg)
-		if ok && route.Kind == registrar.KindBatch {
-			served := reg.SoftwareOf(route.ServiceFor(t.item.ID))
-			if _, ok := continuer.BoundTo(t.begun, served).Get(); ok {
-				bound = append(bound, t)
-				continue
-			}
-		}
-		free = append(free, t)
-	}
-	return append(bound, free...)
-}
-
-// startItem starts the item in a slot that was offered to the service's items; false if there is none where it may go on. The
-// lock is held.
-func (r *Runner) startItem(
-	ctx context.Context, now time.Time, t *task, route registrar.Route, service string, served []registrar.Software,
-) bool {
-	waited := now.Sub(t.idleSince)
-	if software, ok := t.begun.Get(); ok && software == continuer.Ambiguous {
-		// The output is from checkpoints of a build that did not record the version.
-		only, isKnown := r.onlySoftware(service, t.idleSince)
-		if !isKnown && waited < continuer.MaxAwait {
-			return false
-		}
-		if _, ok := only.Get(); ok {
-			t.begun = only
-		}
-	}
-	if !t.sequence.CanResume() {
-		// No id tells the endpoint where the output ended.
-		t.discardOutput()
-	}
-	e, ticket, ok := r.balancer.TakeOfferAt(service, func(e registrar.Endpoint) bool {
-		return continuer.At(t.begun, e, served, waited) != continuer.Await
-	})
-	if !ok {
-		return false
-	}
-	if continuer.At(t.begun, e, served, waited) == continuer.Restart {
-		r.log.WithFields(logrus.Fields{
-			"job": t.job.id, "item": t.item.ID, "lastEvent": t.sequence.Last(), "endpoint": e.ID, "softwareVersion": e.SoftwareVersion,
-		}).Info("output of item discarded: no slot at the software version that began it")
-		t.discardOutput()
-	}
-	runCtx, cancel := context.WithCancelCause(ctx)
-	t.run = &itemRun{endpoint: e, ticket: ticket, cancel: cancel, started: now, firstEvent: continuer.NoEvent}
-	go r.runItem(runCtx, t, t.run, route)
-	return true
-}
-
-// discardOutput makes the item's next run begin anew.
-func (t *task) discardOutput() { t.itemOutput = newItemOutput() }
-
-// lateUrgency is the time until due that the balancer receives for items that can no longer meet their due time.
-const lateUrgency = time.Minute
-
 // planInterval is the minimum time between two plans; an item's run spans many of them.
 const planInterval = 50 * time.Millisecond
 
@@ -613,40 +402,6 @@
 	}
 }
 
-// waiting returns the items of the plan that may be started now; the lock is held.
-func (r *Runner) waiting(now time.Time) []*task {
-	var waiting []*task
-	for _, t := range r.plan {
-		if t.run == nil && t.isHere && !t.isOver && !now.Before(t.notBefore) && !r.manager.IsFinished(t.job.id, t.index) {
-			waiting = append(waiting, t)
-		}
-	}
-	return waiting
-}
-
-// abandonIfGone abandons an item whose route the configuration no longer has. It waits until this VM has the configuration
-// that allowed the job.
-func (r *Runner) abandonIfGone(t *task, reg *registrar.Registry) {
-	if reg.Config.Version < r.manager.ConfigOf(t.job.id) {
-		return
-	}
-	r.log.WithFields(logrus.Fields{
-		"job": t.job.id, "item": t.item.ID, "config": reg.Config.Version,
-	}).Warn("item abandoned: its route is no longer configured")
-	r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
-}
-
-// abandonIfOverdue abandons an item with a quarantined part once its job is as old as the route allows; until then it waits.
-func (r *Runner) abandonIfOverdue(t *task, route registrar.Route, part string, now time.Time) {
-	if route.AbandonAfter <= 0 || r.manager.KnownFor(t.job.id, now) < route.AbandonAfter {
-		return
-	}
-	r.log.WithFields(logrus.Fields{
-		"job": t.job.id, "item": t.item.ID, "part": part, "after": route.AbandonAfter.String(),
-	}).Warn("item abandoned: a part of its prompt crashes endpoints")
-	r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
-}
-
 // finish passes the final result of an item to the job manager; the lock is held.
 func (r *Runner) finish(t *task, result jobmanager.Result) {
 	t.isOver = true
