itemrunner: the log says for what a batch item waits

Cause: an accepted item that lay had no line.

Change: startItems notes what each waiting item waits for (one line at each place where it skips or starts one), and a survey every 250 ms notes the causes that startItems does not see: pause after a run, VM leaves, partitioned or without configuration, hand-over, and items that the plan leaves out. A wait for one thing of a second has a line `batch item waits`, and `wait of batch item ended` with what follows. Ten lines a second for each cause, the longest waits first; `unlogged` counts waits that ended without one. What runs is unchanged. NextProbe gives the due time of a part for the line; it is no field of Verdict, since TestProbeRowsInAnyOrderGiveOneVerdict compares verdicts of two quarantiners that learn rows some us apart.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -129,6 +129,13 @@
 	return v
 }
 
+// NextProbe returns when the next probe of a part with strikes is due.
+func (i *Isolator) NextProbe(part string) time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.quarantiner.NextProbe(part)
+}
+
 // BeginProbe records that a request with the quarantined part is sent as a probe; it returns false if another one was.
 func (i *Isolator) BeginProbe(part string) bool {
 	i.mu.Lock()
--- a/pkg/itemrunner/runner.go
+++ b/pkg/itemrunner/runner.go
@@ -52,7 +52,7 @@
 	registry  func() *registrar.Registry
 	balancer  *balancer.Balancer
 	pool      *dialer.Pool
-	isolator  relayer.Isolator
+	isolator  Isolator
 	confirmer relayer.Confirmer
 	// onLeaving is called for each answer whose endpoint says that it leaves.
 	onLeaving func(registrar.Endpoint)
@@ -79,12 +79,13 @@
 	// outputBytes are those of the outputs that are held; it is exact after countOutputs, and too high between. outputLimit
 	// bounds them with those that are still to be written; 0 for no bound.
 	outputBytes, outputLimit int64
+	waits                    *waitRecorder
 }
 
 // New returns a runner; Start starts it. It calls onLeaving for each answer whose endpoint says that it leaves.
 func New(
 	h relayer.Headers, jm *jobmanager.Manager, registry func() *registrar.Registry, b *balancer.Balancer, p *dialer.Pool,
-	i relayer.Isolator, c relayer.Confirmer,
+	i Isolator, c relayer.Confirmer,
 	onlySoftware func(service string, at time.Time) (option.Option[registrar.Software], bool),
 	onLeaving func(registrar.Endpoint), m Metrics, log logrus.FieldLogger,
 ) *Runner {
@@ -92,6 +93,7 @@
 		headers: h, manager: jm, registry: registry, balancer: b, pool: p, isolator: i, confirmer: c, onlySoftware: onlySoftware,
 		onLeaving: onLeaving, metrics: m, log: log,
 		jobs: map[string]*jobState{}, estimator: scheduler.NewEstimator(), checkpointing: make(chan struct{}, 1),
+		waits: newWaitRecorder(),
 	}
 }
 
@@ -178,6 +180,7 @@
 	if !r.isLeaving && !r.isPartitioned {
 		r.startItems(ctx, now)
 	}
+	r.surveyWaits(now)
 }
 
 // syncJobs adds the jobs that this VM holds and their unfinished items, and starts to load what is new; the lock is held.
--- a/pkg/itemrunner/start.go
+++ b/pkg/itemrunner/start.go
@@ -27,23 +27,28 @@
 	for _, t := range r.boundFirst(r.waiting(now), reg) {
 		route, ok := t.job.route(reg)
 		if route.Kind == registrar.KindUnsupported {
+			r.waits.note(now, t, wait{cause: routeUnsupported})
 			continue
 		}
 		if !ok || route.Kind != registrar.KindBatch {
+			r.waits.note(now, t, wait{cause: routeUnknown})
 			r.abandonIfGone(t, reg)
 			continue
 		}
 		verdict := r.isolator.Check(t.parts)
 		if verdict.Part != "" && !verdict.IsProbeDue {
+			r.waits.note(now, t, wait{cause: quarantinedPart, part: verdict.Part})
 			r.abandonIfOverdue(t, route, verdict.Part, now)
 			continue
 		}
 		if !hasRoom {
+			r.waits.note(now, t, wait{cause: noOutputRoom})
 			continue
 		}
 		service := route.ServiceFor(t.item.ID)
 		served := reg.SoftwareOf(service)
 		if r.balancer.OfferCount(service) > 0 && r.startItem(ctx, now, t, route, service, served) {
+			r.waits.end(now, t, nextRun)
 			if verdict.Part != "" {
 				t.run.isProbe = r.isolator.BeginProbe(verdict.Part)
 			}
@@ -54,7 +59,9 @@
 			due = now.Add(lateUrgency)
 		}
 		waiting[service] = append(waiting[service], due)
-		if bound, ok := continuer.BoundTo(t.begun, served).Get(); ok {
+		only := continuer.BoundTo(t.begun, served)
+		r.waits.note(now, t, slotWait(service, only))
+		if bound, ok := only.Get(); ok {
 			// Missing entries before this one are those of items that any version may run.
 			software := make([]registrar.Software, len(waiting[service]))
 			copy(software, boundTo[service])
--- a/pkg/itemrunner/task.go
+++ b/pkg/itemrunner/task.go
@@ -58,6 +58,7 @@
 	isOver bool
 	// isHere says that the item is this VM's to run, and not only kept until its run ends, or its job being handed over.
 	isHere bool
+	wait   itemWait
 }
 
 // itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
