--- a/pkg/assembler/clients.go
+++ b/pkg/assembler/clients.go
@@ -35,7 +35,7 @@
 
 func newBodies(s platform.Settings) *bodyreader.Reader { return bodyreader.New(clientLimits(s).Budget) }
 
-// exportClients exports what is held for clients, and the counters of those that were refused or closed.
+// exportClients exports what is held for clients, the counters of those that were refused or closed, and the waits of items.
 func (g *gateway) exportClients() error {
 	for name, value := range map[string]func() int64{
 		"client_bytes_held": g.Bodies.Held, "client_connections": g.Listener.Connections.Open.Load,
@@ -64,7 +64,21 @@
 	if err := g.exportConnections("delegation", &g.Delegator.Connections); err != nil {
 		return err
 	}
-	return g.exportConnections("vm", &g.PeerSyncer.Connections)
+	if err := g.exportConnections("vm", &g.PeerSyncer.Connections); err != nil {
+		return err
+	}
+	return g.exportWaits()
+}
+
+// exportWaits exports what batch items wait for.
+func (g *gateway) exportWaits() error {
+	if err := g.Meter.GaugesBy("items_waiting",
+		"batch items of this VM that wait, by what they wait for", "cause", g.ItemRunner.WaitingItems); err != nil {
+		return err
+	}
+	return g.Meter.GaugesBy("items_waiting_oldest_ms",
+		"ms since the first of the waiting items had its last run or came to this VM, by what it waits for", "cause",
+		g.ItemRunner.OldestWaits)
 }
 
 var clientGauges = map[string]string{
--- a/pkg/tracer/meter.go
+++ b/pkg/tracer/meter.go
@@ -73,12 +73,7 @@
 // CountBy exports a counter with the values that the function returns, by the value of the label, when the metrics are read.
 func (m *Meter) CountBy(name, description, label string, values func() map[string]int64) error {
 	_, err := otel.Meter("dogwoodledge").Int64ObservableCounter(name, metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			for key, v := range values() {
-				o.Observe(v, metric.WithAttributes(attribute.String(label, key)))
-			}
-			return nil
-		}))
+		metric.WithInt64Callback(observeBy(label, values)))
 	return errors.Wrap(err, "set up metric "+name)
 }
 
@@ -93,6 +88,22 @@
 	return errors.Wrap(err, "set up metric "+name)
 }
 
+// GaugesBy exports the values that the function returns, by the value of the label, when the metrics are read.
+func (m *Meter) GaugesBy(name, description, label string, values func() map[string]int64) error {
+	_, err := otel.Meter("dogwoodledge").Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(observeBy(label, values)))
+	return errors.Wrap(err, "set up metric "+name)
+}
+
+func observeBy(label string, values func() map[string]int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		for key, v := range values() {
+			o.Observe(v, metric.WithAttributes(attribute.String(label, key)))
+		}
+		return nil
+	}
+}
+
 // RequestEnded counts an online request by route and outcome, and records how long it took.
 func (m *Meter) RequestEnded(route, outcome string, took time.Duration) {
 	m.ended.Add(context.Background(), 1,
