--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -24,6 +24,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/assembler"
 	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/loader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/peersyncer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/ratesharer"
@@ -76,8 +77,10 @@
 	gossiper *gossiper.Gossiper
 	// rateSharer is that of the VM's app.
 	rateSharer *ratesharer.Sharer
-	endpoints  *peersyncer.Table
-	watcher    *watcher.Watcher
+	// isolator is that of the VM's app.
+	isolator  *isolator.Isolator
+	endpoints *peersyncer.Table
+	watcher   *watcher.Watcher
 	// partition is between the VM and all endpoints, if the fleet is partitionable.
 	partition *partition
 }
@@ -259,7 +262,7 @@
 	s := f.settings(fmt.Sprintf("front-%d", len(f.vms)+1))
 	vm := &testVM{name: s.VM.ID, ip: s.IP, base: "http://" + s.Callers.String()}
 	opts := []fx.Option{
-		fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.rateSharer, &vm.endpoints, &vm.watcher),
+		fx.Replace(tracer.NewLogQueue(io.Discard)), fx.Populate(&vm.gossiper, &vm.rateSharer, &vm.isolator, &vm.endpoints, &vm.watcher),
 	}
 	if f.isPartitionable {
 		vm.partition = f.newPartition()
