assembler: items lie behind a part that they share (known red)

What callers see: items whose prompts share a quarantined part are neither listed nor running while engines are idle. The test stores three strikes against the part, and none, one or two further ends as of probes; the VM that holds the items is the last one in the part's order. It wants all items to begin within 5 s, or within 20 s after two ends: the users count no item as lost that failed within the last 20 s.

--- a/pkg/assembler/gateway_lying_items_known_red_test.go
+++ b/pkg/assembler/gateway_lying_items_known_red_test.go
@@ -5,12 +5,15 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
+	"github.com/dogwoodledge/dogwoodledge/pkg/gossiper"
+	"github.com/dogwoodledge/dogwoodledge/pkg/isolator"
 )
 
 // quarantine stores strikes against the part, of endpoints that ended that many seconds ago, and waits until all VMs know that it
@@ -37,6 +40,15 @@
 	return accepted
 }
 
+// itemsWith returns n items whose prompts share the part.
+func itemsWith(part string, n int) []jobItem {
+	items := newItems(n)
+	for n := range items {
+		items[n].Headers["X-Prompt-Prefix"] = part + fmt.Sprintf(":200,f%d:150", n)
+	}
+	return items
+}
+
 // TestItemIsNotLeftLyingAfterAnEndUnderItsProbe quarantines a sound item itself, and ends one more endpoint under its probe.
 func TestItemIsNotLeftLyingAfterAnEndUnderItsProbe(t *testing.T) {
 	for _, vms := range []int{1, 3} {
@@ -51,3 +63,48 @@
 		})
 	}
 }
+
+// lastPartOf returns a part in whose order of live VMs the VM is the last one.
+func (f *testFleet) lastPartOf(vm *testVM) string {
+	var live []gossiper.VMIncarnation
+	for n, other := range f.vms {
+		live = append(live, gossiper.VMIncarnation{Name: other.name, Incarnation: int64(n)})
+	}
+	for n := 0; ; n++ {
+		part := fmt.Sprintf("%08x", n)
+		rank, vms := gossiper.RankOf(isolator.Table+" "+part, live, int64(slices.Index(f.vms, vm)))
+		if rank == vms-1 {
+			return part
+		}
+	}
+}
+
+// TestItemsAreNotLeftLyingBehindASharedPart quarantines a part that sound items share, and ends further endpoints under its
+// probes. The VM that holds the items is the last one in the part's order.
+func TestItemsAreNotLeftLyingBehindASharedPart(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		vms  int
+		ago  []int
+		// within is longer than maxLie after two ends: the users count no item as lying that failed within the last 20 s.
+		within time.Duration
+	}{
+		{name: "12 VMs, no end under probes", vms: 12, ago: []int{12, 11, 10}, within: maxLie},
+		{name: "one VM, one end under probes", vms: 1, ago: []int{12, 11, 10, 6}, within: maxLie},
+		{name: "3 VMs, one end under probes", vms: 3, ago: []int{12, 11, 10, 6}, within: maxLie},
+		{name: "9 VMs, one end under probes", vms: 9, ago: []int{12, 11, 10, 6}, within: maxLie},
+		{name: "one VM, two ends under probes", vms: 1, ago: []int{28, 27, 26, 22, 4}, within: 4 * maxLie},
+		{name: "3 VMs, two ends under probes", vms: 3, ago: []int{28, 27, 26, 22, 4}, within: 4 * maxLie},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, tt.vms)
+			f.awaitEndpoints()
+			f.awaitPeers()
+			part := f.lastPartOf(f.vms[0])
+			items := itemsWith(part, 6)
+			f.quarantine(part, tt.ago...)
+			f.assertBegun(items, f.submitHeld(items), tt.within)
+		})
+	}
+}
