--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -62,6 +62,8 @@
 	// region and storeAddr are those of the VMs that are added; storeAddr is the store's own if it is not valid.
 	region    string
 	storeAddr netip.AddrPort
+	// prepare, if set, is called with each endpoint that is added before it registers.
+	prepare func(*standin.Endpoint)
 	// isPartitionable makes the VMs that are added have partitions.
 	isPartitionable bool
 	// addresses holds those of the endpoints.
@@ -133,6 +135,9 @@
 func (f *testFleet) addEndpoint(id, service string) *standin.Endpoint {
 	e := standin.NewEndpoint(id, service, "syd-a")
 	f.t.Cleanup(e.Close)
+	if f.prepare != nil {
+		f.prepare(e)
+	}
 	f.endpoints = append(f.endpoints, e)
 	f.addresses.Store(e.Entry("ready")["address"], true)
 	f.store.Put("servers", "", id, e.Entry("ready"))
--- a/pkg/assembler/gateway_lying_items_test.go
+++ b/pkg/assembler/gateway_lying_items_test.go
@@ -33,8 +33,8 @@
 // jobItems holds the items of jobs by the id of the job.
 type jobItems map[string][]jobItem
 
-// lying returns the number of items that have no result and that none of the engines works on.
-func (f *testFleet) lying(jobs jobItems, engines []*standin.Endpoint) int {
+// lying returns the items that have no result and that none of the engines works on.
+func (f *testFleet) lying(jobs jobItems, engines []*standin.Endpoint) []jobItem {
 	f.t.Helper()
 	worked := map[string]bool{}
 	for _, e := range engines {
@@ -42,7 +42,7 @@
 			worked[r.ID] = worked[r.ID] || !r.WasCancelled
 		}
 	}
-	n := 0
+	var lying []jobItem
 	for job, items := range jobs {
 		p, _ := f.read(f.vms[len(f.vms)-1], job, 0)
 		for _, r := range p.Results {
@@ -50,23 +50,23 @@
 		}
 		for _, i := range items {
 			if !worked[i.ID] {
-				n++
+				lying = append(lying, i)
 			}
 		}
 	}
-	return n
+	return lying
 }
 
 // assertWorkedOn checks that engines work on all items that have no result, within the time after since.
 func (f *testFleet) assertWorkedOn(jobs jobItems, engines []*standin.Endpoint, since time.Time, within time.Duration) {
 	f.t.Helper()
 	left := f.lying(jobs, engines)
-	for left > 0 && time.Since(since) < within {
+	for len(left) > 0 && time.Since(since) < within {
 		time.Sleep(10 * time.Millisecond)
 		left = f.lying(jobs, engines)
 	}
-	f.t.Logf("%d items lay after %s", left, time.Since(since))
-	assert.Zero(f.t, left, "items lie while all engines are idle")
+	f.t.Logf("%d items lay after %s", len(left), time.Since(since))
+	assert.Empty(f.t, left, "items lie while all engines are idle")
 }
 
 // TestItemsOfAVersionThatEndedAreNotLeftLying ends all engines of the software version that began items; another version serves.
