isolator: the release of a part is written at once

What callers saw: after a part was released by one VM, the others refused requests with it, and held items, for up to a second more.

Cause: rows of refutations wait for a random time of up to a second unless the part is quarantined, and that was asked after the refutation had released it.

Fix: what was quarantined is asked before. TestReleaseIsWrittenAtOnce failed before.

--- a/pkg/isolator/hold_test.go
+++ b/pkg/isolator/hold_test.go
@@ -81,3 +81,22 @@
 		assert.Equal(t, 3, asked)
 	})
 }
+
+// TestReleaseIsWrittenAtOnce completes an item with a quarantined part, and has another one go on: the other VMs must not wait
+// for their rows for a second more.
+func TestReleaseIsWrittenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := func(string) (int, int) { return 0, 4 }
+		for name, release := range map[string]func(i *Isolator){
+			refutationKey("ca"): func(i *Isolator) { i.Completed([]string{"ca"}) },
+			outlivedKey("ca"):   func(i *Isolator) { i.Outlived([]string{"ca"}, 1) },
+		} {
+			i := newHolder("ca", first)
+			release(i)
+			require.Empty(t, i.HoldOf([]string{"ca"}).Part)
+			change := i.nextChange(time.Now())
+			require.Len(t, change.Puts, 1, name)
+			assert.Equal(t, name, change.Puts[0].Key)
+		}
+	})
+}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -158,12 +158,11 @@
 // recordCompleted records a completed request; the lock is held.
 func (i *Isolator) recordCompleted(parts []string) {
 	now := time.Now()
-	for _, p := range parts {
-		if i.quarantiner.IsQuarantined(p) {
-			i.log.WithField("part", p).Warn("a request with this quarantined part of a prompt was completed; it is released")
-		}
+	quarantined := i.quarantinedOf(parts)
+	for _, p := range quarantined {
+		i.log.WithField("part", p).Warn("a request with this quarantined part of a prompt was completed; it is released")
 	}
-	i.putRefutations(now, i.quarantiner.Completed(now, parts))
+	i.putRefutations(now, i.quarantiner.Completed(now, parts), quarantined)
 }
 
 // Outlived records that a request with the parts has made progress since it had that many events of its answer, which refutes
@@ -175,18 +174,24 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
+	quarantined := i.quarantinedOf(parts)
 	refutations := i.quarantiner.Outlived(now, parts, events)
 	for _, r := range refutations {
 		i.log.WithFields(logrus.Fields{"part": r.Part, "events": r.Events, "isQuarantined": i.quarantiner.IsQuarantined(r.Part)}).
 			Info("a request with this part of a prompt went on past the events at which others ended with their endpoints")
 	}
-	i.putRefutations(now, refutations)
+	i.putRefutations(now, refutations, quarantined)
+}
+
+// quarantinedOf returns those of the parts that are quarantined; the lock is held.
+func (i *Isolator) quarantinedOf(parts []string) []string {
+	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return !i.quarantiner.IsQuarantined(p) })
 }
 
-// putRefutations has refutations written; the lock is held.
-func (i *Isolator) putRefutations(now time.Time, refutations []quarantiner.Refutation) {
+// putRefutations has refutations written, those of parts that were quarantined until now at once; the lock is held.
+func (i *Isolator) putRefutations(now time.Time, refutations []quarantiner.Refutation, quarantined []string) {
 	for _, r := range refutations {
-		i.putRefutation(now, r)
+		i.putRefutation(now, r, slices.Contains(quarantined, r.Part))
 	}
 	i.hasStrikes.Store(i.quarantiner.HasStrikes())
 }
--- a/pkg/isolator/table.go
+++ b/pkg/isolator/table.go
@@ -43,9 +43,9 @@
 }
 
 // putRefutation has a refutation written; the lock is held.
-func (i *Isolator) putRefutation(now time.Time, r quarantiner.Refutation) {
+func (i *Isolator) putRefutation(now time.Time, r quarantiner.Refutation, wasQuarantined bool) {
 	due := now
-	if !i.quarantiner.IsQuarantined(r.Part) {
+	if !wasQuarantined {
 		due = now.Add(rand.N(maxRefutationDelay))
 	}
 	if r.Events > 0 {
