soak: engines that end in series, streams that crash engines, and items that lie after the faults

The ends under crashing requests are counted by service, and those of the series not at all.

The jobs of long items are awaited twice: before the faults that VMs in touch must not notice, as these last longer than an item lies, and with all other jobs. The stand-in endpoints record when a run ended and whether the endpoint ended under it.

Endpoints that end and are replaced leave the list from which the other faults choose; the draws of these stay as they are.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -230,6 +230,9 @@
 	k, host := j.route()
 	for _, id := range j.items {
 		h := http.Header{"X-Model": {"m"}, "X-Token-Count": {"540,400"}}
+		if isLong(id) {
+			h.Set("X-Prompt-Prefix", fmt.Sprintf("%s:300,%x:240", sharedPart, id))
+		}
 		c.fleet.authorize(h, callerAccounts[1])
 		headers := map[string]string{}
 		for name := range h {
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -103,7 +103,12 @@
 	return output == itemOutput(id) || output+"\n" == newer
 }
 
-func itemOutput(id string) string { return standin.CompleteOutput(id, streamEvents) }
+func itemOutput(id string) string {
+	if isLong(id) {
+		return standin.CompleteOutput(id, longEvents)
+	}
+	return standin.CompleteOutput(id, streamEvents)
+}
 
 // isRefusal reports whether a status promises that the request has not run and never will.
 func isRefusal(status int) bool {
@@ -155,8 +160,9 @@
 	submits    int
 	refusals   int
 	isEnded    bool
-	// listed holds the results read so far, by position.
+	// listed holds the results read so far, by position, and listedAt when each was read first.
 	listed     []result
+	listedAt   []time.Time
 	violations []string
 }
 
@@ -224,6 +230,7 @@
 		}
 		if position == len(j.listed) {
 			j.listed = append(j.listed, r)
+			j.listedAt = append(j.listedAt, time.Now())
 		}
 	}
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -222,11 +222,14 @@
 	server  *httptest.Server
 	vms     []*vm
 	version int
-	crashes crashes
+	// crashes holds the ends of endpoints under crashing requests, by service.
+	crashes map[string]*crashes
 
 	mu        sync.Mutex
 	endpoints []*endpoint
-	started   int
+	// replaced holds those in whose place others came after they had ended.
+	replaced []*endpoint
+	started  int
 	// accounts are those of the configuration, if it has any.
 	accounts []map[string]any
 	// bounds are lines of the settings of VMs that are added.
@@ -246,6 +249,7 @@
 	t testing.TB, store *standin.Store, serve http.Handler, adjust []func(*fleet), builds ...string,
 ) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), store: store}
+	f.crashes = map[string]*crashes{status.service: {}, note.service: {}}
 	for _, change := range adjust {
 		change(f)
 	}
@@ -298,8 +302,12 @@
 	for _, change := range adjust {
 		change(e)
 	}
-	if service == status.service {
-		e.CrashBody = crashingBody
+	e.CrashBody = crashingBody
+	e.LengthOf = func(id string) (int, time.Duration, time.Duration) {
+		if isLong(id) {
+			return longEvents, beforeLong, longItemStep
+		}
+		return e.Events, e.Step, e.Step
 	}
 	proxied := &endpoint{Endpoint: e, link: newProxy(f.t, netip.MustParseAddrPort(e.Entry("ready")["address"].(string)))}
 	e.OnCrash = func() { go f.crash(proxied) }
@@ -337,7 +345,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var runs []standin.Run
-	for _, e := range f.endpoints {
+	for _, e := range slices.Concat(f.endpoints, f.replaced) {
 		// A run without an id is a query of the endpoint's load. The crashing request is counted by the ends of endpoints.
 		runs = append(runs, slices.DeleteFunc(e.Runs(), func(r standin.Run) bool { return r.ID == "" || r.Body == crashingBody })...)
 	}
@@ -357,7 +365,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
-	for _, e := range f.endpoints {
+	for _, e := range slices.Concat(f.endpoints, f.replaced) {
 		if e.Service == service {
 			n += len(slices.DeleteFunc(e.Runs(), func(r standin.Run) bool { return !strings.HasPrefix(r.Path, prefix) }))
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,15 +122,16 @@
 	c := s.callers
 	c.start(ctx, callerCount)
 	s.run()
+	s.awaitReady()
+	lay := s.awaitCalm(c.longJobs())
 	s.injectAfterwards(seed)
 	// Callers continue without faults for this long; the waits for VMs and jobs below poll conditions.
 	time.Sleep(quietPeriod)
 	stop()
 	c.wg.Wait()
-	for _, v := range f.vms {
-		assert.Eventually(t, v.isReady, waitTimeout, 20*time.Millisecond, "%s is not ready after the last fault", v.name)
-	}
-	s.awaitJobs(c)
+	s.awaitReady()
+	lay = max(lay, s.awaitCalm(c.jobs))
+	s.readAll(c)
 	for _, v := range f.vms {
 		s.stopPlanned(v)
 	}
@@ -141,7 +143,7 @@
 	for _, violation := range violations {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
-	s.report(c)
+	s.report(c, lay)
 	if t.Failed() {
 		s.keepLogs(seed)
 	}
@@ -366,20 +368,35 @@
 	s.fleet.configure()
 }
 
-// awaitJobs polls the jobs that are still pending until they are complete, then reads every accepted job from its start.
-func (s *soak) awaitJobs(c *callers) {
-	for limit := time.Now().Add(waitTimeout); time.Now().Before(limit); time.Sleep(readInterval) {
-		isDone := true
-		for n, j := range c.jobs {
-			if !j.isDone() {
-				isDone = false
-				c.read(j, s.fleet.vms[n%len(s.fleet.vms)], false)
-			}
-		}
-		if isDone {
+func (s *soak) awaitReady() {
+	for _, v := range s.fleet.vms {
+		assert.Eventually(s.t, v.isReady, waitTimeout, 20*time.Millisecond, "%s is not ready after the last fault", v.name)
+	}
+}
+
+// awaitCalm polls the jobs that are still pending until they are complete, and returns how long an item of theirs lay at most.
+func (s *soak) awaitCalm(jobs []*job) time.Duration {
+	began, pending := time.Now(), jobs
+	for limit := began.Add(waitTimeout); time.Now().Before(limit); time.Sleep(readInterval) {
+		if pending = slices.DeleteFunc(slices.Clone(pending), (*job).isDone); len(pending) == 0 {
 			break
 		}
+		for n, j := range pending {
+			s.callers.read(j, s.fleet.vms[n%len(s.fleet.vms)], false)
+		}
+	}
+	for _, j := range pending {
+		s.addViolation("LOST: job %s is not complete %s after the faults", j.id, waitTimeout)
 	}
+	lay, violations := checkLying(jobs, s.fleet.runs(), began, time.Now())
+	if isTimed {
+		s.violations = append(s.violations, violations...)
+	}
+	return lay
+}
+
+// readAll reads every accepted job from its start.
+func (s *soak) readAll(c *callers) {
 	for n, j := range c.jobs {
 		if !j.acceptedAt.IsZero() {
 			c.read(j, s.fleet.vms[(n+1)%len(s.fleet.vms)], true)
@@ -387,8 +404,8 @@
 	}
 }
 
-// report logs the numbers of requests, jobs, results and runs of the seed, and the faults injected.
-func (s *soak) report(c *callers) {
+// report logs the numbers of requests, jobs, results and runs of the seed, how long an item lay at most, and the faults injected.
+func (s *soak) report(c *callers, lay time.Duration) {
 	outcomes := map[int]int{}
 	for _, a := range c.attempts {
 		outcomes[a.status]++
@@ -400,8 +417,16 @@
 		}
 		results += len(j.listed)
 	}
-	s.t.Logf("%d requests by status %v, %d jobs accepted of %d, %d results, %d runs at endpoints; faults: %s",
-		len(c.attempts), outcomes, accepted, len(c.jobs), results, len(s.fleet.runs()), strings.Join(s.injected, "; "))
+	runs, cuts := s.fleet.runs(), 0
+	for _, r := range runs {
+		if isLong(r.ID) && r.WasBroken {
+			cuts++
+		}
+	}
+	s.t.Logf("%d requests by status %v, %d jobs accepted of %d, %d results, %d runs at endpoints; "+
+		"runs of long items were cut %d times; after the faults items lay for %s at most; faults: %s",
+		len(c.attempts), outcomes, accepted, len(c.jobs), results, len(runs),
+		cuts, lay.Round(time.Millisecond), strings.Join(s.injected, "; "))
 }
 
 // keepLogs copies the logs of a failed seed to tmp/, where they outlast the test.
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 	// timeToPass.
 	limitWindow = 4 * time.Second
 	timeToPass  = 500 * time.Millisecond
-	// crashingBody is the body of a request under which endpoints of the service app crash; they are back after restartTime.
+	// crashingBody is the body of a request under which endpoints crash; others take their places after restartTime.
 	crashingBody = "crash"
 	restartTime  = 700 * time.Millisecond
 	repeatPause  = 100 * time.Millisecond
@@ -32,7 +33,7 @@
 	slowStep = 60 * time.Millisecond
 )
 
-// crashes records the ends of endpoints under the crashing request.
+// crashes records the ends of endpoints of one service under the crashing request.
 type crashes struct {
 	mu    sync.Mutex
 	times []time.Time
@@ -62,7 +63,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	for _, apply := range []func(*injection){
 		s.limitEndpoint, s.repeatCrashingRequest, s.mixSoftware, s.repeatAnswers, s.killUnframed, s.nestRoute, s.removeRoute,
-		s.sendUnsignedVerdicts, s.sendCrowd, s.sendEndlessAnswers,
+		s.sendUnsignedVerdicts, s.sendCrowd, s.sendEndlessAnswers, s.crashEnginesInSeries, s.repeatCrashingStream,
 	} {
 		inj := &injection{
 			at: time.Duration(random.Int64N(int64(injectionWindow / 2))), duration: faultDurationSpan, n: random.IntN(1 << 20),
@@ -101,29 +102,35 @@
 }
 
 // repeatCrashingRequest sends the crashing request again and again to random VMs.
-func (s *soak) repeatCrashingRequest(inj *injection) {
+func (s *soak) repeatCrashingRequest(inj *injection) { s.repeatCrashing(inj, status) }
+
+func (s *soak) repeatCrashing(inj *injection, k kind) {
 	inj.duration = repeatTime
 	began := time.Now()
-	s.recordInjection(inj, "crashing request")
+	s.recordInjection(inj, "crashing request of "+k.prefix)
 	random := rand.New(rand.NewPCG(uint64(inj.n), 3))
 	client := &http.Client{Timeout: routeTimeout}
 	for i := 0; time.Since(began) < inj.duration; i++ {
-		s.sendCrashing(client, s.fleet.vms[random.IntN(len(s.fleet.vms))], fmt.Sprintf("crash-%d-%d", inj.n, i))
+		s.sendCrashing(client, s.fleet.vms[random.IntN(len(s.fleet.vms))], k, fmt.Sprintf("crash-%d-%d", inj.n, i))
 		time.Sleep(repeatPause)
 	}
-	if n := s.fleet.crashes.late(); n > maxLate && !s.wasAnyVMDown(began) && !s.hadStoreFault() {
-		s.addViolation("BUDGET: %d endpoints ended later than %s after the third, allowed %d", n, timeToReact, maxLate)
+	if n := s.fleet.crashes[k.service].late(); n > maxLate && !s.wasAnyVMDown(began) && !s.hadStoreFault() {
+		s.addViolation("BUDGET: %d endpoints of %s ended later than %s after the third, allowed %d", n, k.service, timeToReact, maxLate)
 	}
 }
 
-func (s *soak) sendCrashing(client *http.Client, v *vm, id string) {
+func (s *soak) sendCrashing(client *http.Client, v *vm, k kind, id string) {
 	body := strings.NewReader(crashingBody)
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, v.url(status.prefix+"crash"), body)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, v.url(k.prefix+"crash"), body)
 	if err != nil {
 		panic(err)
 	}
 	r.Host, r.GetBody = host, nil
 	r.Header.Set("X-Request-Id", id)
+	if k.isStream {
+		r.Header.Set("X-Token-Count", "450,250")
+		r.Header.Set("X-Model", "m")
+	}
 	s.fleet.authorize(r.Header, accountOf(id))
 	// The caller doesn't need the answer.
 	if res, err := client.Do(r); err == nil {
@@ -226,12 +233,25 @@
 	return false
 }
 
-// crash replaces an endpoint that has crashed: its address refuses connections, and another one starts after restartTime.
+// crash records that an endpoint has crashed under the crashing request, and replaces it.
 func (f *fleet) crash(e *endpoint) {
-	f.crashes.record()
+	f.crashes[e.Service].record()
+	f.replace(e, restartTime)
+}
+
+// replace ends the endpoint, whose address refuses connections then, and starts another one of its software after the time.
+func (f *fleet) replace(e *endpoint, after time.Duration) {
+	f.mu.Lock()
+	if n := slices.Index(f.endpoints, e); n >= 0 && len(f.endpoints) > 1 {
+		f.endpoints = slices.Delete(f.endpoints, n, n+1)
+		f.replaced = append(f.replaced, e)
+	}
+	f.mu.Unlock()
+	_ = e.link.socket.Close()
+	e.Close()
 	e.link.close()
-	time.Sleep(restartTime)
-	f.addEndpoint(e.Service)
+	time.Sleep(after)
+	f.addEndpoint(e.Service, func(next *standin.Endpoint) { next.Version = e.Version })
 	time.Sleep(lostRowRetention)
 	f.store.Remove(platform.EndpointTable, "", e.ID)
 }
