itemrunner: a held item takes the turn of its parts only with a slot, and by itself says nothing of others

Cause: the best witness took the turn before it had a slot. A failed trial of an item's own part struck the parts that it shares too, so their trials were due 3 or 18 s after the last end of any such item.

An item that only waits for another one's trial of the same step isn't abandoned any more.

--- a/pkg/itemrunner/progress.go
+++ b/pkg/itemrunner/progress.go
@@ -35,6 +35,7 @@
 	if run.trial != nil {
 		run.trial.hasBroken = true
 	}
+	parts := run.witnesses(t.parts)
 	r.mu.Unlock()
-	r.isolator.BrokeOff(run.endpoint, t.parts, strike)
+	r.isolator.BrokeOff(run.endpoint, parts, strike)
 }
--- a/pkg/itemrunner/start.go
+++ b/pkg/itemrunner/start.go
@@ -24,12 +24,10 @@
 	r.planItems(now)
 	waiting, boundTo := map[string][]time.Time{}, map[string][]registrar.Software{}
 	hasRoom := r.hasRoomForItems()
-	tried := heldParts{}
+	tried := triedParts{}
 	for _, c := range r.candidates(now, reg) {
 		t, route := c.task, c.route
-		if tried.isHeld(now, c) {
-			r.waits.note(now, t, wait{cause: quarantinedPart, part: c.hold.Part, due: c.hold.Due})
-			r.abandonIfOverdue(t, route, c.hold.Part, now)
+		if r.isHeld(now, c, tried) {
 			continue
 		}
 		if !hasRoom {
@@ -42,6 +40,7 @@
 			r.waits.end(now, t, nextRun)
 			if c.hold.Part != "" {
 				r.beginTrial(t, c.hold)
+				tried.add(c.hold)
 			}
 			continue
 		}
--- a/pkg/itemrunner/trial.go
+++ b/pkg/itemrunner/trial.go
@@ -33,6 +33,15 @@
 	hasBroken bool
 }
 
+// witnesses returns the parts against which the end of the run's endpoint says something: that of a trial of an item's own part
+// says nothing against the parts that it shares.
+func (run *itemRun) witnesses(all []string) []string {
+	if run.trial != nil && quarantiner.IsRequest(run.trial.parts[0]) {
+		return run.trial.parts
+	}
+	return all
+}
+
 // beginTrial makes the task's run, which has just been started, a trial of the parts that hold the item; the lock is held.
 func (r *Runner) beginTrial(t *task, h quarantiner.Hold) {
 	t.run.trial = &trial{parts: h.Parts, began: r.isolator.BeginTrial(t.item.ID, h.Parts)}
@@ -81,16 +90,28 @@
 	return append(trials, others...)
 }
 
-// heldParts holds the parts of which an item is being tried since the holds were read.
-type heldParts map[string]bool
+// triedParts holds the parts of which an item is being tried since the holds were read.
+type triedParts map[string]bool
 
-// isHeld reports whether the candidate has to wait, and counts it as a trial if it has not.
-func (p heldParts) isHeld(now time.Time, c candidate) bool {
-	if c.hold.IsHeld(now) || slices.ContainsFunc(c.hold.Parts, func(part string) bool { return p[part] }) {
-		return true
-	}
-	for _, part := range c.hold.Parts {
+func (p triedParts) add(h quarantiner.Hold) {
+	for _, part := range h.Parts {
 		p[part] = true
 	}
-	return false
+}
+
+func (p triedParts) hasAny(h quarantiner.Hold) bool {
+	return slices.ContainsFunc(h.Parts, func(part string) bool { return p[part] })
+}
+
+// isHeld reports whether the candidate has to wait for a trial of its parts; the lock is held.
+func (r *Runner) isHeld(now time.Time, c candidate, tried triedParts) bool {
+	isHeld := c.hold.IsHeld(now)
+	if !isHeld && !tried.hasAny(c.hold) {
+		return false
+	}
+	r.waits.note(now, c.task, wait{cause: quarantinedPart, part: c.hold.Part, due: c.hold.Due})
+	if isHeld {
+		r.abandonIfOverdue(c.task, c.route, c.hold.Part, now)
+	}
+	return true
 }
