--- a/pkg/itemrunner/trial.go
+++ b/pkg/itemrunner/trial.go
@@ -47,7 +47,7 @@
 	t.run.trial = &trial{parts: h.Parts, began: r.isolator.BeginTrial(t.item.ID, h.Parts)}
 }
 
-// endTrial lets the next trial of the parts begin at once if the run, which failed, said nothing of them; the lock is held.
+// endTrial lets the next trial of the parts begin sooner if the run, which failed, said nothing of them; the lock is held.
 func (r *Runner) endTrial(run *itemRun) {
 	if run.trial != nil && !run.trial.hasBroken {
 		r.isolator.AbortTrial(run.trial.parts, run.trial.began)
