--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/dogwoodledged ] && [ -x target/review-rig ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-rig toolarge "review/7/record.txt"
+exec target/review-rig smuggled "review/7/record.txt"
