Review case 8: one item of 20 is too large

The job has 20 items and one of them is larger than a runner's memory: a share of 0.05, the largest dose of poison in the site file.

--- a/review/harness-2/toolarge.go
+++ b/review/harness-2/toolarge.go
@@ -36,7 +36,10 @@
 	return page{}, false
 }
 
-// playTooLarge submits a batch job of three items. With trouble, one of them is larger than the memory of a runner.
+// itemCount is how many items the job has. One of them is a share of 0.05, the largest of "poison" in the site file.
+const itemCount = 20
+
+// playTooLarge submits a batch job. With trouble, one of its items is larger than the memory of a runner.
 func playTooLarge(r *rig) (bool, error) {
 	for n := range 3 {
 		rn, err := newRunner(r.record, fmt.Sprintf("i-7f3a91c%d", n), "textverk", 20, 5*time.Millisecond)
@@ -56,16 +59,17 @@
 	if err != nil {
 		return false, err
 	}
-	job, count := "7c41e09b52d6a3f8", "350,247"
-	if r.hasTrouble {
-		count = "71900,247"
-	}
+	job := "7c41e09b52d6a3f8"
 	var items []item
-	for n, c := range []string{"350,247", count, "350,247"} {
+	for n := range itemCount {
+		c := "350,247"
+		if r.hasTrouble && n == 1 {
+			c = "71900,247"
+		}
 		items = append(items, item{
-			ID: fmt.Sprintf("e5b2907c14da6f3%d", n), Path: fmt.Sprintf("/pule252/3/91c%d", n), Body: []byte("care report"),
+			ID: fmt.Sprintf("e5b2907c14da6f%02x", 0x30+n), Path: fmt.Sprintf("/pule252/3/91%02x", 0xc0+n), Body: []byte("care report"),
 			Tokens:  int64(tokensOf(c)),
-			Headers: map[string]string{"X-Model": "m", "X-Token-Count": c, "X-Prompt-Prefix": "9c2e41:100,5d07b" + strconv.Itoa(n) + ":250"},
+			Headers: map[string]string{"X-Model": "m", "X-Token-Count": c, "X-Prompt-Prefix": fmt.Sprintf("9c2e41:100,5d07%02x:250", n)},
 		})
 	}
 	sent := time.Now()
