An item of a batch job is exactly one request, or is not sent

Cause: items come as JSON, so no parser has read their heads. itemrunner copied all headers, dialer wrote the path as it was and a length beside a Transfer-Encoding, and the submit asked only for a slash.

Change: core/inspector decides which heads may be written and which headers are forwarded, for both ways. The submit answers 400 with item, field and remedy; headers of one connection, Host and Content-Length are left out, as online. dialer.Pool.Do never writes a request that a server could read as another one or as two: no fault of the endpoint, and such a stored item is listed as abandoned at once.

--- a/pkg/assembler/gateway_fleet_test.go
+++ b/pkg/assembler/gateway_fleet_test.go
@@ -183,6 +183,17 @@
 	return nil
 }
 
+// routeOf returns the route with the path prefix.
+func (f *testFleet) routeOf(prefix string) map[string]any {
+	for _, r := range f.routes {
+		if r["pathPrefix"] == prefix {
+			return r
+		}
+	}
+	require.Fail(f.t, "no route "+prefix)
+	return nil
+}
+
 // awaitRoute waits until every VM serves the route with the path prefix.
 func (f *testFleet) awaitRoute(prefix string) {
 	f.t.Helper()
--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/inspector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
@@ -90,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	if path == "" {
+	if path == "" || inspector.CheckTarget(path) != nil {
 		return awaitOpen(conn)
 	}
 	answerCtx, cancel := context.WithTimeout(ctx, openTime)
--- a/pkg/dialer/exchange.go
+++ b/pkg/dialer/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/inspector"
 )
 
 const (
@@ -50,10 +52,15 @@
 	isClosed   bool
 }
 
-// Do sends the request on the connection and reads the head of its answer; the error is an *ExchangeError.
+// Do sends the request on the connection and reads the head of its answer; the error is an *ExchangeError. It is an
+// *inspector.FieldError if the request can never be sent: nothing was written then, and the connection is kept.
 //
 // When ctx ends, the connection is closed, which signals the endpoint to stop.
 func (p *Pool) Do(ctx context.Context, c *Conn, r Request) (*Exchange, error) {
+	if err := r.check(); err != nil {
+		p.put(c)
+		return nil, err
+	}
 	start := time.Now()
 	x := &Exchange{pool: p, conn: c, written: make(chan struct{})}
 	p.observer.Exchanges(1)
@@ -92,6 +99,12 @@
 	close(x.written)
 }
 
+// check returns an *inspector.FieldError if the endpoint could read the written request as another one, or as several.
+func (r Request) check() error {
+	return inspector.Head{Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, ID: r.ID}.Check()
+}
+
+// writeRequest writes a request that check has passed.
 func writeRequest(w io.Writer, r Request) error {
 	bw := bufio.NewWriterSize(w, maxInlineBytes)
 	_, _ = bw.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel"
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/inspector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/jobrecorder"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
@@ -129,6 +130,11 @@
 		r.balancer.End(run.ticket, placer.EndedLocally)
 		return "panicked"
 	}
+	if isUnsendable(err) {
+		r.balancer.End(run.ticket, placer.EndedLocally)
+		r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
+		return "unsendable"
+	}
 	if tooLong := (*OutputTooLongError)(nil); errors.Is(err, errNoRest) || errors.As(err, &tooLong) {
 		t.discardOutput()
 	}
@@ -174,7 +180,9 @@
 	defer stall.Stop()
 	x, err := r.pool.Do(ctx, conn, r.outgoing(t, run))
 	if err != nil {
-		r.recordBreak(ctx, t, run, false)
+		if !isUnsendable(err) {
+			r.recordBreak(ctx, t, run, false)
+		}
 		return err
 	}
 	defer x.Close()
@@ -243,7 +251,7 @@
 
 // outgoing returns the request for the item; if events are present, it asks the endpoint to resume after the last one.
 func (r *Runner) outgoing(t *task, run *itemRun) dialer.Request {
-	h := t.item.Header.Clone()
+	h := inspector.Forwarded(t.item.Header)
 	hasAccounts := r.registry().Config.HasAccounts()
 	h[r.headers.RequestID] = []string{t.item.ID}
 	h[r.headers.ExpectInstance] = []string{run.endpoint.ID}
--- a/pkg/jobmanager/submit.go
+++ b/pkg/jobmanager/submit.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net/http"
 	"os"
 	"strconv"
@@ -33,10 +32,6 @@
 	decodedFactor = 3
 	// refusalLines bounds the log lines a second about bodies that are refused, by status.
 	refusalLines = 20
-	// maxItems is the largest number of items of a job.
-	maxItems = 200
-	// maxID is the largest length of a job's id in bytes.
-	maxID = 100
 	// outageRetryAfter is the Retry-After during an outage of the store. It is under a third of the time that callers of jobs
 	// have, so that they retry within that time.
 	outageRetryAfter = 1250 * time.Millisecond
@@ -45,15 +40,6 @@
 	quotaRetryAfter = time.Second
 )
 
-// SubmitError reports an invalid field of a submitted job, and how to correct it.
-type SubmitError struct {
-	Field, Value, Remedy string
-}
-
-func (e *SubmitError) Error() string {
-	return fmt.Sprintf("batch job: %s is %q: %s", e.Field, e.Value, e.Remedy)
-}
-
 // Submit accepts a batch job on the route and answers 202, also when the job was accepted before. It answers 409 if the id is
 // that of another account's job, 429 if the quota of the route, or of the account on it, is used up, 503 if the store can't be
 // reached, 504 if the outcome of the write is unknown, and 400 or the status of bodyreader.Status if the job is invalid.
@@ -152,29 +138,6 @@
 	return outageRetryAfter
 }
 
-// checkJob returns a *SubmitError if the job is invalid.
-func checkJob(id string, items []Item) error {
-	switch {
-	case id == "" || len(id) > maxID:
-		return &SubmitError{Field: "id", Value: id, Remedy: fmt.Sprintf("send one of 1 to %d characters", maxID)}
-	case len(items) == 0 || len(items) > maxItems:
-		return &SubmitError{
-			Field: "items", Value: fmt.Sprint(len(items)), Remedy: fmt.Sprintf("send 1 to %d items", maxItems),
-		}
-	}
-	seen := map[string]bool{}
-	for _, i := range items {
-		if i.ID == "" || seen[i.ID] {
-			return &SubmitError{Field: "item id", Value: i.ID, Remedy: "give each item an id of its own"}
-		}
-		if i.Path == "" || i.Path[0] != '/' || i.Tokens < 0 {
-			return &SubmitError{Field: "item " + i.ID + " path or tokens", Value: i.Path, Remedy: "give a path and tokens"}
-		}
-		seen[i.ID] = true
-	}
-	return nil
-}
-
 func newJob(id string, items []Item, route registrar.Route, config int64, now time.Time) jobrecorder.Job {
 	j := jobrecorder.Job{
 		ID: id, Host: route.Host, PathPrefix: route.PathPrefix, ConfigVersion: config,
--- a/pkg/relayer/answer.go
+++ b/pkg/relayer/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodledge/dogwoodledge/pkg/bodyreader"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/continuer"
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/inspector"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
@@ -63,7 +64,7 @@
 
 func (q *request) writeHead(res *http.Response, length int64) {
 	h := q.w.Header()
-	for name, values := range ForwardHeader(res.Header) {
+	for name, values := range inspector.Forwarded(res.Header) {
 		h[name] = values
 	}
 	// A nil entry keeps net/http from adding a header that the endpoint did not send.
--- a/pkg/relayer/delegate.go
+++ b/pkg/relayer/delegate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -108,6 +107,9 @@
 	x, err := q.handover.Pool.Do(ctx, conn, q.outgoingToPeer(p, left))
 	if err != nil {
 		q.cause = err
+		if q.endIfUnsendable(err) {
+			return true, core.Canceled
+		}
 		return q.endUnlessRetryable(err), q.failedAtPeer()
 	}
 	defer x.Close()
@@ -134,24 +136,6 @@
 	return core.Failed
 }
 
-// outgoingToPeer returns the request as it is handed over, with the time left until its deadline. The other VM admits it by its
-// caller's key.
-func (q *request) outgoingToPeer(p *delegator.Delegation, left time.Duration) dialer.Request {
-	h := ForwardHeader(q.r.Header)
-	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	h[delegator.Header] = []string{p.From}
-	if last := q.sequence.Last(); last != continuer.NoEvent {
-		h[q.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
-		if q.headers.Resumes != "" {
-			h[q.headers.Resumes] = []string{q.stream}
-		}
-	}
-	return dialer.Request{
-		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-		IDHeader: q.headers.RequestID, ID: q.id,
-	}
-}
-
 // limitAttempts lets one endpoint at most run a request that another VM handed over: that VM counts it as one of its attempts.
 func (q *request) limitAttempts() {
 	if q.isDelegated() {
--- a/pkg/relayer/headers.go
+++ b/pkg/relayer/headers.go
@@ -59,27 +59,3 @@
 	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
 	return strings.ToLower(strings.TrimSpace(name))
 }
-
-// connectionHeaders apply to one connection only, so they are not forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// ForwardHeader returns the headers without those that apply to one connection only, among them all that the Connection
-// header names.
-func ForwardHeader(from http.Header) http.Header {
-	h := make(http.Header, len(from))
-	for name, values := range from {
-		h[name] = values
-	}
-	for _, list := range from["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		delete(h, name)
-	}
-	return h
-}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -21,7 +21,6 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/placer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/quarantiner"
 	"github.com/dogwoodledge/dogwoodledge/pkg/core/registrar"
-	"github.com/dogwoodledge/dogwoodledge/pkg/delegator"
 	"github.com/dogwoodledge/dogwoodledge/pkg/dialer"
 	"github.com/dogwoodledge/dogwoodledge/pkg/option"
 	"github.com/dogwoodledge/dogwoodledge/pkg/tracer"
@@ -362,6 +361,10 @@
 	x, err := q.pool.Do(ctx, conn, q.outgoing(s.Endpoint, left))
 	if err != nil {
 		q.cause = err
+		if q.endIfUnsendable(err) {
+			ending = placer.EndedLocally
+			return true
+		}
 		q.recordBreak(s.Endpoint, false)
 		if q.ctx.Err() != nil || q.isCutOff() {
 			ending = placer.EndedLocally
@@ -428,22 +431,6 @@
 	q.isolator.BrokeOff(e, q.parts, strike)
 }
 
-// outgoing returns the request as it is sent to the endpoint, with the time left until its deadline.
-func (q *request) outgoing(e registrar.Endpoint, left time.Duration) dialer.Request {
-	h := ForwardHeader(q.r.Header)
-	delete(h, delegator.Header)
-	q.setAccount(h)
-	h[q.headers.Timeout] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	h[q.headers.ExpectInstance] = []string{e.ID}
-	if last := q.sequence.Last(); last != continuer.NoEvent {
-		h[q.headers.LastEventID] = []string{strconv.FormatInt(last, 10)}
-	}
-	return dialer.Request{
-		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-		IDHeader: q.headers.RequestID, ID: q.id,
-	}
-}
-
 // handleAnswer forwards an endpoint's answer. It returns whether the request is over, and how it ended at the endpoint.
 func (q *request) handleAnswer(x *dialer.Exchange, ticket *placer.Ticket, s placer.Send) (bool, placer.Ending) {
 	res := x.Response
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -162,8 +163,11 @@
 // runJobs submits jobs one after the other and reads each through random VMs until it is complete. It ends some of them early.
 func (c *callers) runJobs(ctx context.Context, n int) {
 	defer c.wg.Done()
-	random := rand.New(rand.NewPCG(c.seed, 1000+uint64(n)))
+	random, heads := rand.New(rand.NewPCG(c.seed, 1000+uint64(n))), rand.New(rand.NewPCG(c.seed, 2000+uint64(n)))
 	for i := 0; ctx.Err() == nil; i++ {
+		if heads.IntN(4) == 0 {
+			c.submitUnsendable(heads, c.fleet.vms[heads.IntN(len(c.fleet.vms))], fmt.Sprintf("u%d-%d-%d", c.seed, n, i))
+		}
 		j := c.newJob(fmt.Sprintf("j%d-%d-%d", c.seed, n, i), kind{})
 		for try := 0; try < 4 && !j.isAccepted() && ctx.Err() == nil; try++ {
 			c.submit(j, c.fleet.vms[random.IntN(len(c.fleet.vms))])
@@ -234,7 +238,10 @@
 			h.Set("X-Prompt-Prefix", fmt.Sprintf("%s:300,%x:240", sharedPart, id))
 		}
 		c.fleet.authorize(h, callerAccounts[1])
-		headers := map[string]string{}
+		headers := maps.Clone(leftOutOf(id))
+		if headers == nil {
+			headers = map[string]string{}
+		}
 		for name := range h {
 			headers[name] = h.Get(name)
 		}
