A word about a message is none about the endpoint

What callers saw: after one item that endpoints answer with 400, sound items of others waited for seconds while all endpoints were idle, and the item was sent again without end, past maxWaitS.

Cause, traced: each rejected run counted as a failure of its endpoint. The assigner then tries an avoided endpoint with one item every 4 s at most, and the rejected items, due first, took these trials. On a kept connection the 400 names no request, which counted as a break.

Change: statuses that say that a message can't be read end a request as EndedRejected, also without an id on a kept connection. Endpoints that reject what another one runs count as failed then.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -199,6 +199,15 @@
 	b.end(time.Now(), t, how)
 }
 
+// Fail records that the endpoint failed a request that has ended: another endpoint has answered what this one rejected.
+func (b *Balancer) Fail(e registrar.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := placer.KeyOf(e.ID)
+	b.observe(option.Some(b.placer.Fail(time.Now(), k)), true)
+	b.markDirty(k)
+}
+
 // end is End with the lock held.
 func (b *Balancer) end(now time.Time, t *placer.Ticket, how placer.Ending) {
 	if t.HasEnded() {
--- a/pkg/core/placer/events.go
+++ b/pkg/core/placer/events.go
@@ -87,6 +87,8 @@
 	EndedFull
 	// EndedFailed means that the endpoint could not be reached, broke the connection or gave an invalid answer.
 	EndedFailed
+	// EndedRejected means that the endpoint answered that it can't read the message, which says nothing about the endpoint.
+	EndedRejected
 )
 
 // End removes the request from the counts and updates the endpoint's condition by how it ended; later calls for the same
@@ -118,11 +120,18 @@
 	case EndedFull, EndedFailed:
 		c.recordFailure(now)
 		return option.Some(Observation{Key: t.key, HasFailed: true})
-	case EndedLocally:
+	case EndedLocally, EndedRejected:
 	}
 	return option.None[Observation]()
 }
 
+// Fail records a failure of the endpoint that became known after its request had ended, and returns what the peers are to learn
+// of it.
+func (p *Placer) Fail(now time.Time, k Key) Observation {
+	p.conditionOf(k).recordFailure(now)
+	return Observation{Key: k, HasFailed: true}
+}
+
 // serviceTimeOf returns how long the completed request held its slot. The wait for the slot is no part of it: counted in, it
 // would make an endpoint with a queue look slower than it is, and its queue longer.
 func (p *Placer) serviceTimeOf(now time.Time, t *Ticket, c *condition) time.Duration {
--- a/pkg/dialer/errors.go
+++ b/pkg/dialer/errors.go
@@ -5,6 +5,10 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodledge/dogwoodledge/pkg/core/inspector"
 )
 
 // ConnectError says that no connection was established, so the endpoint has received nothing.
@@ -81,6 +85,13 @@
 	return "the answer with status " + strconv.Itoa(e.Status) + " names no request: connection closed"
 }
 
+// IsRejection reports whether the error of an exchange is an answer which names no request, and says that the message can't be
+// read: a server that can't parse a head knows no id that it could return. The endpoint has not failed then.
+func IsRejection(err error) bool {
+	unnamed := (*UnnamedAnswerError)(nil)
+	return errors.As(err, &unnamed) && inspector.IsRejection(unnamed.Status)
+}
+
 // maxErrorText is the number of bytes of what an endpoint sent that are put into an error.
 const maxErrorText = 200
 
--- a/pkg/itemrunner/item.go
+++ b/pkg/itemrunner/item.go
@@ -140,7 +140,10 @@
 	}
 	how, outcome := placer.EndedFailed, "broken"
 	t.notBefore = time.Now().Add(retryPause)
-	if answer := (*AnswerError)(nil); errors.As(err, &answer) {
+	if answer := (*AnswerError)(nil); dialer.IsRejection(err) {
+		how, outcome = placer.EndedRejected, "rejected"
+		t.recordRejection(time.Now(), run.endpoint)
+	} else if errors.As(err, &answer) {
 		switch {
 		case answer.IsSigned && answer.Status == http.StatusUnprocessableEntity:
 			how, outcome = placer.EndedComplete, "impossible"
@@ -152,6 +155,9 @@
 			}
 		case slices.Contains(refusals, answer.Status):
 			how, outcome = placer.EndedFull, "refused"
+		case answer.isRejection():
+			how, outcome = placer.EndedRejected, "rejected"
+			t.recordRejection(time.Now(), run.endpoint)
 		}
 	} else if r.isPartitioned {
 		// The break says nothing about the endpoint.
@@ -180,7 +186,7 @@
 	defer stall.Stop()
 	x, err := r.pool.Do(ctx, conn, r.outgoing(t, run))
 	if err != nil {
-		if !isUnsendable(err) {
+		if !isUnsendable(err) && !dialer.IsRejection(err) {
 			r.recordBreak(ctx, t, run, false)
 		}
 		return err
@@ -227,6 +233,7 @@
 		if !hasFirstEvent {
 			hasFirstEvent = true
 			r.balancer.FirstByte(run.ticket, true)
+			r.blameRejecters(t)
 		}
 		if err := r.appendEvent(t, run, e); err != nil {
 			return err
--- a/pkg/itemrunner/start.go
+++ b/pkg/itemrunner/start.go
@@ -27,7 +27,7 @@
 	tried := triedParts{}
 	for _, c := range r.candidates(now, reg) {
 		t, route := c.task, c.route
-		if r.isHeld(now, c, tried) {
+		if r.isHeld(now, c, tried) || r.abandonIfRejected(t, route, now) {
 			continue
 		}
 		if !hasRoom {
@@ -139,19 +139,23 @@
 	if reg.Config.Version < r.manager.ConfigOf(t.job.id) {
 		return
 	}
-	r.log.WithFields(logrus.Fields{
-		"job": t.job.id, "item": t.item.ID, "config": reg.Config.Version,
-	}).Warn("item abandoned: its route is no longer configured")
-	r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
+	r.abandon(t, logrus.Fields{"config": reg.Config.Version}, "its route is no longer configured")
 }
 
 // abandonIfOverdue abandons an item with a quarantined part once its job is as old as the route allows; until then it waits.
 func (r *Runner) abandonIfOverdue(t *task, route registrar.Route, part string, now time.Time) {
-	if route.AbandonAfter <= 0 || r.manager.KnownFor(t.job.id, now) < route.AbandonAfter {
-		return
+	if r.isOverdue(t, route, now) {
+		r.abandon(t, logrus.Fields{"part": part, "after": route.AbandonAfter.String()}, "a part of its prompt crashes endpoints")
 	}
-	r.log.WithFields(logrus.Fields{
-		"job": t.job.id, "item": t.item.ID, "part": part, "after": route.AbandonAfter.String(),
-	}).Warn("item abandoned: a part of its prompt crashes endpoints")
+}
+
+// isOverdue reports whether the item's job is as old as the route allows.
+func (r *Runner) isOverdue(t *task, route registrar.Route, now time.Time) bool {
+	return route.AbandonAfter > 0 && r.manager.KnownFor(t.job.id, now) >= route.AbandonAfter
+}
+
+// abandon lists the item as abandoned and logs why.
+func (r *Runner) abandon(t *task, fields logrus.Fields, cause string) {
+	r.log.WithFields(fields).WithFields(logrus.Fields{"job": t.job.id, "item": t.item.ID}).Warn("item abandoned: " + cause)
 	r.finish(t, jobmanager.Result{ID: t.item.ID, State: jobrecorder.Abandoned})
 }
--- a/pkg/itemrunner/task.go
+++ b/pkg/itemrunner/task.go
@@ -57,8 +57,9 @@
 	isLate bool
 	isOver bool
 	// isHere says that the item is this VM's to run, and not only kept until its run ends, or its job being handed over.
-	isHere bool
-	wait   itemWait
+	isHere     bool
+	wait       itemWait
+	rejections rejections
 }
 
 // itemOutput is what an item's runs have brought since its output was begun. An output that is discarded is replaced, never
--- a/pkg/relayer/delegate.go
+++ b/pkg/relayer/delegate.go
@@ -110,6 +110,9 @@
 		if q.endIfUnsendable(err) {
 			return true, core.Canceled
 		}
+		if dialer.IsRejection(err) {
+			return q.endUnlessRetryable(err), core.Served
+		}
 		return q.endUnlessRetryable(err), q.failedAtPeer()
 	}
 	defer x.Close()
@@ -122,7 +125,7 @@
 	}
 	refusals := q.refusals
 	isOver, ending := q.handleAnswer(x, nil, placer.Send{Endpoint: registrar.Endpoint{ID: q.endpoint}})
-	if q.refusals > refusals || ending == placer.EndedComplete {
+	if q.refusals > refusals || ending == placer.EndedComplete || ending == placer.EndedRejected {
 		return isOver, core.Served
 	}
 	return isOver, q.failedAtPeer()
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -214,6 +214,8 @@
 	atPeer   bool
 	// tried holds the ids of the endpoints of earlier attempts.
 	tried map[string]bool
+	// rejectedBy holds the endpoints that answered that the message is at fault, while no other one has answered it.
+	rejectedBy []registrar.Endpoint
 	// hasAnswer says that the head of an answer has been forwarded.
 	hasAnswer bool
 	// sequence is that of the events that were forwarded, to the caller's earlier attempts too if the request resumes their stream.
@@ -365,10 +367,7 @@
 			ending = placer.EndedLocally
 			return true
 		}
-		q.recordBreak(s.Endpoint, false)
-		if q.ctx.Err() != nil || q.isCutOff() {
-			ending = placer.EndedLocally
-		}
+		ending = q.endingOfError(err, s.Endpoint)
 		return q.endUnlessRetryable(err)
 	}
 	defer x.Close()
@@ -449,8 +448,9 @@
 	}
 	if !q.headers.IsSigned(res, q.id) {
 		q.cause = errors.Errorf("answer of endpoint %s with status %d is not signed for this request", s.Endpoint.ID, status)
-		return q.endUnlessRetryable(q.cause), placer.EndedFailed
+		return q.endUnlessRetryable(q.cause), q.endingOfUnsigned(status, s.Endpoint)
 	}
+	q.blameRejecters(status)
 	if status >= http.StatusInternalServerError && q.canRetry() {
 		q.cause = errors.Errorf("endpoint %s answered status %d", s.Endpoint.ID, status)
 		return false, placer.EndedFailed
