A job's id names no row of another job

What callers could see: a job with the id gate/HASH of its route was accepted and has the key of the route's admission row; a job whose id begins with another one's id and a slash has rows among those of the other, whose items could then not be read any more by VMs that had not cached them (503). Jobs with a slash in their id can't be read.

Cause: checkJob asked for 1 to 100 bytes only; rows have keys JOB/..., in one table with the admission rows.

Change: a job's id is UTF-8 without a slash, else 400.

Evidence: TestJobIDNamesNoOtherRow fails on (five ids accepted, the read answered 503), passes now.

--- a/pkg/jobmanager/check.go
+++ b/pkg/jobmanager/check.go
@@ -34,6 +34,9 @@
 	switch {
 	case id == "" || len(id) > maxID:
 		return &SubmitError{Field: "id", Value: id, Remedy: fmt.Sprintf("send one of 1 to %d characters", maxID)}
+	case strings.Contains(id, "/") || !utf8.ValidString(id):
+		// Slashes divide the keys of rows, and the paths of calls about jobs.
+		return &SubmitError{Field: "id", Value: id, Remedy: "send UTF-8 without a slash"}
 	case len(items) == 0 || len(items) > maxItems:
 		return &SubmitError{
 			Field: "items", Value: fmt.Sprint(len(items)), Remedy: fmt.Sprintf("send 1 to %d items", maxItems),
