--- a/pkg/server/stop_test.go
+++ b/pkg/server/stop_test.go
@@ -20,12 +20,14 @@
 	"github.com/dogwoodledge/dogwoodledge/pkg/follower"
 )
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+// anyPort makes a server listen at a port that no other socket has.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// address returns the address at which the started port listens.
+func (p *port) address() netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return netip.MustParseAddrPort(p.socket.Addr().String())
 }
 
 const testOperatorKey = "operator"
@@ -37,7 +39,7 @@
 	log, _ := logtest.NewNullLogger()
 	begun := make(chan struct{}, 10)
 	s := New(Config{
-		VM: "v", Callers: freeAddress(t), Operators: freeAddress(t), OperatorKeyHashes: []string{follower.HashKey(testOperatorKey)},
+		VM: "v", Callers: anyPort, Operators: anyPort, OperatorKeyHashes: []string{follower.HashKey(testOperatorKey)},
 	}, Parts{
 		Log: log, Claims: NewClaimRunner("v", emulator.NewPlatform(), nil, nil, log),
 		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -47,6 +49,7 @@
 		}),
 	})
 	require.NoError(t, s.Start())
+	s.cfg.Callers, s.cfg.Operators = s.callers.address(), s.operators.address()
 	return s, begun
 }
 
