--- a/pkg/assembler/gateway_job_ids_test.go
+++ b/pkg/assembler/gateway_job_ids_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestJobIDNamesNoOtherRow guards against a job whose id makes its rows those of another job, or of the route: the items of the
-// other job could not be read any more, and all jobs of the route were refused.
+// other job could not be read any more.
 func TestJobIDNamesNoOtherRow(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
